Add the design, the workspace and the shared types

The design page decides the structure for the target size: one coordinator per group of targets, terms taken by compare-and-swap, grants that end on the target's own clock. Every crate of the workspace exists with its dependencies, so that the parts can be built side by side.

--- /dev/null
+++ b/bins/ctl/src/main.rs
@@ -0,0 +1,5 @@
+//! The operator's tool.
+
+#![forbid(unsafe_code)]
+
+fn main() {}
--- /dev/null
+++ b/bins/demo/src/main.rs
@@ -0,0 +1,5 @@
+//! Starts a whole environment on loopback.
+
+#![forbid(unsafe_code)]
+
+fn main() {}
--- /dev/null
+++ b/bins/entry/src/main.rs
@@ -0,0 +1,5 @@
+//! The entry instance.
+
+#![forbid(unsafe_code)]
+
+fn main() {}
--- /dev/null
+++ b/bins/load/src/main.rs
@@ -0,0 +1,5 @@
+//! Load generator, verifier and benchmark.
+
+#![forbid(unsafe_code)]
+
+fn main() {}
--- /dev/null
+++ b/crates/admission/src/lib.rs
@@ -0,0 +1,4 @@
+//! Admission of requests to the targets of one group.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
--- /dev/null
+++ b/crates/call/src/lib.rs
@@ -0,0 +1,4 @@
+//! Decision logic of a single call.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,16 @@
+//! Shared types of carawayscale: names, fencing tokens, shards, time, findings and outcomes.
+//!
+//! Every other crate of the workspace depends on this one. It does no input or output except for
+//! [`time::Clock`], the only reader of the system clock.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod errors;
+pub mod finding;
+pub mod header;
+pub mod name;
+pub mod outcome;
+pub mod shard;
+pub mod time;
+pub mod token;
--- /dev/null
+++ b/crates/core/src/shard.rs
@@ -0,0 +1,42 @@
+//! Shards and the hash that assigns keys to them.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+const FNV_OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+const FNV_PRIME: u64 = 0x0000_0100_0000_01b3;
+
+/// A shard of a service: the unit in which keys are owned.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(transparent)]
+pub struct Shard(pub u32);
+
+impl fmt::Display for Shard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// Hashes bytes to 64 bits.
+///
+/// FNV-1a followed by the 64-bit finalizer of MurmurHash3, which spreads the high bits that FNV-1a
+/// leaves weak for short keys. The value is part of the protocol between instances and never changes.
+pub fn hash(bytes: &[u8]) -> u64 {
+    let mut state = FNV_OFFSET;
+    for byte in bytes {
+        state = (state ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
+    }
+    state ^= state >> 33;
+    state = state.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    state ^= state >> 33;
+    state = state.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    state ^ (state >> 33)
+}
+
+/// Returns the shard of a key among `shards` shards. A count of zero is treated as one.
+pub fn of_key(key: &[u8], shards: u32) -> Shard {
+    let index = hash(key) % u64::from(shards.max(1));
+    Shard(u32::try_from(index).unwrap_or(0))
+}
--- /dev/null
+++ b/crates/core/src/time.rs
@@ -0,0 +1,76 @@
+//! Time on a clock that counts suspended time.
+
+use std::ops::Add;
+use std::ops::Sub;
+use std::time::Duration;
+
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
+/// A moment in microseconds on the boot-time clock of this machine.
+///
+/// The clock goes on while the machine is suspended and while the process is stopped. Stamps of
+/// different machines cannot be compared.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Stamp(u64);
+
+impl Stamp {
+    /// Makes a stamp from microseconds since boot.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Makes a stamp from milliseconds since boot.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis.saturating_mul(1000))
+    }
+
+    /// Returns microseconds since boot.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns whole milliseconds since boot.
+    pub const fn as_millis(self) -> u64 {
+        self.0 / 1000
+    }
+
+    /// Returns the time from `earlier` to this stamp, or zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Stamp {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub<Duration> for Stamp {
+    type Output = Self;
+
+    fn sub(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
+/// Reader of the boot-time clock.
+///
+/// Only the parts that do input and output hold one; decision logic receives stamps as arguments.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Clock;
+
+impl Clock {
+    /// Returns the current moment.
+    pub fn now(&self) -> Stamp {
+        let spec = clock_gettime(ClockId::Boottime);
+        let seconds = u64::try_from(spec.tv_sec).unwrap_or(0);
+        let nanos = u64::try_from(spec.tv_nsec).unwrap_or(0);
+        Stamp(seconds * 1_000_000 + nanos / 1000)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,4 @@
+//! The HTTP data path.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
--- /dev/null
+++ b/standins/target/src/main.rs
@@ -0,0 +1,5 @@
+//! Stand-in of a target.
+
+#![forbid(unsafe_code)]
+
+fn main() {}
