--- a/crates/core/tests/core.rs
+++ b/crates/core/tests/core.rs
@@ -2,15 +2,16 @@
 
 use std::time::Duration;
 
-use caraway_core::outcome::Reason;
-use caraway_core::shard::of_key;
-use caraway_core::time::Stamp;
-use caraway_core::token::Token;
 use proptest::prelude::any;
 use proptest::prop_assert;
 use proptest::prop_assert_eq;
 use proptest::proptest;
 
+use caraway_core::outcome::Reason;
+use caraway_core::shard::of_key;
+use caraway_core::time::Stamp;
+use caraway_core::token::Token;
+
 /// Guards against a reason that one instance writes and another cannot read.
 #[test]
 fn every_reason_reads_back() {
