Fix the interfaces between control plane and data path

The lane and the plan are the two types that several parts are built against, so their public signatures land before the parts.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -2,3 +2,5 @@
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+pub mod lane;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod class;
 pub mod errors;
 pub mod finding;
 pub mod header;
