--- /dev/null
+++ b/crates/ownership/src/claim.rs
@@ -0,0 +1,144 @@
+//! When an instance may take a group's term.
+
+use std::time::Duration;
+
+use caraway_core::name;
+use caraway_core::shard;
+use caraway_core::time::Stamp;
+
+use crate::event::Predecessor;
+
+/// Distance between terms that are taken from the store.
+///
+/// The terms between two of them are reserved for the successors that a holder names, one for each.
+pub const TERM_STEP: u64 = 16;
+
+/// Silence after which a coordinator is suspected; heartbeats come every 100 ms.
+pub const SUSPICION: Duration = Duration::from_millis(350);
+
+/// Additional wait of each rank, so that usually one instance tries to take a term.
+pub const RANK_DELAY: Duration = Duration::from_millis(150);
+
+/// Longest time since a holder named a successor within which the reserved term may be used.
+pub const NAMING: Duration = Duration::from_millis(400);
+
+/// Time for which a holder names no successor before it names another one.
+pub const NAMING_PAUSE: Duration = Duration::from_secs(1);
+
+/// Returns the next term that may be taken from the store after `term`, reserved terms included.
+pub fn next_term(term: u64) -> u64 {
+    (term / TERM_STEP + 1) * TERM_STEP
+}
+
+/// Returns the reserved term of the `index`-th successor that the holder of `term` names.
+///
+/// None if the holder has used up its reserved terms.
+pub fn reserved_term(term: u64, index: u64) -> Option<u64> {
+    (index + 1 < TERM_STEP).then(|| term / TERM_STEP * TERM_STEP + index + 1)
+}
+
+/// What an instance knows about another instance of its failure domain.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Peer {
+    /// When it was last heard from, or when it was first listed if it never was.
+    pub heard: Stamp,
+    /// When its process was proved gone.
+    pub gone: Option<Stamp>,
+    /// True if it is in a planned stop.
+    pub stopping: bool,
+}
+
+impl Peer {
+    /// Returns true if the instance can be relied on at this moment.
+    pub fn alive(&self, now: Stamp) -> bool {
+        self.gone.is_none() && !self.stopping && now.since(self.heard) <= SUSPICION
+    }
+}
+
+/// An instance that could take a group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// Its name.
+    pub instance: name::Instance,
+    /// Groups that it coordinates.
+    pub groups: usize,
+}
+
+/// Returns the place of an instance in the order in which candidates try to take a group.
+///
+/// Candidates with fewer groups come first. Equal ones are ordered by rendezvous hash (the hash of
+/// group and instance), so that different groups prefer different instances.
+pub fn rank(group: &name::Group, me: &name::Instance, candidates: &[Candidate]) -> Option<usize> {
+    let mut order: Vec<&Candidate> = candidates.iter().collect();
+    order.sort_by_key(|candidate| {
+        let text = format!("{group}|{}", candidate.instance);
+        (candidate.groups, shard::hash(text.as_bytes()))
+    });
+    order.iter().position(|candidate| candidate.instance == *me)
+}
+
+/// The holder of a group as an instance sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Holder {
+    /// The group never had a coordinator.
+    Nobody,
+    /// The coordinator gave the group up at this moment.
+    Released(Stamp),
+    /// A peer holds the group.
+    Peer(Peer),
+    /// An instance that is not listed any more, and was proved gone at this moment.
+    Removed(Stamp),
+}
+
+/// Whether the term may be taken now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// The holder is alive, or another candidate comes first.
+    Wait,
+    /// The group's targets do not check tokens, and the holder is silent but not proved gone.
+    Blocked,
+    /// The term may be taken by compare-and-swap.
+    Claim(Predecessor),
+}
+
+/// Decides whether the candidate of the given rank may take a group's term.
+///
+/// `vacant_since` is when this instance first saw the group without a coordinator; the rank delay
+/// counts from the moment of suspicion.
+pub fn judge(
+    holder: &Holder,
+    rank: usize,
+    checked: bool,
+    vacant_since: Stamp,
+    now: Stamp,
+) -> Verdict {
+    let delay = RANK_DELAY * u32::try_from(rank).unwrap_or(u32::MAX);
+    match holder {
+        Holder::Nobody if now >= vacant_since + delay => Verdict::Claim(Predecessor::None),
+        Holder::Released(at) | Holder::Removed(at) if now >= vacant_since + delay => {
+            Verdict::Claim(Predecessor::Ended(*at))
+        }
+        Holder::Nobody | Holder::Released(_) | Holder::Removed(_) => Verdict::Wait,
+        Holder::Peer(peer) => judge_peer(peer, delay, checked, now),
+    }
+}
+
+fn judge_peer(peer: &Peer, delay: Duration, checked: bool, now: Stamp) -> Verdict {
+    if let Some(at) = peer.gone {
+        let due = now >= at + delay;
+        return if due { Verdict::Claim(Predecessor::Ended(at)) } else { Verdict::Wait };
+    }
+    if now.since(peer.heard) <= SUSPICION + delay {
+        return Verdict::Wait;
+    }
+    if checked { Verdict::Claim(Predecessor::Unproved) } else { Verdict::Blocked }
+}
+
+/// Decides whether a named successor may use its reserved term while the store cannot be reached.
+///
+/// `named` is when the holder last named this instance. The holder must be proved gone, and must
+/// have named it shortly before: a holder names nobody for a while before it names someone else, so
+/// no two instances rely on the same holder's word at once.
+pub fn may_succeed(holder: &Peer, named: Stamp) -> bool {
+    holder.gone.is_some_and(|at| at.since(named) <= NAMING)
+}
