Add the lane of a group: ownership, slots, queue and wakers

The relay and the control plane need a working lane behind the fixed signatures. The decisions are in the pure table (targets, units of ownership, slots, queue); the lane adds a mutex, the clock and oneshot wakers.

--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -1,6 +1,15 @@
 //! Admission of requests to the targets of one group.
+//!
+//! [`table::Table`] takes every decision as a pure function of its state, an event and the time.
+//! [`lane::Lane`] shares a table between the control plane and the data path and wakes waiting
+//! requests.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod backend;
 pub mod lane;
+pub mod queue;
+pub mod scope;
+pub mod slots;
+pub mod table;
--- /dev/null
+++ b/crates/admission/src/table/control.rs
@@ -0,0 +1,174 @@
+//! Changes that the control plane makes to a lane.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use caraway_core::class::Urgency;
+use caraway_core::name;
+use caraway_core::outcome::Reason;
+use caraway_core::shard::Shard;
+use caraway_core::time::Stamp;
+use caraway_core::token::Token;
+
+use crate::lane::State;
+use crate::scope::Owner;
+use crate::scope::Scope;
+use crate::scope::Unit;
+use crate::slots::Slots;
+use crate::table::Effect;
+use crate::table::Table;
+
+impl Table {
+    /// Adds a target or changes its address or state.
+    pub fn set_target(
+        &mut self,
+        target: &name::Target,
+        address: SocketAddr,
+        state: State,
+        now: Stamp,
+    ) {
+        if let Some(backend) = self.fleet.named_mut(target) {
+            backend.restate(address, state, now);
+        } else {
+            let slots = Slots::new(self.options.slots, self.options.warmup, state, now);
+            self.fleet.add(target, address, slots);
+        }
+        self.rehome_all(now);
+    }
+
+    /// Removes a target. Shards that it still owns lose their owner.
+    pub fn remove_target(&mut self, target: &name::Target, now: Stamp) {
+        let Some(backend) = self.fleet.named_mut(target) else { return };
+        backend.removed = true;
+        let member = backend.member;
+        for unit in self.shards.values_mut().chain(self.keys.values_mut()) {
+            if unit.owner.is_some_and(|owner| owner.member == member) {
+                unit.owner = None;
+            }
+        }
+        self.rehome_all(now);
+        self.fleet.forget(member);
+        while self.lots.len() > self.capacity() {
+            let shrunk = self.displace(Urgency::Bulk)
+                || self.displace(Urgency::Normal)
+                || self.displace(Urgency::Urgent);
+            assert!(shrunk, "the queue exceeds its bound and is empty");
+        }
+    }
+
+    /// Sets the moment until which requests may be written to a target.
+    pub fn allow_until(&mut self, target: &name::Target, until: Stamp, now: Stamp) {
+        let Some(backend) = self.fleet.named_mut(target) else { return };
+        backend.allow_until = until;
+        if !self.lots.is_empty() {
+            self.advance(now);
+        }
+    }
+
+    /// Sets the token for requests to a target of a pooled lane.
+    pub fn set_token(&mut self, target: &name::Target, token: Token, now: Stamp) {
+        let Some(backend) = self.fleet.named_mut(target) else { return };
+        backend.token = Some(token);
+        if !self.lots.is_empty() {
+            self.advance(now);
+        }
+    }
+
+    /// Makes a target the owner of a shard. Ignored if the target is unknown.
+    pub fn assign(&mut self, shard: Shard, target: &name::Target, token: Token, now: Stamp) {
+        let Some(backend) = self.fleet.named(target) else { return };
+        let owner = Owner { member: backend.member, token };
+        self.shards.entry(shard).or_default().owner = Some(owner);
+        self.rehome_all(now);
+    }
+
+    /// Takes a shard from its owner.
+    pub fn pause(&mut self, shard: Shard, now: Stamp) {
+        if let Some(unit) = self.shards.get_mut(&shard) {
+            unit.owner = None;
+            self.rehome_all(now);
+        }
+    }
+
+    /// Returns how many permits of a shard are out, split keys of the shard excluded.
+    pub fn in_flight(&self, shard: Shard) -> usize {
+        self.shards.get(&shard).map_or(0, Unit::in_flight)
+    }
+
+    /// Returns how many permits for a target are out.
+    pub fn target_in_flight(&self, target: &name::Target) -> usize {
+        let count = self.fleet.named(target).map_or(0, |backend| backend.slots.in_flight());
+        usize::try_from(count).unwrap_or(usize::MAX)
+    }
+
+    /// Gives a key an owner of its own. Ignored if the target is unknown.
+    pub fn split(&mut self, key: &str, target: &name::Target, token: Token, now: Stamp) {
+        let Some(backend) = self.fleet.named(target) else { return };
+        let owner = Owner { member: backend.member, token };
+        self.detach(key, Some(owner), now);
+    }
+
+    /// Holds back the requests of a key, which is treated as split from then on.
+    pub fn pause_key(&mut self, key: &str, now: Stamp) {
+        self.detach(key, None, now);
+    }
+
+    fn detach(&mut self, key: &str, owner: Option<Owner>, now: Stamp) {
+        let key: Arc<str> = Arc::from(key);
+        let mut unit = self.keys.remove(&key).unwrap_or_default();
+        unit.owner = owner;
+        unit.ending = false;
+        self.adopt(&key, &mut unit);
+        self.keys.insert(key, unit);
+        self.rehome_all(now);
+    }
+
+    /// Moves the permits of a key from its shard to the unit of the key.
+    fn adopt(&mut self, key: &Arc<str>, unit: &mut Unit) {
+        for out in self.permits.values_mut().filter(|out| out.key == *key) {
+            let Scope::Shard(shard) = out.scope else { continue };
+            let Some(old) = self.shards.get_mut(&shard) else { continue };
+            if out.epoch == old.epoch() {
+                old.give_back(out.epoch);
+                out.epoch = unit.take(out.member);
+                out.scope = Scope::Key(key.clone());
+            }
+        }
+    }
+
+    /// Returns how many permits of a key are out.
+    pub fn key_in_flight(&self, key: &str) -> usize {
+        self.permits.values().filter(|out| *out.key == *key).count()
+    }
+
+    /// Ends a split. The requests of the key wait until its permits are back.
+    pub fn unsplit(&mut self, key: &str, now: Stamp) {
+        let Some(unit) = self.keys.get_mut(key) else { return };
+        if unit.holder().is_some() {
+            unit.ending = true;
+        } else {
+            self.merge(key);
+        }
+        self.rehome_all(now);
+    }
+
+    /// Removes the unit of a key. Permits for lost owners of the key no longer count for a unit.
+    pub(super) fn merge(&mut self, key: &str) {
+        self.keys.remove(key);
+        for out in self.permits.values_mut() {
+            if matches!(&out.scope, Scope::Key(other) if **other == *key) {
+                out.scope = Scope::Pool;
+            }
+        }
+    }
+
+    /// Refuses all waiting and later requests.
+    pub fn close(&mut self, reason: Reason) {
+        self.closed = Some(reason);
+        let tickets: Vec<u64> = self.lots.keys().copied().collect();
+        for ticket in tickets {
+            self.remove(ticket);
+            self.effects.push(Effect::Refuse(ticket, reason));
+        }
+    }
+}
--- /dev/null
+++ b/crates/admission/tests/lane.rs
@@ -0,0 +1,177 @@
+//! Tests of the shared lane: waking, cancellation and deadlines.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use caraway_admission::lane::Finish;
+use caraway_admission::lane::Lane;
+use caraway_admission::lane::Options;
+use caraway_admission::lane::Request;
+use caraway_admission::lane::State;
+use caraway_core::class::Urgency;
+use caraway_core::name;
+use caraway_core::outcome::Reason;
+use caraway_core::shard::Shard;
+use caraway_core::time::Clock;
+use caraway_core::time::Stamp;
+use caraway_core::token::Token;
+
+const LONG: Duration = Duration::from_secs(30);
+const SHORT: Duration = Duration::from_millis(40);
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn target(number: u16) -> name::Target {
+    name::Target::new(&format!("lectura-{number:02}"))
+}
+
+fn lane(targets: u16, slots: u32) -> Arc<Lane> {
+    let lane = Lane::new(Options {
+        group: name::Group::new("lectura/med/0"),
+        pooled: false,
+        slots,
+        queue: 8,
+        warmup: Duration::from_secs(2),
+    });
+    for number in 0..targets {
+        lane.set_target(&target(number), address(21000 + number), State::Live);
+        lane.allow_until(&target(number), Clock.now() + LONG);
+    }
+    lane
+}
+
+fn request(shard: u32, patience: Duration) -> Request {
+    Request {
+        shard: Shard(shard),
+        key: Arc::from("escalator-17"),
+        tenant: name::Tenant::new("centro"),
+        urgency: Urgency::Normal,
+        deadline: Clock.now() + patience,
+        avoid: None,
+    }
+}
+
+/// Guards against a permit for another target, a wrong token or a late last moment.
+#[tokio::test]
+async fn permit_names_the_owner_and_its_token() {
+    let lane = lane(2, 4);
+    lane.assign(Shard(7), &target(1), Token::new(4, 2));
+    let until = Clock.now() + Duration::from_millis(300);
+    lane.allow_until(&target(1), until);
+    let permit = lane.acquire(request(7, LONG)).await.expect("permit");
+    assert_eq!(permit.target, target(1));
+    assert_eq!(permit.address, address(21001));
+    assert_eq!(permit.token, Token::new(4, 2));
+    assert_eq!(permit.write_before, until);
+    assert_eq!(lane.in_flight(Shard(7)), 1);
+    permit.finish(Finish::Answered);
+    assert_eq!(lane.in_flight(Shard(7)), 0);
+    assert_eq!(lane.target_in_flight(&target(1)), 0);
+}
+
+/// Guards against a request that is refused or forgotten during a change of ownership.
+#[tokio::test]
+async fn request_waits_for_the_assignment() {
+    let lane = lane(2, 4);
+    let waiting = tokio::spawn({
+        let lane = lane.clone();
+        async move { lane.acquire(request(3, LONG)).await }
+    });
+    tokio::time::sleep(SHORT).await;
+    assert!(!waiting.is_finished());
+    lane.assign(Shard(3), &target(0), Token::new(2, 1));
+    let permit = waiting.await.expect("task").expect("permit");
+    assert_eq!(permit.target, target(0));
+}
+
+/// Guards against a request that waits longer than its caller.
+#[tokio::test]
+async fn deadline_ends_the_wait() {
+    let lane = lane(1, 1);
+    assert_eq!(lane.acquire(request(3, SHORT)).await.err(), Some(Reason::NoOwner));
+    lane.assign(Shard(3), &target(0), Token::new(2, 1));
+    let _busy = lane.acquire(request(3, LONG)).await.expect("permit");
+    let late = lane.acquire(request(3, SHORT)).await;
+    assert_eq!(late.err(), Some(Reason::DeadlineBeforeDispatch));
+    lane.allow_until(&target(0), Stamp::default());
+    assert_eq!(lane.acquire(request(3, SHORT)).await.err(), Some(Reason::NoTarget));
+    assert_eq!(lane.queue_percent(), 0);
+}
+
+/// Guards against a dropped future that keeps its place in the queue.
+#[tokio::test]
+async fn dropped_request_leaves_the_queue() {
+    let lane = lane(1, 1);
+    lane.assign(Shard(3), &target(0), Token::new(2, 1));
+    let busy = lane.acquire(request(3, LONG)).await.expect("permit");
+    let waiting = tokio::time::timeout(SHORT, lane.acquire(request(3, LONG))).await;
+    assert!(waiting.is_err());
+    assert_eq!(lane.queue_percent(), 0);
+    busy.finish(Finish::Answered);
+    assert_eq!(lane.target_in_flight(&target(0)), 0);
+}
+
+/// Guards against a permit that is lost when it is handed to a future that is dropped before it
+/// runs again.
+#[tokio::test]
+async fn permit_of_a_cancelled_waiter_is_returned() {
+    let lane = lane(1, 1);
+    lane.assign(Shard(3), &target(0), Token::new(2, 1));
+    let busy = lane.acquire(request(3, LONG)).await.expect("permit");
+    let mut first = Box::pin(lane.acquire(request(3, LONG)));
+    assert!(futures_poll(first.as_mut()).await);
+    busy.finish(Finish::Answered);
+    assert_eq!(lane.target_in_flight(&target(0)), 1);
+    let second = tokio::spawn({
+        let lane = lane.clone();
+        async move { lane.acquire(request(3, LONG)).await }
+    });
+    tokio::time::sleep(SHORT).await;
+    drop(first);
+    let permit = second.await.expect("task").expect("permit");
+    drop(permit);
+    assert_eq!(lane.target_in_flight(&target(0)), 0);
+}
+
+/// Polls a future once and returns true if it is pending.
+async fn futures_poll<F: Future>(mut future: std::pin::Pin<&mut F>) -> bool {
+    std::future::poll_fn(|context| {
+        std::task::Poll::Ready(future.as_mut().poll(context).is_pending())
+    })
+    .await
+}
+
+/// Guards against waiters that outlive the group's local coordination.
+#[tokio::test]
+async fn close_refuses_waiting_and_later_requests() {
+    let lane = lane(1, 1);
+    let waiting = tokio::spawn({
+        let lane = lane.clone();
+        async move { lane.acquire(request(3, LONG)).await }
+    });
+    tokio::time::sleep(SHORT).await;
+    lane.close(Reason::NoCoordinator);
+    assert_eq!(waiting.await.expect("task").err(), Some(Reason::NoCoordinator));
+    assert_eq!(lane.acquire(request(3, LONG)).await.err(), Some(Reason::NoCoordinator));
+}
+
+/// Guards against a ramp of a cold target that is noticed only when another request ends.
+#[tokio::test]
+async fn ramp_wakes_a_waiting_request() {
+    let lane = Lane::new(Options {
+        group: name::Group::new("lectura/med/0"),
+        pooled: false,
+        slots: 2,
+        queue: 8,
+        warmup: Duration::from_millis(150),
+    });
+    lane.set_target(&target(0), address(21000), State::Cold);
+    lane.allow_until(&target(0), Clock.now() + LONG);
+    lane.assign(Shard(3), &target(0), Token::new(2, 1));
+    let _first = lane.acquire(request(3, LONG)).await.expect("permit");
+    let second = tokio::time::timeout(LONG / 10, lane.acquire(request(3, LONG))).await;
+    assert!(second.expect("in time").is_ok());
+}
