Add the environment document, its checks, plan and differences

The entry instance and the operator's tool need one reading of the document. Rule tables drive both the checks and the published JSON Schema; the plan looks up groups by hash and binary search and routes by hash.

--- /dev/null
+++ b/crates/document/src/check.rs
@@ -0,0 +1,152 @@
+//! Checks of a document. All findings are reported together.
+
+use std::net::SocketAddr;
+
+use serde_json::Map;
+use serde_json::Value;
+
+use caraway_core::finding::Report;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::relation;
+use crate::rule;
+use crate::rule::Field;
+use crate::rule::Rule;
+use crate::schema::Document;
+
+/// Longest excerpt of a found text in a finding, in characters.
+const EXCERPT_CHARS: usize = 60;
+
+/// Parses and checks the text of a document.
+///
+/// # Errors
+///
+/// The text is not JSON, or it has findings.
+pub fn parse(text: &str) -> Result<Document> {
+    let found: Value = serde_json::from_str(text).map_err(syntax)?;
+    let report = value(&found);
+    if !report.is_empty() {
+        return Err(Error::Invalid(report));
+    }
+    // Reading the text again, not the value, reports a field that is written twice.
+    serde_json::from_str(text).map_err(|error| Error::Invalid(single(&error.to_string())))
+}
+
+/// Checks a document that is already in its typed form.
+///
+/// # Errors
+///
+/// The document has findings.
+pub fn document(document: &Document) -> Result<()> {
+    let report = match serde_json::to_value(document) {
+        Ok(found) => value(&found),
+        Err(error) => single(&error.to_string()),
+    };
+    if report.is_empty() { Ok(()) } else { Err(Error::Invalid(report)) }
+}
+
+/// Checks a JSON value and returns all findings.
+pub fn value(found: &Value) -> Report {
+    let mut report = Report::new();
+    shape(found, &rule::DOCUMENT, "", &mut report);
+    relation::check(found, &mut report);
+    report
+}
+
+fn syntax(error: serde_json::Error) -> Error {
+    Error::Syntax { line: error.line(), column: error.column(), message: error.to_string() }
+}
+
+fn single(problem: &str) -> Report {
+    let mut report = Report::new();
+    report.add("", problem, "a document in which every field occurs once");
+    report
+}
+
+fn shape(found: &Value, rule: &Rule, place: &str, report: &mut Report) {
+    match (rule, found) {
+        (Rule::Object(fields), Value::Object(object)) => members(object, fields, place, report),
+        (Rule::List(item, min, max), Value::Array(list)) => {
+            if list.len() < *min || list.len() > *max {
+                report.add(place, &format!("a list of {} items", list.len()), &rule.allowed());
+            }
+            for (index, value) in list.iter().enumerate() {
+                shape(value, item, &format!("{place}/{index}"), report);
+            }
+        }
+        _ if scalar(rule, found) => {}
+        _ => report.add(place, &describe(found), &rule.allowed()),
+    }
+}
+
+fn members(object: &Map<String, Value>, fields: &[Field], place: &str, report: &mut Report) {
+    for field in fields {
+        match object.get(field.name) {
+            Some(value) => shape(value, &field.rule, &format!("{place}/{}", field.name), report),
+            None if field.required => {
+                report.add(place, &format!("no field {}", field.name), &field.rule.allowed());
+            }
+            None => {}
+        }
+    }
+    for name in object.keys().filter(|name| fields.iter().all(|field| field.name != **name)) {
+        let place = format!("{place}/{}", escape(name));
+        report.add(&place, "unknown field", &format!("the fields {}", rule::names(fields)));
+    }
+}
+
+fn scalar(rule: &Rule, found: &Value) -> bool {
+    match (rule, found) {
+        (Rule::Name, Value::String(text)) => is_name(text),
+        (Rule::Prefix, Value::String(text)) => is_prefix(text),
+        (Rule::Address, Value::String(text)) => is_address(text),
+        (Rule::Choice(texts), Value::String(text)) => texts.contains(&text.as_str()),
+        (Rule::Integer(min, max), Value::Number(number)) => {
+            number.as_u64().is_some_and(|number| (*min..=*max).contains(&number))
+        }
+        (Rule::Flag, Value::Bool(_)) => true,
+        _ => false,
+    }
+}
+
+fn is_name(text: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_lowercase() || c.is_ascii_digit() || c == '-';
+    (1..=rule::NAME_BYTES).contains(&text.len())
+        && !text.starts_with('-')
+        && text.chars().all(allowed)
+}
+
+fn is_prefix(text: &str) -> bool {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || "._~-/".contains(c);
+    text.len() <= rule::PREFIX_BYTES
+        && text.starts_with('/')
+        && text.ends_with('/')
+        && !text.contains("//")
+        && text.chars().all(allowed)
+}
+
+fn is_address(text: &str) -> bool {
+    text.parse::<SocketAddr>().is_ok_and(|address| address.port() != 0)
+}
+
+/// Describes a found value in a few words.
+fn describe(found: &Value) -> String {
+    match found {
+        Value::Null => "null".into(),
+        Value::Bool(flag) => flag.to_string(),
+        Value::Number(number) => number.to_string(),
+        Value::String(text) if text.chars().count() > EXCERPT_CHARS => {
+            let start: String = text.chars().take(EXCERPT_CHARS).collect();
+            format!("a text of {} bytes that starts with {start:?}", text.len())
+        }
+        Value::String(text) => format!("{text:?}"),
+        Value::Array(list) => format!("a list of {} items", list.len()),
+        Value::Object(_) => "an object".into(),
+    }
+}
+
+/// Escapes a field name for a JSON pointer (RFC 6901).
+fn escape(name: &str) -> String {
+    name.replace('~', "~0").replace('/', "~1")
+}
--- /dev/null
+++ b/crates/document/src/diff.rs
@@ -0,0 +1,270 @@
+//! Differences between two documents of one environment.
+
+use std::collections::HashMap;
+use std::fmt;
+
+use serde::Serialize;
+use serde_json::Map;
+use serde_json::Value;
+
+use caraway_core::finding::Report;
+use caraway_core::name;
+use caraway_core::shard::Shard;
+
+use crate::errors::Result;
+use crate::plan::Plan;
+use crate::schema::Document;
+
+/// What a change is about.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Subject {
+    /// A failure domain.
+    FailureDomain,
+    /// A tenant.
+    Tenant,
+    /// A call class.
+    Class,
+    /// A service, without its targets.
+    Service,
+    /// A target.
+    Target,
+    /// A route, named by method and prefix.
+    Route,
+    /// The limits of the data path.
+    Limits,
+}
+
+impl Subject {
+    /// Returns the words for the subject.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::FailureDomain => "failure domain",
+            Self::Tenant => "tenant",
+            Self::Class => "class",
+            Self::Service => "service",
+            Self::Target => "target",
+            Self::Route => "route",
+            Self::Limits => "limits",
+        }
+    }
+}
+
+/// One change.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Change {
+    /// Kind of the changed thing.
+    pub subject: Subject,
+    /// Name of the changed thing.
+    pub name: String,
+    /// Changed field; absent if the whole thing was added or removed.
+    pub field: Option<String>,
+    /// Value in the old document; absent if it was added.
+    pub from: Option<Value>,
+    /// Value in the new document; absent if it was removed.
+    pub to: Option<Value>,
+}
+
+impl fmt::Display for Change {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let subject = self.subject.as_str();
+        let name = &self.name;
+        match (&self.field, &self.from, &self.to) {
+            (Some(field), from, to) => {
+                write!(f, "~ {subject} {name}: {field} {} -> {}", text(from), text(to))
+            }
+            (None, None, to) => write!(f, "+ {subject} {name} {}", text(to)),
+            (None, from, _) => write!(f, "- {subject} {name} {}", text(from)),
+        }
+    }
+}
+
+fn text(value: &Option<Value>) -> String {
+    value.as_ref().map_or_else(|| "(absent)".into(), Value::to_string)
+}
+
+/// A range of shards that would be held by another group.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize)]
+pub struct Move {
+    /// Service of the shards.
+    pub service: name::Service,
+    /// First shard of the range.
+    pub first: u32,
+    /// Last shard of the range.
+    pub last: u32,
+    /// Group in the old document.
+    pub from: name::Group,
+    /// Group in the new document.
+    pub to: name::Group,
+}
+
+/// All differences between two documents.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize)]
+pub struct Diff {
+    /// Changes, in the order of the document's fields.
+    pub changes: Vec<Change>,
+    /// Shards of services in both documents that would move between groups.
+    pub moves: Vec<Move>,
+    /// Why the new document must not replace the old one.
+    pub findings: Report,
+}
+
+/// Compares two documents.
+///
+/// # Errors
+///
+/// One of the documents is not valid in itself.
+pub fn compare(old: &Document, new: &Document) -> Result<Diff> {
+    let old_plan = Plan::try_new(old, 0)?;
+    let new_plan = Plan::try_new(new, 0)?;
+    let mut diff = Diff::default();
+    if old.environment != new.environment {
+        let problem = format!("the environment changes from {:?}", old.environment);
+        diff.findings.add("/environment", &problem, &old.environment);
+    }
+    let before = parts(old);
+    let after = parts(new);
+    for ((subject, before), (_, after)) in before.iter().zip(&after) {
+        changes(*subject, before, after, &mut diff.changes);
+    }
+    for (position, service) in new.services.iter().enumerate() {
+        let Some(previous) = old.services.iter().find(|previous| previous.name == service.name)
+        else {
+            continue;
+        };
+        let place = format!("/services/{position}");
+        if previous.division != service.division {
+            let problem = "the division of an existing service changes";
+            diff.findings.add(&format!("{place}/division"), problem, "a service of a new name");
+        }
+        if previous.shard_count() != service.shard_count() {
+            let problem = format!(
+                "the number of shards changes from {}, so that keys move between shards",
+                previous.shard_count()
+            );
+            let allowed = previous.shard_count().to_string();
+            diff.findings.add(&format!("{place}/shards"), &problem, &allowed);
+            continue;
+        }
+        let moves = moves(&old_plan, &new_plan, &service.name, service.shard_count());
+        for step in &moves {
+            let problem = format!(
+                "shards {} to {} of {} would move from group {} to group {}",
+                step.first, step.last, step.service, step.from, step.to
+            );
+            let allowed =
+                "targets in the same proportion for each group, or a service of a new name";
+            diff.findings.add(&format!("{place}/targets"), &problem, allowed);
+        }
+        diff.moves.extend(moves);
+    }
+    Ok(diff)
+}
+
+/// Things of one kind with their names, in document order.
+type Things = Vec<(String, Value)>;
+
+fn parts(document: &Document) -> Vec<(Subject, Things)> {
+    let plain = |name: &str| (name.to_owned(), Value::String(name.to_owned()));
+    let services = document.services.iter().map(|service| {
+        let mut value = json(service);
+        if let Some(value) = value.as_object_mut() {
+            value.remove("targets");
+        }
+        (service.name.to_string(), value)
+    });
+    let targets = document.services.iter().flat_map(|service| {
+        service.targets.iter().map(|target| {
+            let mut value = json(target);
+            if let Some(value) = value.as_object_mut() {
+                value.insert("service".into(), service.name.as_str().into());
+            }
+            (target.name.to_string(), value)
+        })
+    });
+    let routes = document
+        .routes
+        .iter()
+        .map(|route| (format!("{} {}", route.method, route.prefix), json(route)));
+    let classes = document.classes.iter().map(|class| (class.name.to_string(), json(class)));
+    let domains = document.failure_domains.iter().map(|domain| plain(domain.as_str()));
+    let tenants = document.tenants.iter().map(|tenant| plain(tenant.as_str()));
+    vec![
+        (Subject::FailureDomain, domains.collect()),
+        (Subject::Tenant, tenants.collect()),
+        (Subject::Class, classes.collect()),
+        (Subject::Service, services.collect()),
+        (Subject::Target, targets.collect()),
+        (Subject::Route, routes.collect()),
+        (Subject::Limits, vec![("data path".to_owned(), json(&document.limits))]),
+    ]
+}
+
+fn json<T: Serialize>(thing: &T) -> Value {
+    serde_json::to_value(thing).unwrap_or(Value::Null)
+}
+
+fn changes(subject: Subject, before: &Things, after: &Things, changes: &mut Vec<Change>) {
+    let old: HashMap<&str, &Value> = before.iter().map(|(name, value)| (&**name, value)).collect();
+    let new: HashMap<&str, &Value> = after.iter().map(|(name, value)| (&**name, value)).collect();
+    let change =
+        |name: &str, field: Option<&str>, from: Option<&Value>, to: Option<&Value>| Change {
+            subject,
+            name: name.to_owned(),
+            field: field.map(str::to_owned),
+            from: from.cloned(),
+            to: to.cloned(),
+        };
+    for (name, value) in before.iter().filter(|(name, _)| !new.contains_key(&**name)) {
+        changes.push(change(name, None, Some(value), None));
+    }
+    for (name, value) in after {
+        let Some(previous) = old.get(&**name) else {
+            changes.push(change(name, None, None, Some(value)));
+            continue;
+        };
+        for (field, from, to) in fields(previous, value) {
+            changes.push(change(name, Some(field), from, to));
+        }
+    }
+}
+
+type Difference<'a> = (&'a str, Option<&'a Value>, Option<&'a Value>);
+
+/// Returns the fields that differ between two objects.
+fn fields<'a>(old: &'a Value, new: &'a Value) -> Vec<Difference<'a>> {
+    let (Some(old), Some(new)) = (old.as_object(), new.as_object()) else { return Vec::new() };
+    let names = old.keys().chain(new.keys().filter(|name| !Map::contains_key(old, name.as_str())));
+    names
+        .map(|name| (name.as_str(), old.get(name), new.get(name)))
+        .filter(|(_, from, to)| from != to)
+        .collect()
+}
+
+/// Returns the ranges of shards of a service whose group differs between two plans.
+fn moves(old: &Plan, new: &Plan, service: &name::Service, shards: u32) -> Vec<Move> {
+    let mut moves: Vec<Move> = Vec::new();
+    for shard in 0..shards {
+        let from = old.group_of(service, Shard(shard));
+        let to = new.group_of(service, Shard(shard));
+        let (Some(from), Some(to)) = (from, to) else { continue };
+        if from.name == to.name {
+            continue;
+        }
+        match moves.last_mut() {
+            Some(last)
+                if last.last + 1 == shard && last.from == from.name && last.to == to.name =>
+            {
+                last.last = shard;
+            }
+            _ => moves.push(Move {
+                service: service.clone(),
+                first: shard,
+                last: shard,
+                from: from.name.clone(),
+                to: to.name.clone(),
+            }),
+        }
+    }
+    moves
+}
--- a/crates/document/src/plan.rs
+++ b/crates/document/src/plan.rs
@@ -5,12 +5,23 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use caraway_core::class::Urgency;
 use caraway_core::name;
 use caraway_core::shard::Shard;
 
+use crate::check;
+use crate::errors::Result;
+use crate::index;
+use crate::index::Index;
+use crate::schema;
+use crate::schema::Document;
+
 /// How the keys of a service are divided among its targets.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Division {
     /// Every key has one owning target.
     Keyed,
@@ -19,7 +30,8 @@
 }
 
 /// Whether the targets of a service check the fencing token of a request.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Fencing {
     /// Targets refuse a request with a stale token.
     Checked,
@@ -130,28 +142,117 @@
     pub groups: Vec<Arc<Group>>,
     /// Limits of the data path.
     pub limits: Limits,
+    index: Index,
 }
 
 impl Plan {
+    /// Derives the plan of a document that is stored under a version.
+    ///
+    /// # Errors
+    ///
+    /// The document has findings.
+    pub fn try_new(document: &Document, version: u64) -> Result<Self> {
+        check::document(document)?;
+        let services: Vec<_> =
+            document.services.iter().map(|service| Arc::new(Service::from(service))).collect();
+        let classes: Vec<_> =
+            document.classes.iter().map(|class| Arc::new(Class::from(class))).collect();
+        let groups: Vec<_> = services
+            .iter()
+            .zip(&document.services)
+            .flat_map(|(service, source)| {
+                index::form(service, &source.targets, &document.failure_domains)
+            })
+            .collect();
+        let routes = routes(document, &services, &classes);
+        let index = Index::new(&groups, &routes);
+        Ok(Self {
+            version,
+            environment: Arc::from(document.environment.as_str()),
+            domains: document.failure_domains.clone(),
+            tenants: document.tenants.clone(),
+            routes,
+            groups,
+            limits: Limits::from(&document.limits),
+            index,
+        })
+    }
+
     /// Returns the route of a request and its key, if a route matches and the key is not empty.
+    ///
+    /// The cost is one hash lookup for each `/` within the length of the longest prefix.
     pub fn route<'a>(&self, method: &str, path: &'a str) -> Option<(&Route, &'a str)> {
         let path = path.split(['?', '#']).next().unwrap_or(path);
-        self.routes.iter().filter(|route| &*route.method == method).find_map(|route| {
-            let rest = path.strip_prefix(&*route.prefix)?;
-            let key = rest.split('/').next().unwrap_or(rest);
-            (!key.is_empty()).then_some((route, key))
-        })
+        let (position, key) = self.index.route(method, path)?;
+        Some((self.routes.get(position)?, key))
     }
 
     /// Returns the group that holds a shard of a service.
+    ///
+    /// The cost is one hash lookup and a binary search among the groups of the service.
     pub fn group_of(&self, service: &name::Service, shard: Shard) -> Option<&Arc<Group>> {
-        self.groups
-            .iter()
-            .find(|group| group.service.name == *service && group.shards.contains(&shard.0))
+        let position = self.index.group_of(&self.groups, service, shard)?;
+        self.groups.get(position)
     }
 
     /// Returns the group of a name.
     pub fn group(&self, name: &name::Group) -> Option<&Arc<Group>> {
-        self.groups.iter().find(|group| group.name == *name)
+        self.groups.get(self.index.group(name)?)
+    }
+}
+
+/// Returns the routes, longest prefix first and in document order among equals.
+fn routes(document: &Document, services: &[Arc<Service>], classes: &[Arc<Class>]) -> Vec<Route> {
+    let mut routes: Vec<_> = document
+        .routes
+        .iter()
+        .filter_map(|route| {
+            Some(Route {
+                method: Arc::from(route.method.as_str()),
+                prefix: Arc::from(route.prefix.as_str()),
+                service: Arc::clone(services.iter().find(|s| s.name == route.service)?),
+                class: Arc::clone(classes.iter().find(|c| c.name == route.class)?),
+            })
+        })
+        .collect();
+    routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+    routes
+}
+
+impl From<&schema::Service> for Service {
+    fn from(source: &schema::Service) -> Self {
+        Self {
+            name: source.name.clone(),
+            division: source.division,
+            fencing: source.fencing,
+            shards: source.shard_count(),
+            slots: source.slots,
+            connections: source.connections,
+            queue: usize::try_from(source.queue).unwrap_or(usize::MAX),
+            warmup: Duration::from_millis(source.warmup_ms),
+        }
+    }
+}
+
+impl From<&schema::Class> for Class {
+    fn from(source: &schema::Class) -> Self {
+        Self {
+            name: source.name.clone(),
+            patience: Duration::from_millis(source.patience_ms),
+            repeatable: source.repeatable,
+            urgency: source.urgency,
+            attempts: source.attempts,
+        }
+    }
+}
+
+impl From<&schema::Limits> for Limits {
+    fn from(source: &schema::Limits) -> Self {
+        Self {
+            buffered_body_bytes: source.buffered_body_bytes,
+            body_bytes: source.body_bytes,
+            header_bytes: usize::try_from(source.header_bytes).unwrap_or(usize::MAX),
+            idle: Duration::from_millis(source.idle_ms),
+        }
     }
 }
--- /dev/null
+++ b/crates/document/src/relation.rs
@@ -0,0 +1,197 @@
+//! Checks of the relations between fields of a document: unique names, references and proportions.
+//!
+//! The checks read the JSON value and skip what has no valid shape, so that one run reports
+//! findings of both kinds.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use serde_json::Value;
+
+use caraway_core::finding::Report;
+
+use crate::index::GROUP_TARGETS;
+use crate::schema::POOLED_SHARDS;
+
+/// Checks all relations.
+pub fn check(document: &Value, report: &mut Report) {
+    unique_texts(document, "failure_domains", report);
+    unique_texts(document, "tenants", report);
+    unique_names(document, "classes", report);
+    unique_names(document, "services", report);
+    targets(document, report);
+    for (index, class) in list(document, "classes") {
+        attempts(class, &format!("/classes/{index}"), report);
+    }
+    for (index, service) in list(document, "services") {
+        proportions(service, &format!("/services/{index}"), report);
+    }
+    routes(document, report);
+    bodies(document, report);
+}
+
+fn list<'a>(value: &'a Value, name: &str) -> impl Iterator<Item = (usize, &'a Value)> {
+    value.get(name).and_then(Value::as_array).into_iter().flatten().enumerate()
+}
+
+fn text<'a>(value: &'a Value, name: &str) -> Option<&'a str> {
+    value.get(name).and_then(Value::as_str)
+}
+
+fn number(value: &Value, name: &str) -> Option<u64> {
+    value.get(name).and_then(Value::as_u64)
+}
+
+/// Places of the values seen so far, by value.
+struct Seen(HashMap<String, String>);
+
+impl Seen {
+    fn new() -> Self {
+        Self(HashMap::new())
+    }
+
+    fn add(&mut self, value: &str, place: &str, report: &mut Report) {
+        match self.0.get(value) {
+            Some(first) => {
+                report.add(place, &format!("{value:?} is also at {first}"), "a unique value");
+            }
+            None => {
+                self.0.insert(value.to_owned(), place.to_owned());
+            }
+        }
+    }
+}
+
+fn unique_texts(document: &Value, name: &str, report: &mut Report) {
+    let mut seen = Seen::new();
+    for (index, value) in list(document, name) {
+        if let Some(value) = value.as_str() {
+            seen.add(value, &format!("/{name}/{index}"), report);
+        }
+    }
+}
+
+fn unique_names(document: &Value, name: &str, report: &mut Report) {
+    let mut seen = Seen::new();
+    for (index, value) in list(document, name) {
+        if let Some(value) = text(value, "name") {
+            seen.add(value, &format!("/{name}/{index}/name"), report);
+        }
+    }
+}
+
+fn targets(document: &Value, report: &mut Report) {
+    let domains: HashSet<&str> =
+        list(document, "failure_domains").filter_map(|(_, domain)| domain.as_str()).collect();
+    let mut names = Seen::new();
+    let mut addresses = Seen::new();
+    for (service_index, service) in list(document, "services") {
+        for (index, target) in list(service, "targets") {
+            let place = format!("/services/{service_index}/targets/{index}");
+            if let Some(name) = text(target, "name") {
+                names.add(name, &format!("{place}/name"), report);
+            }
+            // Parsed, so that two spellings of one address count as the same.
+            if let Some(address) = text(target, "address").and_then(|text| text.parse().ok()) {
+                let address: SocketAddr = address;
+                addresses.add(&address.to_string(), &format!("{place}/address"), report);
+            }
+            reference(target, "failure_domain", &domains, &place, report);
+        }
+    }
+}
+
+fn reference(value: &Value, name: &str, known: &HashSet<&str>, place: &str, report: &mut Report) {
+    let Some(found) = text(value, name) else { return };
+    if !known.contains(found) {
+        let mut allowed: Vec<_> = known.iter().copied().collect();
+        allowed.sort_unstable();
+        let allowed =
+            if allowed.is_empty() { "none is defined".into() } else { allowed.join(", ") };
+        report.add(&format!("{place}/{name}"), &format!("unknown {name} {found:?}"), &allowed);
+    }
+}
+
+/// A request of a non-repeatable class runs at most once, so it has one attempt.
+fn attempts(class: &Value, place: &str, report: &mut Report) {
+    let repeatable = class.get("repeatable").and_then(Value::as_bool);
+    let attempts = number(class, "attempts");
+    if let (Some(false), Some(attempts @ 2..)) = (repeatable, attempts) {
+        let problem = format!("{attempts} attempts of a class that is not repeatable");
+        report.add(&format!("{place}/attempts"), &problem, "1");
+    }
+}
+
+fn proportions(service: &Value, place: &str, report: &mut Report) {
+    if let (Some(slots), Some(connections)) =
+        (number(service, "slots"), number(service, "connections"))
+        && slots > connections
+    {
+        let problem = format!("{connections} connections for {slots} slots");
+        report.add(&format!("{place}/connections"), &problem, "at least as many as slots");
+    }
+    let keyed = text(service, "division") == Some("keyed");
+    let stated = service.get("shards");
+    if keyed && stated.is_none() {
+        report.add(place, "no field shards", "a number of shards for a keyed service");
+        return;
+    }
+    let shards = match stated {
+        None => u64::from(POOLED_SHARDS),
+        Some(stated) => match stated.as_u64() {
+            Some(shards) => shards,
+            None => return,
+        },
+    };
+    let (needed, unit) = if keyed { (target_count(service), "target") } else { groups(service) };
+    if shards < needed {
+        let place = if stated.is_some() { format!("{place}/shards") } else { place.to_owned() };
+        let problem = format!("{shards} shards for {needed} {unit}s");
+        report.add(&place, &problem, &format!("at least one shard for each {unit}"));
+    }
+}
+
+fn target_count(service: &Value) -> u64 {
+    u64::try_from(list(service, "targets").count()).unwrap_or(u64::MAX)
+}
+
+/// Returns the number of groups of a service.
+fn groups(service: &Value) -> (u64, &'static str) {
+    let mut sizes: HashMap<&str, usize> = HashMap::new();
+    for (_, target) in list(service, "targets") {
+        if let Some(domain) = text(target, "failure_domain") {
+            *sizes.entry(domain).or_default() += 1;
+        }
+    }
+    let groups: usize = sizes.values().map(|size| size.div_ceil(GROUP_TARGETS)).sum();
+    (u64::try_from(groups).unwrap_or(u64::MAX), "group")
+}
+
+fn routes(document: &Value, report: &mut Report) {
+    let names = |list_name| -> HashSet<&str> {
+        list(document, list_name).filter_map(|(_, value)| text(value, "name")).collect()
+    };
+    let services = names("services");
+    let classes = names("classes");
+    let mut seen = Seen::new();
+    for (index, route) in list(document, "routes") {
+        let place = format!("/routes/{index}");
+        reference(route, "service", &services, &place, report);
+        reference(route, "class", &classes, &place, report);
+        if let (Some(method), Some(prefix)) = (text(route, "method"), text(route, "prefix")) {
+            seen.add(&format!("{method} {prefix}"), &place, report);
+        }
+    }
+}
+
+fn bodies(document: &Value, report: &mut Report) {
+    let Some(limits) = document.get("limits") else { return };
+    if let (Some(buffered), Some(all)) =
+        (number(limits, "buffered_body_bytes"), number(limits, "body_bytes"))
+        && buffered > all
+    {
+        let problem = format!("{buffered} is more than body_bytes, {all}");
+        report.add("/limits/buffered_body_bytes", &problem, "at most body_bytes");
+    }
+}
--- /dev/null
+++ b/crates/document/src/rule.rs
@@ -0,0 +1,246 @@
+//! Rules for the shape of a document: which fields exist and which values they take.
+//!
+//! The checks interpret these tables, and the published JSON Schema is rendered from them, so that
+//! the two cannot differ.
+
+use serde_json::Map;
+use serde_json::Value;
+use serde_json::json;
+
+/// Longest name in bytes. Names are used as metric labels and as parts of store keys.
+pub const NAME_BYTES: usize = 63;
+/// Longest path prefix in bytes. It bounds the work of a route lookup.
+pub const PREFIX_BYTES: usize = 256;
+/// Pattern of a name, for the JSON Schema.
+const NAME_PATTERN: &str = "^[a-z0-9][a-z0-9-]{0,62}$";
+/// Pattern of a path prefix, for the JSON Schema.
+const PREFIX_PATTERN: &str = "^/([A-Za-z0-9._~-]+/)*$";
+/// Pattern of an address, for the JSON Schema. It is wider than the check, which parses the address.
+const ADDRESS_PATTERN: &str = "^([0-9.]+|\\[[0-9a-fA-F:.]+\\]):[0-9]{1,5}$";
+
+/// What a value must look like.
+#[derive(Clone, Copy, Debug)]
+pub enum Rule {
+    /// A lower-case name.
+    Name,
+    /// A path prefix.
+    Prefix,
+    /// An IP address with a port other than 0.
+    Address,
+    /// An integer in an inclusive range.
+    Integer(u64, u64),
+    /// `true` or `false`.
+    Flag,
+    /// One of several texts.
+    Choice(&'static [&'static str]),
+    /// A list of between the given numbers of items.
+    List(&'static Rule, usize, usize),
+    /// An object with exactly these fields.
+    Object(&'static [Field]),
+}
+
+/// A field of an object.
+#[derive(Clone, Copy, Debug)]
+pub struct Field {
+    /// Name of the field.
+    pub name: &'static str,
+    /// Whether the field must be present.
+    pub required: bool,
+    /// Meaning of the field and the relations that the JSON Schema cannot express.
+    pub meaning: &'static str,
+    /// Rule of its value.
+    pub rule: Rule,
+}
+
+const fn field(name: &'static str, rule: Rule, meaning: &'static str) -> Field {
+    Field { name, required: true, meaning, rule }
+}
+
+/// Longest patience. The ledger keeps outcomes for 10 minutes, and no call may outlive its entry.
+const PATIENCE_MS: u64 = 600_000;
+/// Largest number of tenants, classes and services: together they bound the metric label sets.
+const TENANTS: usize = 64;
+const CLASSES: usize = 32;
+const SERVICES: usize = 256;
+
+const CLASS: Rule = Rule::Object(&[
+    field("name", Rule::Name, "Name of the class, unique."),
+    field(
+        "patience_ms",
+        Rule::Integer(1, PATIENCE_MS),
+        "Longest time from arrival to answer in milliseconds.",
+    ),
+    field("repeatable", Rule::Flag, "Whether a request may run more than once."),
+    field("urgency", Rule::Choice(&["urgent", "normal", "bulk"]), "Urgency in queues."),
+    field(
+        "attempts",
+        Rule::Integer(1, 10),
+        "Attempts of a request; 1 if the class is not repeatable.",
+    ),
+]);
+
+const TARGET: Rule = Rule::Object(&[
+    field("name", Rule::Name, "Name of the target, unique in the document."),
+    field("failure_domain", Rule::Name, "Failure domain, one of failure_domains."),
+    field("address", Rule::Address, "Address of the HTTP listener, unique in the document."),
+]);
+
+const SERVICE: Rule = Rule::Object(&[
+    field("name", Rule::Name, "Name of the service, unique."),
+    field(
+        "division",
+        Rule::Choice(&["keyed", "pooled"]),
+        "keyed: every key has one owning target; pooled: any target may run any request.",
+    ),
+    Field {
+        name: "shards",
+        required: false,
+        meaning: "Number of shards. Required for a keyed service, at least one for each target; \
+                  64 for a pooled service that does not state it, at least one for each group.",
+        rule: Rule::Integer(1, 65_536),
+    },
+    field(
+        "fencing",
+        Rule::Choice(&["checked", "unchecked"]),
+        "Whether the targets refuse requests with a stale token.",
+    ),
+    field("slots", Rule::Integer(1, 4096), "Requests that a target runs at once."),
+    field(
+        "connections",
+        Rule::Integer(1, 65_535),
+        "Connections that a target accepts, at least as many as slots.",
+    ),
+    field(
+        "queue",
+        Rule::Integer(1, 65_536),
+        "Requests that may wait in the queue of a group, for each of its targets.",
+    ),
+    field(
+        "warmup_ms",
+        Rule::Integer(0, 600_000),
+        "Time in milliseconds over which a cold target ramps up.",
+    ),
+    field("targets", Rule::List(&TARGET, 1, 4096), "Targets of the service."),
+]);
+
+const ROUTE: Rule = Rule::Object(&[
+    field(
+        "method",
+        Rule::Choice(&["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"]),
+        "HTTP method.",
+    ),
+    field(
+        "prefix",
+        Rule::Prefix,
+        "Path prefix; the next path segment is the key. Unique for each method.",
+    ),
+    field("service", Rule::Name, "Service of the route, one of services."),
+    field("class", Rule::Name, "Class of the route, one of classes."),
+]);
+
+const LIMITS: Rule = Rule::Object(&[
+    field(
+        "buffered_body_bytes",
+        Rule::Integer(0, 16_777_216),
+        "Longest body that is buffered so that a request can be retried; at most body_bytes.",
+    ),
+    field("body_bytes", Rule::Integer(1, 1 << 40), "Longest accepted body."),
+    field("header_bytes", Rule::Integer(1024, 1_048_576), "Longest accepted header section."),
+    field(
+        "idle_ms",
+        Rule::Integer(100, 3_600_000),
+        "Time in milliseconds after which an idle caller connection is closed.",
+    ),
+]);
+
+/// Rule of the whole document.
+pub const DOCUMENT: Rule = Rule::Object(&[
+    field("format", Rule::Integer(1, 1), "Format number of the document."),
+    field("environment", Rule::Name, "Name of the environment."),
+    field("failure_domains", Rule::List(&Rule::Name, 1, 64), "Failure domains, unique."),
+    field(
+        "tenants",
+        Rule::List(&Rule::Name, 0, TENANTS),
+        "Tenants that get metrics of their own, unique.",
+    ),
+    field("classes", Rule::List(&CLASS, 1, CLASSES), "Call classes."),
+    field("services", Rule::List(&SERVICE, 1, SERVICES), "Services with their targets."),
+    field("routes", Rule::List(&ROUTE, 1, 1024), "Routes."),
+    field("limits", LIMITS, "Limits of the data path."),
+]);
+
+impl Rule {
+    /// Returns a text that says what is allowed.
+    pub fn allowed(&self) -> String {
+        match self {
+            Self::Name => {
+                format!("a-z, 0-9 and -, not starting with -, 1 to {NAME_BYTES} characters")
+            }
+            Self::Prefix => format!(
+                "a path of / and segments of A-Z, a-z, 0-9, ., _, ~ and -, starting and ending \
+                 with /, at most {PREFIX_BYTES} bytes"
+            ),
+            Self::Address => "an IP address and a port from 1 to 65535, as in 127.0.0.1:80".into(),
+            Self::Integer(min, max) if min == max => format!("{min}"),
+            Self::Integer(min, max) => format!("an integer from {min} to {max}"),
+            Self::Flag => "true or false".into(),
+            Self::Choice(texts) => texts.join(", "),
+            Self::List(_, min, max) => format!("a list of {min} to {max} items"),
+            Self::Object(fields) => format!("an object with the fields {}", names(fields)),
+        }
+    }
+
+    /// Renders the rule as JSON Schema.
+    pub fn json_schema(&self) -> Value {
+        match self {
+            Self::Name => json!({ "type": "string", "pattern": NAME_PATTERN }),
+            Self::Prefix => {
+                json!({ "type": "string", "pattern": PREFIX_PATTERN, "maxLength": PREFIX_BYTES })
+            }
+            Self::Address => json!({ "type": "string", "pattern": ADDRESS_PATTERN }),
+            Self::Integer(min, max) if min == max => json!({ "const": min }),
+            Self::Integer(min, max) => {
+                json!({ "type": "integer", "minimum": min, "maximum": max })
+            }
+            Self::Flag => json!({ "type": "boolean" }),
+            Self::Choice(texts) => json!({ "enum": texts }),
+            Self::List(item, min, max) => json!({
+                "type": "array", "items": item.json_schema(), "minItems": min, "maxItems": max,
+            }),
+            Self::Object(fields) => object_schema(fields),
+        }
+    }
+}
+
+/// Returns the names of fields as one text.
+pub fn names(fields: &[Field]) -> String {
+    fields.iter().map(|field| field.name).collect::<Vec<_>>().join(", ")
+}
+
+fn object_schema(fields: &[Field]) -> Value {
+    let mut properties = Map::new();
+    for field in fields {
+        let mut schema = field.rule.json_schema();
+        if let Some(schema) = schema.as_object_mut() {
+            schema.insert("description".into(), field.meaning.into());
+        }
+        properties.insert(field.name.into(), schema);
+    }
+    let required: Vec<_> =
+        fields.iter().filter(|field| field.required).map(|field| field.name).collect();
+    json!({
+        "type": "object", "additionalProperties": false,
+        "required": required, "properties": properties,
+    })
+}
+
+/// Returns the JSON Schema of the document. It states the shape; relations between fields, such as
+/// a route that names an unknown class, are checked by the program only.
+pub fn json_schema() -> Value {
+    let mut schema = DOCUMENT.json_schema();
+    if let Some(schema) = schema.as_object_mut() {
+        schema.insert("$schema".into(), "https://json-schema.org/draft/2020-12/schema".into());
+        schema.insert("title".into(), "carawayscale environment document".into());
+    }
+    schema
+}
--- /dev/null
+++ b/crates/document/tests/check.rs
@@ -0,0 +1,210 @@
+//! Tests of the checks of a document.
+
+use proptest::collection::vec;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::sample::Index;
+use serde_json::Value;
+use serde_json::json;
+
+use caraway_document::check;
+use caraway_document::errors::Error;
+use caraway_document::plan::Plan;
+use caraway_document::rule;
+
+const ANDINA: &str = include_str!("../../../environments/andina.json");
+const THURGAU: &str = include_str!("../../../environments/thurgau.json");
+
+fn andina() -> Value {
+    serde_json::from_str(ANDINA).unwrap()
+}
+
+/// Returns the places of the findings after one value of the Andina document is replaced.
+fn places(place: &str, value: Value) -> Vec<String> {
+    let mut document = andina();
+    let (parent, name) = place.rsplit_once('/').unwrap();
+    match document.pointer_mut(parent).unwrap() {
+        Value::Object(object) => {
+            object.insert(name.to_owned(), value);
+        }
+        Value::Array(list) => list[name.parse::<usize>().unwrap()] = value,
+        other => panic!("{other}"),
+    }
+    check::value(&document).findings().iter().map(|finding| finding.place.clone()).collect()
+}
+
+/// Guards against an environment file of the repository that the programs refuse.
+#[yare::parameterized(andina = { ANDINA }, thurgau = { THURGAU })]
+fn the_environments_are_valid(text: &str) {
+    let document = check::parse(text).unwrap();
+    Plan::try_new(&document, 1).unwrap();
+}
+
+/// Guards against a mistake that is accepted or reported at another place.
+#[yare::parameterized(
+    format = { "/format", json!(2), "/format" },
+    unknown_field = { "/limits/burst", json!(1), "/limits/burst" },
+    escaped_field = { "/a~1b", json!(1), "/a~01b" },
+    wrong_type = { "/classes/0/repeatable", json!("yes"), "/classes/0/repeatable" },
+    float = { "/services/0/slots", json!(1.5), "/services/0/slots" },
+    negative = { "/services/0/queue", json!(-1), "/services/0/queue" },
+    out_of_range = { "/classes/0/patience_ms", json!(600_001), "/classes/0/patience_ms" },
+    upper_case = { "/services/0/targets/0/name", json!("A"), "/services/0/targets/0/name" },
+    slash_in_name = { "/environment", json!("a/b"), "/environment" },
+    port_zero = { "/services/0/targets/0/address", json!("127.0.0.1:0"), "/services/0/targets/0/address" },
+    host_name = { "/services/0/targets/0/address", json!("host:80"), "/services/0/targets/0/address" },
+    open_prefix = { "/routes/0/prefix", json!("/lectura"), "/routes/0/prefix" },
+    double_slash = { "/routes/0/prefix", json!("//"), "/routes/0/prefix" },
+    domain_twice = { "/failure_domains", json!(["med", "bog", "cal", "man", "med"]), "/failure_domains/4" },
+    class_twice = { "/classes/1/name", json!("status"), "/classes/4/name" },
+    target_twice = { "/services/1/targets/0/name", json!("lectura-01"), "/services/1/targets/0/name" },
+    address_twice = { "/services/1/targets/0/address", json!("127.0.0.1:21001"), "/services/1/targets/0/address" },
+    unknown_domain = { "/services/0/targets/3/failure_domain", json!("lim"), "/services/0/targets/3/failure_domain" },
+    unknown_service = { "/routes/0/service", json!("lecturas"), "/routes/0/service" },
+    unknown_class = { "/routes/0/class", json!("fast"), "/routes/0/class" },
+    route_twice = { "/routes/1/method", json!("GET"), "/routes/1" },
+    attempts = { "/classes/2/attempts", json!(2), "/classes/2/attempts" },
+    few_connections = { "/services/0/connections", json!(3), "/services/0/connections" },
+    few_shards = { "/services/0/shards", json!(15), "/services/0/shards" },
+    few_pooled_shards = { "/services/1/shards", json!(3), "/services/1/shards" },
+    buffer = { "/limits/buffered_body_bytes", json!(134_217_729), "/limits/buffered_body_bytes" },
+    no_targets = { "/services/0/targets", json!([]), "/services/0/targets" },
+    null = { "/limits", json!(null), "/limits" },
+)]
+fn a_mistake_is_found_at_its_place(place: &str, value: Value, finding: &str) {
+    let places = places(place, value);
+    assert!(places.iter().any(|place| place == finding), "{places:?}");
+}
+
+/// Guards against a check that stops at the first finding or skips relations after a wrong shape.
+#[test]
+fn findings_of_both_kinds_are_reported_together() {
+    let mut document = andina();
+    document["format"] = json!("1");
+    document["routes"][0]["class"] = json!("none");
+    document["services"][0]["slots"] = json!(0);
+    let Err(Error::Invalid(report)) = check::parse(&document.to_string()) else { panic!() };
+    let places: Vec<_> = report.findings().iter().map(|finding| &*finding.place).collect();
+    assert_eq!(places, ["/format", "/services/0/slots", "/routes/0/class"]);
+    let found = &report.findings()[2];
+    assert_eq!(found.problem, "unknown class \"none\"");
+    assert_eq!(found.allowed, "download, order, reading, report, status");
+}
+
+/// Guards against a finding for a service that some domain does not run.
+#[test]
+fn a_domain_without_targets_of_a_service_is_allowed() {
+    let mut document = andina();
+    for target in document["services"][3]["targets"].as_array_mut().unwrap() {
+        target["failure_domain"] = json!("med");
+    }
+    assert!(check::value(&document).is_empty());
+}
+
+/// Guards against a field written twice, of which one value would silently win.
+#[test]
+fn a_repeated_field_is_a_finding() {
+    let text = ANDINA.replacen("\"format\": 1", "\"format\": 1, \"format\": 1", 1);
+    let Err(Error::Invalid(report)) = check::parse(&text) else { panic!() };
+    assert!(report.findings()[0].problem.contains("duplicate field `format`"), "{report}");
+}
+
+#[test]
+fn a_syntax_error_has_its_line() {
+    let Err(Error::Syntax { line, .. }) = check::parse("{\n\"format\": }") else { panic!() };
+    assert_eq!(line, 2);
+}
+
+/// Guards against a published schema that differs from the checks. Both are made from the same rules;
+/// the file is written by `caraway-ctl schema`.
+#[test]
+fn the_published_schema_is_current() {
+    let published: Value =
+        serde_json::from_str(include_str!("../../../docs/environment.schema.json")).unwrap();
+    assert_eq!(published, rule::json_schema());
+}
+
+fn any_json() -> impl Strategy<Value = Value> {
+    let leaf = prop_oneof![
+        Just(Value::Null),
+        any::<bool>().prop_map(Value::from),
+        any::<i64>().prop_map(Value::from),
+        any::<u64>().prop_map(Value::from),
+        any::<f64>().prop_map(Value::from),
+        "\\PC{0,80}".prop_map(Value::from),
+        "[a-z0-9/:.-]{0,20}".prop_map(Value::from),
+    ];
+    leaf.prop_recursive(3, 16, 4, |inner| {
+        prop_oneof![
+            vec(inner.clone(), 0..4).prop_map(Value::from),
+            vec(("[a-z_~/]{0,12}", inner), 0..4)
+                .prop_map(|members| Value::Object(members.into_iter().collect())),
+        ]
+    })
+}
+
+/// Returns every pointer to a value inside `value`.
+fn pointers(value: &Value, place: &str, all: &mut Vec<String>) {
+    all.push(place.to_owned());
+    match value {
+        Value::Object(object) => {
+            for (name, value) in object {
+                let name = name.replace('~', "~0").replace('/', "~1");
+                pointers(value, &format!("{place}/{name}"), all);
+            }
+        }
+        Value::Array(list) => {
+            for (index, value) in list.iter().enumerate() {
+                pointers(value, &format!("{place}/{index}"), all);
+            }
+        }
+        _ => {}
+    }
+}
+
+proptest! {
+    /// Guards against a panic on a damaged document, and against a document that passes the checks but
+    /// has no plan.
+    #[test]
+    fn a_mutated_document_never_panics(changes in vec((any::<Index>(), any_json()), 1..4)) {
+        let mut document = andina();
+        for (index, value) in changes {
+            let mut all = Vec::new();
+            pointers(&document, "", &mut all);
+            if let Some(place) = document.pointer_mut(&all[index.index(all.len())]) {
+                *place = value;
+            }
+        }
+        match check::parse(&document.to_string()) {
+            Ok(document) => prop_assert!(Plan::try_new(&document, 1).is_ok()),
+            Err(Error::Invalid(report)) => prop_assert!(!report.is_empty()),
+            Err(error) => prop_assert!(false, "{error}"),
+        }
+    }
+
+    /// Guards against a panic on bytes that are cut or changed.
+    #[test]
+    fn a_damaged_text_never_panics(cut in any::<Index>(), text in "\\PC{0,20}") {
+        let at = cut.index(ANDINA.len());
+        let _ = check::parse(&ANDINA[..at]);
+        let _ = check::parse(&format!("{}{text}{}", &ANDINA[..at], &ANDINA[at..]));
+        let _ = check::parse(&text);
+    }
+
+    /// Guards against a place that does not lead to the value that it names.
+    #[test]
+    fn a_wrong_scalar_is_found_at_its_own_place(index in any::<Index>()) {
+        let mut document = andina();
+        let mut all = Vec::new();
+        pointers(&document, "", &mut all);
+        let place = &all[index.index(all.len())];
+        *document.pointer_mut(place).unwrap() = Value::Null;
+        let report = check::value(&document);
+        prop_assert_eq!(&report.findings()[0].place, place);
+    }
+}
