--- a/crates/document/tests/check.rs
+++ b/crates/document/tests/check.rs
@@ -1,5 +1,8 @@
 //! Tests of the checks of a document.
 
+// The lint settings allow these in test functions; this extends them to the helpers beside them.
+#![allow(clippy::indexing_slicing, clippy::unwrap_used)]
+
 use proptest::collection::vec;
 use proptest::prelude::Just;
 use proptest::prelude::Strategy;
--- a/crates/document/tests/plan.rs
+++ b/crates/document/tests/plan.rs
@@ -1,5 +1,8 @@
 //! Tests of the plan and of the differences between documents.
 
+// The lint settings allow these in test functions; this extends them to the helpers beside them.
+#![allow(clippy::indexing_slicing, clippy::unwrap_used)]
+
 use proptest::collection::vec;
 use proptest::prop_assert;
 use proptest::prop_assert_eq;
