--- /dev/null
+++ b/crates/telemetry/src/logger.rs
@@ -0,0 +1,81 @@
+//! Log set-up.
+
+use std::path::PathBuf;
+use std::str::FromStr;
+use std::time::SystemTime;
+
+use fern::Dispatch;
+use log::LevelFilter;
+
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::line;
+
+/// Form of the log lines.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Format {
+    /// Lines of text for humans.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl FromStr for Format {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(Error::Format(text.to_owned())),
+        }
+    }
+}
+
+/// Options of the logger.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Options {
+    /// Form of the lines.
+    pub format: Format,
+    /// Least severe level that is logged.
+    pub level: LevelFilter,
+    /// File that lines are appended to; standard error if absent.
+    pub file: Option<PathBuf>,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { format: Format::Text, level: LevelFilter::Info, file: None }
+    }
+}
+
+/// Installs the logger of the process.
+///
+/// # Errors
+///
+/// The file cannot be opened, or a logger is already installed.
+pub fn install(options: &Options) -> Result<()> {
+    let dispatch = dispatch(options.format, options.level);
+    let dispatch = match &options.file {
+        None => dispatch.chain(std::io::stderr()),
+        Some(path) => {
+            let file = fern::log_file(path)
+                .map_err(|source| Error::File { path: path.clone(), source })?;
+            dispatch.chain(file)
+        }
+    };
+    dispatch.apply().map_err(|_| Error::Installed)
+}
+
+/// Returns a dispatch that filters and formats records and has no output yet.
+pub fn dispatch(format: Format, level: LevelFilter) -> Dispatch {
+    Dispatch::new().level(level).format(move |out, _message, record| {
+        let now = SystemTime::now();
+        let line = match format {
+            Format::Text => line::text(now, record),
+            Format::Json => line::json(now, record),
+        };
+        out.finish(format_args!("{line}"));
+    })
+}
