Store a document in an envelope with the ID of its write

A promotion whose response is lost must be told apart from another operator's promotion of the same document, which the document alone does not allow.

--- a/crates/document/src/check.rs
+++ b/crates/document/src/check.rs
@@ -54,7 +54,8 @@
     report
 }
 
-fn syntax(error: serde_json::Error) -> Error {
+/// Converts a parser error.
+pub(crate) fn syntax(error: serde_json::Error) -> Error {
     Error::Syntax { line: error.line(), column: error.column(), message: error.to_string() }
 }
 
--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod check;
 pub mod diff;
+pub mod envelope;
 pub mod errors;
 mod index;
 pub mod plan;
--- a/crates/document/tests/check.rs
+++ b/crates/document/tests/check.rs
@@ -16,6 +16,7 @@
 use serde_json::json;
 
 use caraway_document::check;
+use caraway_document::envelope::Envelope;
 use caraway_document::errors::Error;
 use caraway_document::plan::Plan;
 use caraway_document::rule;
@@ -211,3 +212,26 @@
         prop_assert_eq!(&report.findings()[0].place, place);
     }
 }
+
+/// Guards against a stored text that is read back differently or accepted without its write ID.
+#[test]
+fn an_envelope_reads_back() {
+    let document = check::parse(ANDINA).unwrap();
+    let envelope = Envelope { write_id: "w-1".into(), document };
+    assert_eq!(Envelope::parse(&envelope.to_text()), Ok(envelope));
+}
+
+#[yare::parameterized(
+    plain_document = { andina() },
+    no_write_id = { json!({"document": andina()}) },
+    empty_write_id = { json!({"write_id": "", "document": andina()}) },
+    long_write_id = { json!({"write_id": "x".repeat(65), "document": andina()}) },
+    number = { json!({"write_id": 4, "document": andina()}) },
+    no_document = { json!({"write_id": "w"}) },
+    bad_document = { json!({"write_id": "w", "document": {}}) },
+    more = { json!({"write_id": "w", "document": andina(), "by": "x"}) },
+    list = { json!([]) },
+)]
+fn a_text_that_is_no_envelope_is_refused(value: Value) {
+    assert!(matches!(Envelope::parse(&value.to_string()), Err(Error::Invalid(_))));
+}
