--- /dev/null
+++ b/bins/entry/src/control/balancing.rs
@@ -0,0 +1,9 @@
+//! Shard moves under load.
+
+use caraway_core::time::Stamp;
+
+use super::Control;
+
+impl Control {
+    pub(super) fn balance(&mut self, _now: Stamp) {}
+}
--- /dev/null
+++ b/bins/entry/src/control/membership.rs
@@ -0,0 +1,367 @@
+//! Heartbeats: liveness of instances, directory rows, and what is passed on with them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use caraway_call::quarantine;
+use caraway_core::name;
+use caraway_core::time::Stamp;
+use caraway_ownership::event::Event;
+use caraway_ownership::roster::Process;
+use caraway_ownership::roster::Word;
+use caraway_relay::report;
+use caraway_telemetry::event;
+use caraway_telemetry::event::Event as LogEvent;
+use caraway_wire::peer;
+
+use crate::directory::Directory;
+use crate::directory::Member;
+use crate::peers::BeatAnswer;
+use crate::peers::Silence;
+use crate::timer::Part;
+
+use super::Control;
+
+/// Time for which a changed row is passed on inside the failure domain.
+const PASS_ON: Duration = Duration::from_secs(2);
+
+/// Age up to which a crash is told to others; each heartbeat carries the recent ones.
+const CRASH_TOLD: Duration = Duration::from_secs(2);
+
+/// Instances of another failure domain that are told of a new coordinator at once.
+const TOLD_PER_DOMAIN: usize = 2;
+
+impl Control {
+    pub(super) fn send_heartbeats(&mut self, now: Stamp) {
+        let domain = self.parts.me.domain.clone();
+        let peers: Vec<(SocketAddr, Process)> = self
+            .directory
+            .of_domain(&domain)
+            .into_iter()
+            .filter(|member| member.process != self.parts.me.process)
+            .filter(|member| self.roster.gone_at(&member.process).is_none())
+            .map(|member| (member.control, member.process.clone()))
+            .collect();
+        for (address, process) in peers {
+            self.send_beat(address, Some(process), now);
+        }
+        self.notice_members(now);
+        if self.roster.alive(now).is_empty() && self.roster.silent(now).is_empty() {
+            // Without any other listed instance nobody could have taken a term of this one.
+            self.step_all(&Event::Confirmed(now), now);
+        }
+    }
+
+    /// Sends a heartbeat to one instance of each other failure domain in turn.
+    pub(super) fn send_survey(&mut self, now: Stamp) {
+        self.survey_turn = self.survey_turn.wrapping_add(1);
+        let turn = self.survey_turn;
+        for domain in self.other_domains() {
+            let members = self.directory.of_domain(&domain);
+            let index = turn.checked_rem(members.len()).unwrap_or(0);
+            if let Some(member) = members.get(index) {
+                let (address, process) = (member.control, member.process.clone());
+                self.send_beat(address, Some(process), now);
+            }
+        }
+    }
+
+    /// Tells others at once that the coordinator of a group has changed.
+    pub(super) fn announce(&mut self, now: Stamp) {
+        self.timer.hasten(Part::Heartbeat, now);
+        for domain in self.other_domains() {
+            let told: Vec<(SocketAddr, Process)> = self
+                .directory
+                .of_domain(&domain)
+                .into_iter()
+                .take(TOLD_PER_DOMAIN)
+                .map(|member| (member.control, member.process.clone()))
+                .collect();
+            for (address, process) in told {
+                self.send_beat(address, Some(process), now);
+            }
+        }
+    }
+
+    pub(super) fn other_domains(&self) -> Vec<name::Domain> {
+        let domains = self.plan.iter().flat_map(|plan| plan.domains.iter());
+        domains.filter(|domain| **domain != self.parts.me.domain).cloned().collect()
+    }
+
+    fn send_beat(&mut self, address: SocketAddr, expected: Option<Process>, now: Stamp) {
+        if self.beating.insert(address) {
+            let beat = self.own_beat(now);
+            self.parts.caller.beat(address, expected, beat);
+        }
+    }
+
+    pub(super) fn own_beat(&self, now: Stamp) -> peer::Beat {
+        let changed_lately = |row: &&crate::directory::Row| now.since(row.changed) < PASS_ON;
+        let held: Vec<peer::Row> = self.own_rows();
+        let passed = self
+            .directory
+            .rows()
+            .iter()
+            .filter(|(group, row)| {
+                self.is_own_domain(group) || changed_lately(row)
+            })
+            .filter(|(group, _)| !self.coordinated.contains_key(*group))
+            .filter(|(_, row)| row.holder != self.parts.me.process)
+            .map(|(group, row)| Directory::to_wire(group, row));
+        let alive = self.roster.alive(now);
+        let members = self
+            .directory
+            .members()
+            .filter(|member| {
+                member.process == self.parts.me.process || alive.contains(&member.process)
+            })
+            .map(Member::to_wire);
+        peer::Beat {
+            sender: Some(self.parts.me.to_wire()),
+            config_version: self.document.as_ref().map_or(0, |(version, _)| *version),
+            stopping: self.stopping.is_some(),
+            rows: held,
+            passed_rows: passed.collect(),
+            crashes: self.own_crashes(now),
+            members: members.collect(),
+            record_revision: self.record_revision,
+            leaving: self.leaving.iter().cloned().collect(),
+            gone: self.gone.iter().cloned().collect(),
+        }
+    }
+
+    fn own_rows(&self) -> Vec<peer::Row> {
+        let row = |group: &name::Group, coordination: &crate::coordination::Coordination| {
+            let named = self.roster.named_successor(group);
+            let (successor, reserved_term) = named.map_or((String::new(), 0), |(name, term)| {
+                (name.to_string(), term)
+            });
+            peer::Row {
+                group: group.to_string(),
+                term: coordination.origin.term,
+                holder: self.parts.me.process.instance.to_string(),
+                holder_incarnation: self.parts.me.process.incarnation,
+                peer_address: self.parts.me.peer.to_string(),
+                admin_address: self.parts.me.admin.to_string(),
+                successor,
+                reserved_term,
+                queue_percent: coordination.lane.queue_percent(),
+            }
+        };
+        self.coordinated
+            .iter()
+            .filter(|(group, _)| !self.releasing.contains(*group))
+            .map(|(group, coordination)| row(group, coordination))
+            .collect()
+    }
+
+    fn own_crashes(&self, now: Stamp) -> Vec<peer::Crash> {
+        let reports = self.parts.router.quarantine().reports(now);
+        let recent = reports.into_iter().filter(|report| report.age < CRASH_TOLD);
+        let message = |report: quarantine::Report| peer::Crash {
+            fingerprint: report.fingerprint.0,
+            target: report.crash.target.to_string(),
+            incarnation: report.crash.incarnation,
+            age_ms: u64::try_from(report.age.as_millis()).unwrap_or(u64::MAX),
+        };
+        recent.map(message).collect()
+    }
+
+    fn is_own_domain(&self, group: &name::Group) -> bool {
+        let plan = self.plan.as_ref().and_then(|plan| plan.group(group));
+        plan.is_some_and(|group| group.domain == self.parts.me.domain)
+    }
+
+    /// Takes over what a heartbeat or its answer says.
+    pub(super) fn take_beat(&mut self, beat: &peer::Beat, now: Stamp) {
+        let Some(sender) = beat.sender.as_ref().and_then(Member::from_wire) else { return };
+        if sender.process == self.parts.me.process {
+            return;
+        }
+        let own_domain = sender.domain == self.parts.me.domain;
+        self.directory.add_member(sender.clone());
+        for member in beat.members.iter().filter_map(Member::from_wire) {
+            if member.process.instance != self.parts.me.process.instance {
+                self.directory.add_member(member);
+            }
+        }
+        for row in beat.rows.iter().chain(&beat.passed_rows) {
+            self.dirty |= self.directory.take(row, now);
+            self.notice_term(&name::Group::new(&row.group), row.term, &row.holder, now);
+        }
+        self.take_crashes(&beat.crashes, now);
+        if own_domain {
+            self.take_domain_beat(&sender, beat, now);
+        }
+        self.notice_version(beat.config_version, sender.control);
+    }
+
+    fn take_domain_beat(&mut self, sender: &Member, beat: &peer::Beat, now: Stamp) {
+        let words: Vec<Word> = beat.rows.iter().map(word).collect();
+        self.roster.heard(&sender.process, &words, beat.stopping, now);
+        if beat.record_revision > self.record_revision {
+            self.parts.storage.read_domain(self.parts.me.domain.clone());
+        }
+        let leaving: Vec<String> = beat.leaving.clone();
+        let gone: Vec<String> = beat.gone.clone();
+        self.take_platform_states(leaving, gone, now);
+    }
+
+    /// Ends a coordination of a lower term.
+    fn notice_term(&mut self, group: &name::Group, term: u64, holder: &str, now: Stamp) {
+        let own = holder == self.parts.me.process.instance.as_str();
+        let held = self.coordinated.get(group).map(|row| row.origin.term);
+        if !own && held.is_some_and(|held| held < term) {
+            self.step(group, Event::Fenced(term), now);
+        }
+    }
+
+    fn take_crashes(&mut self, crashes: &[peer::Crash], now: Stamp) {
+        let mut quarantine = self.parts.router.quarantine();
+        for crash in crashes {
+            let report = quarantine::Report {
+                fingerprint: quarantine::Fingerprint(crash.fingerprint),
+                crash: quarantine::Crash {
+                    target: name::Target::new(&crash.target),
+                    incarnation: crash.incarnation,
+                },
+                age: Duration::from_millis(crash.age_ms),
+            };
+            quarantine.merge(report, now);
+        }
+    }
+
+    /// Takes over what the platform says about targets and instances.
+    pub(super) fn take_platform_states(
+        &mut self,
+        leaving: Vec<String>,
+        gone: Vec<String>,
+        now: Stamp,
+    ) {
+        for name in leaving {
+            if self.leaving.insert(name.clone()) {
+                let target = name::Target::new(&name);
+                self.step_all(&Event::Leaving(target), now);
+            }
+        }
+        for name in gone {
+            if !self.gone.insert(name.clone()) {
+                continue;
+            }
+            self.step_all(&Event::Gone(name::Target::new(&name)), now);
+            if let Some(member) = self.directory.member(&name::Instance::new(&name)) {
+                let process = member.process.clone();
+                self.prove_gone(&process, "the platform's list", now);
+            }
+        }
+    }
+
+    pub(super) fn take_beat_answer(&mut self, answer: BeatAnswer, now: Stamp) {
+        self.beating.remove(&answer.address);
+        match answer.result {
+            Ok(beat) => {
+                self.take_beat(&beat, now);
+                self.note_answer(&beat, answer.expected, answer.sent, now);
+            }
+            Err(Silence::Refused) => {
+                if let Some(process) = answer.expected {
+                    self.prove_gone(&process, "its address refuses connections", now);
+                }
+            }
+            Err(Silence::Unknown) => {}
+        }
+    }
+
+    fn note_answer(
+        &mut self,
+        beat: &peer::Beat,
+        expected: Option<Process>,
+        sent: Stamp,
+        now: Stamp,
+    ) {
+        let Some(sender) = beat.sender.as_ref().and_then(Member::from_wire) else { return };
+        if let Some(expected) = expected.filter(|expected| *expected != sender.process) {
+            self.prove_gone(&expected, "another process answers at its address", now);
+        }
+        if sender.domain == self.parts.me.domain {
+            self.roster.answered(&sender.process, sent, now);
+            self.step_all(&Event::Confirmed(sent), now);
+        }
+    }
+
+    fn prove_gone(&mut self, process: &Process, proof: &str, now: Stamp) {
+        let member = self.directory.member(&process.instance);
+        let own = member.is_some_and(|member| member.domain == self.parts.me.domain);
+        if !own {
+            self.directory.remove_member(process);
+            return;
+        }
+        if self.roster.gone_at(process).is_some() {
+            return;
+        }
+        self.roster.gone(process, now);
+        event::emit(LogEvent::MemberGone {
+            instance: process.instance.clone(),
+            incarnation: process.incarnation,
+            proof: proof.to_owned(),
+        });
+        self.timer.hasten(Part::Roster, now);
+    }
+
+    /// Logs which instances of the failure domain are heard from and which are not any more.
+    fn notice_members(&mut self, now: Stamp) {
+        let alive = self.roster.alive(now);
+        for process in &alive {
+            if self.known_alive.insert(process.clone()) {
+                let Process { instance, incarnation } = process.clone();
+                event::emit(LogEvent::MemberJoined { instance, incarnation });
+            }
+        }
+        let silent: Vec<Process> =
+            self.known_alive.iter().filter(|process| !alive.contains(process)).cloned().collect();
+        for process in silent {
+            self.known_alive.remove(&process);
+            if self.roster.gone_at(&process).is_none() {
+                let silent_ms = u64::try_from(caraway_ownership::claim::SUSPICION.as_millis());
+                event::emit(LogEvent::MemberSuspected {
+                    instance: process.instance,
+                    silent_ms: silent_ms.unwrap_or(0),
+                });
+            }
+        }
+    }
+
+    /// Takes a hint of the data path: the control plane checks it at once instead of at the next period.
+    pub(super) fn take_report(&mut self, report: report::Event, now: Stamp) {
+        match report {
+            report::Event::ConnectFailed { group, target, .. }
+            | report::Event::Lost { group, target, .. } => {
+                if let Some(row) = self.coordinated.get(&group) {
+                    row.probe(&target);
+                }
+            }
+            report::Event::Refused { group, target, .. } => {
+                if let Some(row) = self.coordinated.get(&group) {
+                    row.probe(&target);
+                }
+            }
+            report::Event::PeerUnreachable { instance, .. }
+            | report::Event::Misdirected { instance, .. } => {
+                let known = self.directory.member(&instance);
+                let known = known.map(|member| (member.control, member.process.clone()));
+                if let Some((address, process)) = known {
+                    self.send_beat(address, Some(process), now);
+                }
+            }
+        }
+    }
+}
+
+fn word(row: &peer::Row) -> Word {
+    Word {
+        group: name::Group::new(&row.group),
+        term: row.term,
+        successor: (!row.successor.is_empty()).then(|| name::Instance::new(&row.successor)),
+        reserved: row.reserved_term,
+    }
+}
--- /dev/null
+++ b/bins/entry/src/control/terms.rs
@@ -0,0 +1,426 @@
+//! Terms: claims, reserved terms, handovers and the planned stop.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use caraway_core::name;
+use caraway_core::time::Stamp;
+use caraway_document::plan;
+use caraway_ownership::event::Event;
+use caraway_ownership::roster::Former;
+use caraway_ownership::roster::Intent;
+use caraway_ownership::roster::Process;
+use caraway_telemetry::event;
+use caraway_telemetry::event::Event as LogEvent;
+use caraway_telemetry::metric::Takeover;
+use caraway_wire::peer;
+
+use crate::coordination::Coordination;
+use crate::coordination::Origin;
+use crate::directory::Member;
+use crate::domain;
+use crate::domain::Change;
+use crate::ledgers;
+use crate::storage::Done;
+
+use super::Control;
+
+/// Longest time that a planned stop waits for the handover of all groups.
+const HANDOVER_WAIT: Duration = Duration::from_secs(5);
+
+/// Time for which a stopping instance goes on accepting callers, so that the balancer sees that it is not ready.
+const STOP_NOTICE: Duration = Duration::from_millis(500);
+
+impl Control {
+    pub(super) fn carry_out_intents(&mut self, now: Stamp) {
+        let mut changes = Vec::new();
+        for intent in self.roster.decide(now) {
+            match intent {
+                Intent::Register => changes.push(Change::Register(self.parts.me.clone())),
+                Intent::Claim { group, expected, former, successor } => {
+                    changes.push(self.claim(group, expected, former, successor));
+                }
+                Intent::Succeed { group, term, former } => self.succeed(&group, term, former, now),
+                Intent::HandOver { group, to } => {
+                    changes.extend(self.hand_over(&group, &to));
+                }
+                Intent::Rename { group, successor } => {
+                    let holder = self.parts.me.process.clone();
+                    changes.push(Change::Rename { group, holder, successor });
+                }
+            }
+        }
+        if self.stopping.is_some() && self.store.reachable {
+            changes.extend(self.hand_over_all(now));
+        }
+        self.change(changes);
+    }
+
+    /// Sends changes to the store, one compare-and-swap at a time.
+    fn change(&mut self, changes: Vec<Change>) {
+        if changes.is_empty() || self.store.changing {
+            return;
+        }
+        self.store.changing = true;
+        for change in &changes {
+            if let Change::HandOver { group, .. } = change {
+                self.release(&group.clone());
+            }
+        }
+        self.parts.storage.change(changes);
+    }
+
+    fn claim(
+        &self,
+        group: name::Group,
+        expected: u64,
+        former: Option<Former>,
+        successor: Option<name::Instance>,
+    ) -> Change {
+        let highest = self.roster.highest_term(&group);
+        let reason = match &former {
+            None => "first coordinator",
+            Some(former) if former.released => "handed over",
+            Some(former) if self.roster.gone_at(&former.holder).is_some() => "coordinator gone",
+            Some(_) => "coordinator silent",
+        };
+        let holder = self.parts.me.process.clone();
+        Change::Claim { group, expected, highest, former, holder, successor, reason }
+    }
+
+    /// Coordinates a group under the reserved term, because the store cannot be reached.
+    fn succeed(&mut self, group: &name::Group, term: u64, former: Former, now: Stamp) {
+        if self.coordinated.contains_key(group) {
+            return;
+        }
+        event::emit(LogEvent::ReservedTermUsed { group: group.clone(), term });
+        self.parts.metrics.took_over(Takeover::Reserved);
+        let reason = "coordinator gone, store not reachable";
+        self.start(group, Origin { term, former: Some(former), claimed: now, reason }, now);
+    }
+
+    fn hand_over(&self, group: &name::Group, to: &name::Instance) -> Option<Change> {
+        let row = self.coordinated.get(group)?;
+        let receiver = self.directory.member(to)?.process.clone();
+        let from = self.parts.me.process.clone();
+        Some(Change::HandOver { group: group.clone(), from, term: row.origin.term, to: receiver })
+    }
+
+    fn hand_over_all(&self, now: Stamp) -> Vec<Change> {
+        let groups = self.coordinated.keys().filter(|group| !self.releasing.contains(*group));
+        groups
+            .filter_map(|group| {
+                let to = self.roster.receiver(group, now)?;
+                self.hand_over(group, &to)
+            })
+            .collect()
+    }
+
+    /// Stops serving a group before it is given away.
+    fn release(&mut self, group: &name::Group) {
+        if let Some(row) = self.coordinated.get(group) {
+            row.close();
+            self.releasing.insert(group.clone());
+            self.dirty = true;
+        }
+    }
+
+    pub(super) fn take_store(&mut self, done: Done, now: Stamp) {
+        match done {
+            Done::Changed { began, revision, record, applied } => {
+                self.store.changing = false;
+                self.store_answered(now);
+                self.take_record(revision, &record, began, now);
+                for change in applied {
+                    self.take_applied(change, &record, now);
+                }
+                self.retake_released(now);
+            }
+            Done::ChangeFailed { unavailable } => {
+                self.store.changing = false;
+                if unavailable {
+                    self.store_failed();
+                }
+                self.retake_released(now);
+                self.parts.storage.read_domain(self.parts.me.domain.clone());
+            }
+            Done::Record { domain, began, revision, record } => {
+                self.store_answered(now);
+                if domain == self.parts.me.domain {
+                    self.take_record(revision, &record, began, now);
+                } else {
+                    for member in domain::members(&record, &domain) {
+                        self.directory.add_member(member);
+                    }
+                }
+            }
+            Done::Document { version, text } => {
+                self.store_answered(now);
+                self.take_document(version, text, now);
+            }
+            Done::Instances { leaving, gone } => {
+                self.store_answered(now);
+                self.take_platform_states(leaving, gone, now);
+            }
+            Done::Nothing => self.store_answered(now),
+            Done::Failed => self.store_failed(),
+        }
+    }
+
+    fn store_answered(&mut self, now: Stamp) {
+        if !self.store.reachable {
+            let outage = self.store.last_ok.map_or(Duration::ZERO, |last| now.since(last));
+            let outage_ms = u64::try_from(outage.as_millis()).unwrap_or(u64::MAX);
+            event::emit(LogEvent::StoreReachable { outage_ms });
+        }
+        self.store.reachable = true;
+        self.store.last_ok = Some(now);
+        self.roster.set_store_reachable(true);
+    }
+
+    fn store_failed(&mut self) {
+        if self.store.reachable {
+            event::emit(LogEvent::StoreUnreachable { error: "call failed or timed out".to_owned() });
+        }
+        self.store.reachable = false;
+        self.roster.set_store_reachable(false);
+    }
+
+    fn take_record(
+        &mut self,
+        revision: u64,
+        record: &caraway_store::record::Domain,
+        began: Stamp,
+        now: Stamp,
+    ) {
+        if revision < self.record_revision {
+            return;
+        }
+        self.record_revision = revision;
+        for member in domain::members(record, &self.parts.me.domain) {
+            if member.process.instance != self.parts.me.process.instance {
+                self.directory.add_member(member);
+            }
+        }
+        let holdings = domain::holdings(record);
+        for (group, holding) in &holdings {
+            if holding.holder != self.parts.me.process {
+                let held = self.coordinated.get(group).map(|row| row.origin.term);
+                if held.is_some_and(|term| term < holding.term)
+                    && !self.releasing.contains(group)
+                {
+                    self.step(group, Event::Fenced(holding.term), now);
+                }
+            }
+        }
+        self.roster.observe(&domain::processes(record), holdings, now);
+        self.step_all(&Event::Confirmed(began), now);
+    }
+
+    fn take_applied(
+        &mut self,
+        change: Change,
+        record: &caraway_store::record::Domain,
+        now: Stamp,
+    ) {
+        match change {
+            Change::Claim { group, former, holder, reason, .. } => {
+                let row = record.groups.iter().find(|row| row.group == group);
+                let mine = row.filter(|row| row.holder_incarnation == holder.incarnation);
+                if let Some(row) = mine.filter(|row| row.holder == holder.instance) {
+                    let origin = Origin { term: row.term, former, claimed: now, reason };
+                    self.parts.metrics.took_over(takeover(origin.former.as_ref()));
+                    self.start(&group, origin, now);
+                }
+            }
+            Change::HandOver { group, to, term, .. } => self.handed_over(&group, &to, term, record),
+            Change::Register(_) | Change::Leave(_) | Change::Rename { .. } => {}
+        }
+    }
+
+    fn handed_over(
+        &mut self,
+        group: &name::Group,
+        to: &Process,
+        term: u64,
+        record: &caraway_store::record::Domain,
+    ) {
+        let Some(row) = self.coordinated.remove(group) else { return };
+        self.releasing.remove(group);
+        self.dirty = true;
+        let now = self.clock.now();
+        self.last_handover = now;
+        let entries = row.lock_ledger().export(now).into_iter().map(ledgers::to_wire).collect();
+        let new_term = record.groups.iter().find(|row| row.group == *group);
+        let request = peer::HandoverRequest {
+            group: group.to_string(),
+            term: new_term.map_or(term, |row| row.term),
+            holder: to.instance.to_string(),
+            holder_incarnation: to.incarnation,
+            entries,
+        };
+        if let Some(member) = self.directory.member(&to.instance) {
+            self.parts.caller.hand_over(member.control, request);
+        }
+        let (group, to) = (group.clone(), to.instance.clone());
+        event::emit(LogEvent::GroupHandedOver { group, term, to });
+        self.note_mine();
+    }
+
+    /// Gives up the coordination of groups that could not be handed over.
+    ///
+    /// Their lanes are closed for good. The record still names this instance, so the roster claims the groups again
+    /// with a higher term; the ledgers wait among the copies.
+    fn retake_released(&mut self, now: Stamp) {
+        for group in std::mem::take(&mut self.releasing) {
+            if let Some(row) = self.coordinated.remove(&group) {
+                let entries = row.lock_ledger().export(now);
+                let entries = entries.into_iter().map(ledgers::to_wire).collect();
+                self.parts.copies.record(&group, row.origin.term, entries, now);
+            }
+        }
+        self.note_mine();
+        self.dirty = true;
+    }
+
+    pub(super) fn take_handover(
+        &mut self,
+        request: &peer::HandoverRequest,
+        now: Stamp,
+    ) -> peer::HandoverReply {
+        let refuse = |reason: &str| peer::HandoverReply { accepted: false, reason: reason.to_owned() };
+        let me = &self.parts.me.process;
+        if request.holder != me.instance.as_str() || request.holder_incarnation != me.incarnation {
+            return refuse("the group was handed to another process");
+        }
+        let group = name::Group::new(&request.group);
+        if self.coordinated.contains_key(&group) {
+            return refuse("this instance coordinates the group already");
+        }
+        if self.roster.highest_term(&group) > request.term {
+            return refuse("a higher term of the group is known");
+        }
+        let holder = self.roster.coordinator(&group).map(|(process, _)| process.clone());
+        let Some(holder) = holder else { return refuse("the former coordinator is not known") };
+        let successor = self.roster.holding(&group).and_then(|row| row.successor.clone());
+        let former = Former { holder, released: true, successor };
+        let origin = Origin {
+            term: request.term,
+            former: Some(former),
+            claimed: now,
+            reason: "handed over",
+        };
+        self.start(&group, origin, now);
+        if let Some(row) = self.coordinated.get_mut(&group) {
+            // The former coordinator sent its whole ledger, so no history has to be collected.
+            row.history_missing.clear();
+            let mut ledger = row.lock_ledger();
+            ledger.set_incomplete_until(Stamp::default());
+            for entry in &request.entries {
+                ledger.import(ledgers::from_wire(entry.clone()), now);
+            }
+        }
+        self.parts.storage.read_domain(self.parts.me.domain.clone());
+        peer::HandoverReply { accepted: true, reason: String::new() }
+    }
+
+    fn start(&mut self, group: &name::Group, origin: Origin, now: Stamp) {
+        let Some(plan) = self.plan.as_ref().and_then(|plan| plan.group(group)).cloned() else {
+            return;
+        };
+        let peers = self.history_peers(origin.former.as_ref());
+        let started = Coordination::try_start(
+            plan,
+            origin.clone(),
+            peers.iter().map(|member| member.process.instance.clone()).collect(),
+            &self.parts.runtime,
+            &self.parts.outbox,
+            now,
+        );
+        let Ok(row) = started else { return };
+        self.coordinated.insert(group.clone(), row);
+        self.take_own_history(group, origin.term, now);
+        for member in peers {
+            let instance = member.process.instance.clone();
+            self.parts.caller.history(instance, member.control, group.clone(), origin.term);
+        }
+        event::emit(LogEvent::GroupAcquired {
+            group: group.clone(),
+            term: origin.term,
+            reason: origin.reason.to_owned(),
+        });
+        self.note_mine();
+        self.dirty = true;
+        self.step(group, Event::Tick, now);
+        self.announce(now);
+    }
+
+    /// Returns the instances that may hold ledger entries of a group: all of the domain but this one and the former holder.
+    fn history_peers(&self, former: Option<&Former>) -> Vec<Member> {
+        if former.is_none() {
+            return Vec::new();
+        }
+        let holder = former.map(|former| former.holder.clone());
+        let listed: BTreeSet<Process> =
+            self.roster.alive(self.clock.now()).into_iter().chain(self.roster.silent(self.clock.now())).collect();
+        self.directory
+            .of_domain(&self.parts.me.domain)
+            .into_iter()
+            .filter(|member| member.process != self.parts.me.process)
+            .filter(|member| Some(&member.process) != holder.as_ref())
+            .filter(|member| listed.contains(&member.process))
+            .cloned()
+            .collect()
+    }
+
+    /// Applies a plan to the coordinated groups and the roster.
+    pub(super) fn apply_plan(&mut self, plan: &Arc<plan::Plan>, now: Stamp) {
+        let own = plan.groups.iter().filter(|group| group.domain == self.parts.me.domain);
+        let rows = own.map(|group| caraway_ownership::roster::Group {
+            name: group.name.clone(),
+            checked: group.service.fencing == plan::Fencing::Checked
+                || group.service.division == plan::Division::Pooled,
+        });
+        self.roster.set_groups(rows.collect());
+        let groups: Vec<name::Group> = self.coordinated.keys().cloned().collect();
+        for name in groups {
+            let Some(row) = self.coordinated.get_mut(&name) else { continue };
+            if let Some(group) = plan.group(&name) {
+                let outcome =
+                    row.replan(group.clone(), &self.parts.runtime, &self.parts.outbox, now);
+                self.take_outcome(&name, outcome, now);
+            } else {
+                row.close();
+                self.coordinated.remove(&name);
+            }
+        }
+        self.note_mine();
+    }
+
+    pub(super) fn begin_stop(&mut self, now: Stamp) {
+        if self.stopping.is_none() {
+            event::emit(LogEvent::StopRequested { signal: "signal".to_owned() });
+            self.stopping = Some(now);
+            self.roster.stop();
+            self.announce(now);
+        }
+    }
+
+    /// Returns true once a planned stop has handed over what it can.
+    pub(super) fn is_stopped(&self, now: Stamp) -> bool {
+        let Some(since) = self.stopping else { return false };
+        // The successors that this process named may act until a while after its end, so the
+        // last naming has to be older than that when the process ends.
+        let settled = now.since(since.max(self.last_handover)) >= STOP_NOTICE;
+        (self.coordinated.is_empty() && settled) || now.since(since) >= HANDOVER_WAIT
+    }
+}
+
+fn takeover(former: Option<&Former>) -> Takeover {
+    match former {
+        None => Takeover::First,
+        Some(former) if former.released => Takeover::Handover,
+        Some(_) => Takeover::Swap,
+    }
+}
--- /dev/null
+++ b/bins/entry/src/coordination.rs
@@ -0,0 +1,367 @@
+//! The groups that this instance coordinates: machine, lane and ledger of each.
+//!
+//! The machine decides; this module carries its effects out on the lane and the target lines.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use caraway_admission::lane;
+use caraway_admission::lane::Lane;
+use caraway_call::ledger;
+use caraway_call::ledger::Ledger;
+use caraway_core::name;
+use caraway_core::outcome::Reason;
+use caraway_core::shard::Shard;
+use caraway_core::time::Stamp;
+use caraway_core::token::Token;
+use caraway_document::plan;
+use caraway_document::plan::Division;
+use caraway_document::plan::Fencing;
+use caraway_ownership::event::Cause;
+use caraway_ownership::event::Effect;
+use caraway_ownership::event::Event;
+use caraway_ownership::event::Health;
+use caraway_ownership::event::Predecessor;
+use caraway_ownership::grant;
+use caraway_ownership::group;
+use caraway_ownership::group::Machine;
+use caraway_ownership::roster::Former;
+
+use crate::ledgers;
+use crate::message::Outbox;
+use crate::target::Call;
+use crate::target::Grant;
+use crate::target::Line;
+use crate::target::Order;
+
+/// Changes of ownership that are kept for explanations, for each group.
+const CHANGES: usize = 256;
+
+/// Longest time that a new coordinator waits for the ledger histories before it serves.
+///
+/// After it, requests are served and non-repeatable ones get an answer that admits the gap.
+const HISTORY_WAIT: Duration = Duration::from_millis(250);
+
+/// Time for which a ledger with possible gaps counts as incomplete, the ledgers' retention.
+const HISTORY_GAP: Duration = Duration::from_secs(600);
+
+/// A change of ownership, for explanations.
+#[derive(Clone, Debug)]
+pub struct Change {
+    /// When.
+    pub at: Stamp,
+    /// The shard.
+    pub shard: Shard,
+    /// The new owner.
+    pub owner: name::Target,
+    /// Its token.
+    pub token: Token,
+    /// Why.
+    pub cause: Cause,
+}
+
+/// What the rest of the control plane has to know after a step.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// A higher term was seen; the coordination has ended.
+    pub fenced: Option<u64>,
+    /// Changes of ownership.
+    pub changes: Vec<Change>,
+    /// Targets whose usability changed.
+    pub health: Vec<(name::Target, Health)>,
+}
+
+/// How a coordination came about.
+#[derive(Clone, Debug)]
+pub struct Origin {
+    /// Term of the coordination.
+    pub term: u64,
+    /// Who may act under an earlier term.
+    pub former: Option<Former>,
+    /// When the group was taken.
+    pub claimed: Stamp,
+    /// Why the group was taken, for explanations.
+    pub reason: &'static str,
+}
+
+/// A group that this instance coordinates.
+#[derive(Debug)]
+pub struct Coordination {
+    /// The group.
+    pub group: Arc<plan::Group>,
+    /// How the coordination came about.
+    pub origin: Origin,
+    /// Lane to the targets.
+    pub lane: Arc<Lane>,
+    /// Record of non-repeatable requests.
+    pub ledger: Arc<Mutex<Ledger>>,
+    /// Instances whose ledger history has not arrived.
+    pub history_missing: BTreeSet<name::Instance>,
+    /// Instances whose ledger history has arrived.
+    pub history_held: BTreeSet<name::Instance>,
+    /// Instances that hold a copy of the whole ledger.
+    pub copies: BTreeSet<name::Instance>,
+    /// Instances that a copy is on its way to.
+    pub copying: BTreeSet<name::Instance>,
+    /// Latest changes of ownership.
+    pub changes: VecDeque<Change>,
+    machine: Machine,
+    lines: BTreeMap<name::Target, Line>,
+    draining: BTreeSet<Shard>,
+    awaiting_idle: BTreeSet<name::Target>,
+    health: BTreeMap<name::Target, Health>,
+}
+
+impl Coordination {
+    /// Starts to coordinate a group.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the machine refuses the group's targets, which the document's checks exclude.
+    pub fn try_start(
+        group: Arc<plan::Group>,
+        origin: Origin,
+        peers: BTreeSet<name::Instance>,
+        runtime: &tokio::runtime::Handle,
+        outbox: &Outbox,
+        now: Stamp,
+    ) -> caraway_ownership::errors::Result<Self> {
+        let service = &group.service;
+        let pooled = service.division == Division::Pooled;
+        let first = origin.former.is_none();
+        let machine = Machine::try_new(
+            group::Options {
+                group: group.name.clone(),
+                term: origin.term,
+                shards: group.shards.clone(),
+                pooled,
+                checked: service.fencing == Fencing::Checked,
+                targets: group.targets.iter().map(|target| target.name.clone()).collect(),
+                predecessor: if first { Predecessor::None } else { Predecessor::Unproved },
+            },
+            now,
+        )?;
+        let lane = Lane::new(lane::Options {
+            group: group.name.clone(),
+            pooled,
+            slots: service.slots,
+            queue: service.queue,
+            warmup: service.warmup,
+        });
+        let mut ledger = Ledger::new(ledger::Options::default());
+        let history_missing = if first { BTreeSet::new() } else { peers };
+        if !history_missing.is_empty() {
+            ledger.set_incomplete_until(now + HISTORY_GAP);
+        }
+        let mut coordination = Self {
+            group,
+            origin,
+            lane,
+            ledger: Arc::new(Mutex::new(ledger)),
+            history_missing,
+            history_held: BTreeSet::new(),
+            copies: BTreeSet::new(),
+            copying: BTreeSet::new(),
+            changes: VecDeque::new(),
+            machine,
+            lines: BTreeMap::new(),
+            draining: BTreeSet::new(),
+            awaiting_idle: BTreeSet::new(),
+            health: BTreeMap::new(),
+        };
+        coordination.connect(runtime, outbox);
+        Ok(coordination)
+    }
+
+    /// Opens lines to the targets of the plan and closes those of others.
+    fn connect(&mut self, runtime: &tokio::runtime::Handle, outbox: &Outbox) {
+        let group = self.group.clone();
+        self.lines.retain(|name, _| group.targets.iter().any(|target| target.name == *name));
+        for target in &group.targets {
+            let line = Line::start(runtime, target.name.clone(), target.address, outbox.clone());
+            self.lines.insert(target.name.clone(), line);
+            let health = self.health.get(&target.name).copied().unwrap_or(Health::Lost);
+            self.lane.set_target(&target.name, target.address, lane_state(health));
+        }
+    }
+
+    /// Applies another version of the group's plan.
+    pub fn replan(
+        &mut self,
+        group: Arc<plan::Group>,
+        runtime: &tokio::runtime::Handle,
+        outbox: &Outbox,
+        now: Stamp,
+    ) -> Outcome {
+        if group.targets == self.group.targets {
+            self.group = group;
+            return Outcome::default();
+        }
+        self.group = group;
+        self.connect(runtime, outbox);
+        let names = self.group.targets.iter().map(|target| target.name.clone()).collect();
+        self.step(Event::Targets(names), now)
+    }
+
+    /// Returns the machine.
+    pub fn machine(&self) -> &Machine {
+        &self.machine
+    }
+
+    /// Returns the usability of the targets.
+    pub fn health(&self) -> &BTreeMap<name::Target, Health> {
+        &self.health
+    }
+
+    /// Returns true once the data path may use the group: the histories have arrived or were waited for.
+    pub fn is_served(&self, now: Stamp) -> bool {
+        self.history_missing.is_empty() || now.since(self.origin.claimed) >= HISTORY_WAIT
+    }
+
+    /// Locks the ledger.
+    pub fn lock_ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes the ledger entries of another instance.
+    ///
+    /// The history is complete when at most one instance is missing and two hold one: entries are recorded at two
+    /// instances besides the coordinator, so one of them has answered.
+    pub fn take_history(
+        &mut self,
+        from: &name::Instance,
+        entries: Vec<caraway_wire::peer::Entry>,
+        now: Stamp,
+    ) {
+        self.history_missing.remove(from);
+        self.history_held.insert(from.clone());
+        let complete = self.history_missing.is_empty()
+            || (self.history_missing.len() == 1 && self.history_held.len() >= 2);
+        let mut ledger = self.lock_ledger();
+        for entry in entries {
+            ledger.import(ledgers::from_wire(entry), now);
+        }
+        if complete {
+            ledger.set_incomplete_until(Stamp::default());
+        }
+    }
+
+    /// Tells the machine about an event and carries out its effects.
+    pub fn step(&mut self, event: Event, now: Stamp) -> Outcome {
+        let effects = self.machine.step(event, now);
+        let mut outcome = Outcome::default();
+        for effect in effects {
+            self.apply(effect, now, &mut outcome);
+        }
+        outcome
+    }
+
+    /// Tells the machine which paused shards and lost targets have no request in flight any more.
+    pub fn poll_in_flight(&mut self, now: Stamp) -> Vec<Outcome> {
+        let lane = self.lane.clone();
+        let drained: Vec<Shard> =
+            self.draining.iter().filter(|shard| lane.in_flight(**shard) == 0).copied().collect();
+        let idle: Vec<name::Target> = self
+            .awaiting_idle
+            .iter()
+            .filter(|target| lane.target_in_flight(target) == 0)
+            .cloned()
+            .collect();
+        let mut outcomes = Vec::new();
+        for shard in drained {
+            self.draining.remove(&shard);
+            outcomes.push(self.step(Event::Drained(shard), now));
+        }
+        for target in idle {
+            self.awaiting_idle.remove(&target);
+            outcomes.push(self.step(Event::Idle(target), now));
+        }
+        outcomes
+    }
+
+    /// Asks a target for its state at once, on a hint that it may be gone.
+    pub fn probe(&self, target: &name::Target) {
+        self.send(target, Call::Query);
+    }
+
+    /// Stops serving the group: waiting and later requests are refused and look for the new coordinator.
+    pub fn close(&self) {
+        self.lane.close(Reason::Misdirected);
+    }
+
+    fn apply(&mut self, effect: Effect, now: Stamp, outcome: &mut Outcome) {
+        match effect {
+            Effect::Query(target) => self.send(&target, Call::Query),
+            Effect::Grant { target, token, incarnation, valid_until_ms, shards } => {
+                let grant = Grant {
+                    group: self.group.name.clone(),
+                    term: token.term,
+                    seq: token.seq,
+                    incarnation,
+                    valid_until_ms,
+                    shards: shards.as_ref().map(grant::to_ranges),
+                };
+                self.send(&target, Call::Grant(grant));
+            }
+            Effect::Assign { shard, target, token } => {
+                self.draining.remove(&shard);
+                self.lane.assign(shard, &target, token);
+            }
+            Effect::Pause(shard) => {
+                self.lane.pause(shard);
+                self.draining.insert(shard);
+            }
+            Effect::Allow { target, until } => self.lane.allow_until(&target, until),
+            Effect::UseToken { target, token } => self.lane.set_token(&target, token),
+            Effect::Health { target, health } => {
+                self.health.insert(target.clone(), health);
+                self.set_lane_state(&target, health);
+                outcome.health.push((target, health));
+            }
+            Effect::AwaitIdle(target) => {
+                self.awaiting_idle.insert(target);
+            }
+            Effect::Owned { shard, target, token, cause } => {
+                let change = Change { at: now, shard, owner: target, token, cause };
+                if self.changes.len() >= CHANGES {
+                    self.changes.pop_front();
+                }
+                self.changes.push_back(change.clone());
+                outcome.changes.push(change);
+            }
+            Effect::Ended(term) => {
+                self.close();
+                outcome.fenced = Some(term);
+            }
+        }
+    }
+
+    fn set_lane_state(&self, target: &name::Target, health: Health) {
+        let row = self.group.targets.iter().find(|row| row.name == *target);
+        if let Some(row) = row {
+            self.lane.set_target(target, row.address, lane_state(health));
+        }
+    }
+
+    fn send(&self, target: &name::Target, call: Call) {
+        if let Some(line) = self.lines.get(target) {
+            let order = Order { group: self.group.name.clone(), term: self.machine.term(), call };
+            line.send(order);
+        }
+    }
+}
+
+fn lane_state(health: Health) -> lane::State {
+    match health {
+        Health::Granted(grant::State::Cold) => lane::State::Cold,
+        Health::Granted(grant::State::Live) => lane::State::Live,
+        Health::Granted(grant::State::Draining) => lane::State::Draining,
+        Health::Lost => lane::State::Lost,
+    }
+}
--- /dev/null
+++ b/bins/entry/src/ledgers.rs
@@ -0,0 +1,122 @@
+//! Copies of ledger entries that this instance keeps for the coordinators of its failure domain.
+//!
+//! A coordinator records each non-repeatable request at two other instances before it sends it.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use caraway_call::ledger::Answer;
+use caraway_call::ledger::Entry;
+use caraway_call::ledger::Ledger;
+use caraway_call::ledger::Options;
+use caraway_call::ledger::State;
+use caraway_core::name;
+use caraway_core::time::Stamp;
+use caraway_wire::peer;
+
+#[derive(Debug)]
+struct Table {
+    term: u64,
+    ledger: Ledger,
+}
+
+impl Default for Table {
+    fn default() -> Self {
+        Self { term: 0, ledger: Ledger::new(Options::default()) }
+    }
+}
+
+/// The copies of all groups, shared by the control plane and the gRPC service.
+#[derive(Clone, Debug, Default)]
+pub struct Copies {
+    tables: Arc<Mutex<BTreeMap<name::Group, Table>>>,
+}
+
+impl Copies {
+    /// Makes an empty set of copies.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Stores entries of a group, unless a higher term of the group is known.
+    ///
+    /// Returns whether they were stored, and the highest term known.
+    pub fn record(
+        &self,
+        group: &name::Group,
+        term: u64,
+        entries: Vec<peer::Entry>,
+        now: Stamp,
+    ) -> (bool, u64) {
+        let mut tables = self.lock();
+        let table = tables.entry(group.clone()).or_default();
+        if term < table.term {
+            return (false, table.term);
+        }
+        table.term = term;
+        for entry in entries {
+            table.ledger.import(from_wire(entry), now);
+        }
+        // A ledger that had no room for an entry counts itself as incomplete.
+        (now >= table.ledger.incomplete_until(), table.term)
+    }
+
+    /// Returns the entries of a group for a new coordinator, and refuses lower terms from then on.
+    pub fn history(&self, group: &name::Group, term: u64, now: Stamp) -> Vec<peer::Entry> {
+        let mut tables = self.lock();
+        let table = tables.entry(group.clone()).or_default();
+        table.term = table.term.max(term);
+        table.ledger.expire(now);
+        table.ledger.export(now).into_iter().map(to_wire).collect()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<name::Group, Table>> {
+        self.tables.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Turns a ledger entry into its message.
+pub fn to_wire(entry: Entry) -> peer::Entry {
+    let mut message = peer::Entry {
+        idempotency_key: entry.key.to_string(),
+        digest: entry.digest,
+        attempt: entry.attempt,
+        age_ms: u64::try_from(entry.age.as_millis()).unwrap_or(u64::MAX),
+        ..peer::Entry::default()
+    };
+    match entry.state {
+        State::Open => message.set_state(peer::State::Open),
+        State::Abandoned => message.set_state(peer::State::Abandoned),
+        State::Answered(answer) => {
+            message.set_state(peer::State::Answered);
+            message.status = u32::from(answer.status);
+            message.content_type = answer.content_type.to_string();
+            message.body = answer.body.map(|body| body.to_vec());
+        }
+    }
+    message
+}
+
+/// Turns a message into a ledger entry. An unknown state counts as open: the request may have run.
+pub fn from_wire(message: peer::Entry) -> Entry {
+    let state = match message.state() {
+        peer::State::Open => State::Open,
+        peer::State::Abandoned => State::Abandoned,
+        peer::State::Answered => State::Answered(Answer {
+            status: u16::try_from(message.status).unwrap_or(200),
+            content_type: Arc::from(message.content_type.as_str()),
+            body: message.body.map(Arc::from),
+        }),
+    };
+    Entry {
+        key: Arc::from(message.idempotency_key.as_str()),
+        digest: message.digest,
+        attempt: message.attempt,
+        age: Duration::from_millis(message.age_ms),
+        state,
+    }
+}
--- /dev/null
+++ b/bins/entry/src/settings.rs
@@ -0,0 +1,147 @@
+//! Settings of an entry instance: a JSON file, with flags over it.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+
+use caraway_core::finding::Report;
+use serde::Deserialize;
+
+use crate::errors::Error;
+use crate::errors::Result;
+
+/// Settings after the file and the flags have been joined.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of the instance, unique in the environment.
+    #[serde(default)]
+    pub instance: String,
+    /// Failure domain of the instance.
+    #[serde(default)]
+    pub failure_domain: String,
+    /// Environment whose document the instance applies.
+    #[serde(default)]
+    pub environment: String,
+    /// Stage of the document: `production` or `trial`.
+    #[serde(default = "default_stage")]
+    pub stage: String,
+    /// Address for callers.
+    #[serde(default)]
+    pub client_address: String,
+    /// Address for requests that other entry instances forward.
+    #[serde(default)]
+    pub peer_address: String,
+    /// Address for control messages of other entry instances.
+    #[serde(default)]
+    pub control_address: String,
+    /// Address for health checks, metrics and the operator's tool.
+    #[serde(default)]
+    pub admin_address: String,
+    /// Base URL of the platform's store.
+    #[serde(default)]
+    pub store: String,
+    /// Log settings.
+    #[serde(default)]
+    pub log: Log,
+}
+
+/// Log settings.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    /// `text` or `json`.
+    pub format: String,
+    /// `error`, `warn`, `info`, `debug` or `trace`.
+    pub level: String,
+    /// File that lines are appended to; standard error if absent.
+    pub file: Option<PathBuf>,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self { format: "text".to_owned(), level: "info".to_owned(), file: None }
+    }
+}
+
+/// Addresses that the instance listens on.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// For callers.
+    pub client: SocketAddr,
+    /// For forwarded requests.
+    pub peer: SocketAddr,
+    /// For control messages.
+    pub control: SocketAddr,
+    /// For the admin interface.
+    pub admin: SocketAddr,
+}
+
+fn default_stage() -> String {
+    "production".to_owned()
+}
+
+impl Settings {
+    /// Reads settings from a JSON file.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the file cannot be read or is not JSON of the expected form.
+    pub fn try_read(path: &Path) -> Result<Self> {
+        let failed = |problem: String| Error::SettingsFile { path: path.to_owned(), problem };
+        let text = std::fs::read_to_string(path).map_err(|error| failed(error.to_string()))?;
+        serde_json::from_str(&text).map_err(|error| failed(error.to_string()))
+    }
+
+    /// Checks all fields and returns the listening addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns all findings together.
+    pub fn try_check(&self) -> Result<Addresses> {
+        let mut report = Report::new();
+        require(&mut report, "/instance", &self.instance);
+        require(&mut report, "/failure_domain", &self.failure_domain);
+        require(&mut report, "/environment", &self.environment);
+        choose(&mut report, "/stage", &self.stage, &["production", "trial"]);
+        choose(&mut report, "/log/format", &self.log.format, &["text", "json"]);
+        let levels = ["error", "warn", "info", "debug", "trace"];
+        choose(&mut report, "/log/level", &self.log.level, &levels);
+        if !self.store.starts_with("http://") {
+            report.add("/store", &format!("{:?}", self.store), "a URL of the form http://ip:port");
+        }
+        let client = address(&mut report, "/client_address", &self.client_address);
+        let peer = address(&mut report, "/peer_address", &self.peer_address);
+        let control = address(&mut report, "/control_address", &self.control_address);
+        let admin = address(&mut report, "/admin_address", &self.admin_address);
+        match (client, peer, control, admin) {
+            (Some(client), Some(peer), Some(control), Some(admin)) if report.is_empty() => {
+                Ok(Addresses { client, peer, control, admin })
+            }
+            _ => Err(Error::Settings(report)),
+        }
+    }
+}
+
+fn require(report: &mut Report, place: &str, value: &str) {
+    let valid = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    if value.is_empty() || !value.chars().all(valid) {
+        report.add(place, &format!("{value:?}"), "a name of letters, digits, - and _");
+    }
+}
+
+fn choose(report: &mut Report, place: &str, value: &str, allowed: &[&str]) {
+    if !allowed.contains(&value) {
+        report.add(place, &format!("{value:?}"), &allowed.join(", "));
+    }
+}
+
+fn address(report: &mut Report, place: &str, value: &str) -> Option<SocketAddr> {
+    match value.parse::<SocketAddr>() {
+        Ok(address) if address.port() != 0 => Some(address),
+        _ => {
+            report.add(place, &format!("{value:?}"), "an IP address and a port other than 0");
+            None
+        }
+    }
+}
--- a/crates/ownership/src/claim.rs
+++ b/crates/ownership/src/claim.rs
@@ -6,8 +6,6 @@
 use caraway_core::shard;
 use caraway_core::time::Stamp;
 
-use crate::event::Predecessor;
-
 /// Distance between terms that are taken from the store.
 ///
 /// The terms between two of them are reserved for the successors that a holder names, one for each.
@@ -82,12 +80,10 @@
 pub enum Holder {
     /// The group never had a coordinator.
     Nobody,
-    /// The coordinator gave the group up at this moment.
-    Released(Stamp),
+    /// The coordinator gave the group up, or was a former incarnation of this instance.
+    Released,
     /// A peer holds the group.
     Peer(Peer),
-    /// An instance that is not listed any more, and was proved gone at this moment.
-    Removed(Stamp),
 }
 
 /// Whether the term may be taken now.
@@ -98,7 +94,7 @@
     /// The group's targets do not check tokens, and the holder is silent but not proved gone.
     Blocked,
     /// The term may be taken by compare-and-swap.
-    Claim(Predecessor),
+    Claim,
 }
 
 /// Decides whether the candidate of the given rank may take a group's term.
@@ -114,24 +110,23 @@
 ) -> Verdict {
     let delay = RANK_DELAY * u32::try_from(rank).unwrap_or(u32::MAX);
     match holder {
-        Holder::Nobody if now >= vacant_since + delay => Verdict::Claim(Predecessor::None),
-        Holder::Released(at) | Holder::Removed(at) if now >= vacant_since + delay => {
-            Verdict::Claim(Predecessor::Ended(*at))
-        }
-        Holder::Nobody | Holder::Released(_) | Holder::Removed(_) => Verdict::Wait,
+        Holder::Nobody | Holder::Released => due(now >= vacant_since + delay),
         Holder::Peer(peer) => judge_peer(peer, delay, checked, now),
     }
 }
 
+fn due(due: bool) -> Verdict {
+    if due { Verdict::Claim } else { Verdict::Wait }
+}
+
 fn judge_peer(peer: &Peer, delay: Duration, checked: bool, now: Stamp) -> Verdict {
     if let Some(at) = peer.gone {
-        let due = now >= at + delay;
-        return if due { Verdict::Claim(Predecessor::Ended(at)) } else { Verdict::Wait };
+        return due(now >= at + delay);
     }
     if now.since(peer.heard) <= SUSPICION + delay {
         return Verdict::Wait;
     }
-    if checked { Verdict::Claim(Predecessor::Unproved) } else { Verdict::Blocked }
+    if checked { Verdict::Claim } else { Verdict::Blocked }
 }
 
 /// Decides whether a named successor may use its reserved term while the store cannot be reached.
--- a/crates/ownership/src/event.rs
+++ b/crates/ownership/src/event.rs
@@ -39,6 +39,8 @@
     Gone(name::Target),
     /// The platform says that a target is leaving.
     Leaving(name::Target),
+    /// The document lists these targets for the group now.
+    Targets(Vec<name::Target>),
     /// No request of a paused shard is in flight any more.
     Drained(Shard),
     /// No request to a lost, unchecked target is in flight any more.
--- a/crates/ownership/src/group.rs
+++ b/crates/ownership/src/group.rs
@@ -195,6 +195,7 @@
                     row.leaving = true;
                 }
             }
+            Event::Targets(names) => self.set_targets(&names, now),
             Event::Drained(shard) => self.drained(shard, now),
             Event::Idle(target) => self.idle(&target),
             Event::Move { shard, to } => self.begin_move(shard, &to, Cause::Balance, effects),
@@ -214,6 +215,18 @@
         }
     }
 
+    /// Adds targets that are new in the document; targets that are no longer in it are leaving.
+    fn set_targets(&mut self, names: &[name::Target], now: Stamp) {
+        for row in &mut self.targets {
+            row.leaving |= !names.contains(&row.name);
+        }
+        for name in names {
+            if self.index(name).is_none() {
+                self.targets.push(table::Target::new(name.clone(), false, now));
+            }
+        }
+    }
+
     fn reply(
         &mut self,
         index: usize,
--- a/crates/ownership/src/lib.rs
+++ b/crates/ownership/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod event;
 pub mod grant;
 pub mod group;
+pub mod roster;
 pub mod table;
--- /dev/null
+++ b/crates/ownership/src/roster.rs
@@ -0,0 +1,544 @@
+//! The roster of a failure domain: its instances, who coordinates which group, and what to do next.
+//!
+//! Each instance keeps one roster. [`Roster::decide`] is a pure function of what was observed; the control
+//! plane turns each [`Intent`] into a compare-and-swap or a message.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use caraway_core::name;
+use caraway_core::time::Stamp;
+
+use crate::claim;
+use crate::claim::Candidate;
+use crate::claim::Holder;
+use crate::claim::Peer;
+use crate::claim::Verdict;
+
+/// Least time between two groups that an instance hands over to even out the coordination load.
+const EVEN_OUT: Duration = Duration::from_millis(500);
+
+/// Time since the start during which an instance hands nothing over, because others still start.
+const EVEN_OUT_START: Duration = Duration::from_secs(1);
+
+/// One process of an entry instance.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Process {
+    /// Name of the instance.
+    pub instance: name::Instance,
+    /// Incarnation, different for each process start.
+    pub incarnation: u64,
+}
+
+/// What the domain record says about a group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Holding {
+    /// Highest term taken from the store.
+    pub term: u64,
+    /// Holder of that term.
+    pub holder: Process,
+    /// Named successor, if any.
+    pub successor: Option<name::Instance>,
+    /// Term reserved for the named successor.
+    pub reserved: u64,
+    /// True if the holder of the term before gave it up.
+    pub released: bool,
+}
+
+/// What a heartbeat says about a group that its sender coordinates.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Word {
+    /// The group.
+    pub group: name::Group,
+    /// Term under which the sender coordinates it.
+    pub term: u64,
+    /// Successor that it names, if any.
+    pub successor: Option<name::Instance>,
+    /// Term reserved for the successor.
+    pub reserved: u64,
+}
+
+/// A group of the domain, from the plan.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Group {
+    /// Name of the group.
+    pub name: name::Group,
+    /// True if its targets check tokens, or if its shards have no owner.
+    pub checked: bool,
+}
+
+/// Who may act for a group under an earlier term.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Former {
+    /// The former coordinator.
+    pub holder: Process,
+    /// True if the former coordinator gave the term up.
+    pub released: bool,
+    /// The successor that it named, which may use the reserved term.
+    pub successor: Option<name::Instance>,
+}
+
+/// Something that the control plane should do now.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Intent {
+    /// Write the own process into the domain record.
+    Register,
+    /// Take a group's term by compare-and-swap.
+    Claim {
+        /// The group.
+        group: name::Group,
+        /// Term that the record must still have.
+        expected: u64,
+        /// Processes that may act under an earlier term.
+        former: Option<Former>,
+        /// Successor to name.
+        successor: Option<name::Instance>,
+    },
+    /// Use the reserved term because the store cannot be reached.
+    Succeed {
+        /// The group.
+        group: name::Group,
+        /// The reserved term.
+        term: u64,
+        /// The former coordinator, which is proved gone.
+        former: Former,
+    },
+    /// Hand a group over to another instance.
+    HandOver {
+        /// The group.
+        group: name::Group,
+        /// The receiving instance.
+        to: name::Instance,
+    },
+    /// Name another successor in the domain record.
+    Rename {
+        /// The group.
+        group: name::Group,
+        /// The new successor.
+        successor: name::Instance,
+    },
+}
+
+#[derive(Clone, Debug)]
+struct Row {
+    peer: Peer,
+    groups: usize,
+    /// When the latest heartbeat that the process answered was sent.
+    answered: Option<Stamp>,
+}
+
+#[derive(Clone, Debug)]
+struct Naming {
+    term: u64,
+    at: Stamp,
+    holder: Process,
+}
+
+/// Roster of the own failure domain.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    me: Process,
+    started: Stamp,
+    stopping: bool,
+    store_reachable: bool,
+    registered: bool,
+    groups: Vec<Group>,
+    rows: BTreeMap<Process, Row>,
+    members: BTreeMap<name::Instance, u64>,
+    holdings: BTreeMap<name::Group, Holding>,
+    words: BTreeMap<name::Group, (u64, Process)>,
+    namings: BTreeMap<name::Group, Naming>,
+    vacant: BTreeMap<name::Group, Stamp>,
+    mine: BTreeMap<name::Group, u64>,
+    successor_lost: BTreeMap<name::Group, Stamp>,
+    evened: Stamp,
+}
+
+impl Roster {
+    /// Makes the roster of a process that has just started.
+    pub fn new(me: Process, now: Stamp) -> Self {
+        Self {
+            me,
+            started: now,
+            stopping: false,
+            store_reachable: false,
+            registered: false,
+            groups: Vec::new(),
+            rows: BTreeMap::new(),
+            members: BTreeMap::new(),
+            holdings: BTreeMap::new(),
+            words: BTreeMap::new(),
+            namings: BTreeMap::new(),
+            vacant: BTreeMap::new(),
+            mine: BTreeMap::new(),
+            successor_lost: BTreeMap::new(),
+            evened: now,
+        }
+    }
+
+    /// Sets the groups of the domain.
+    pub fn set_groups(&mut self, groups: Vec<Group>) {
+        self.groups = groups;
+    }
+
+    /// Says whether the latest call to the store succeeded.
+    pub fn set_store_reachable(&mut self, reachable: bool) {
+        self.store_reachable = reachable;
+    }
+
+    /// Counts the silence of others from now on, because this process itself did not run.
+    pub fn resume(&mut self, now: Stamp) {
+        for row in self.rows.values_mut() {
+            row.peer.heard = now;
+        }
+        self.vacant.clear();
+        self.namings.clear();
+    }
+
+    /// Starts a planned stop: the instance takes no more groups.
+    pub fn stop(&mut self) {
+        self.stopping = true;
+    }
+
+    /// Records the groups that this instance coordinates, with their terms.
+    pub fn set_mine(&mut self, mine: BTreeMap<name::Group, u64>) {
+        self.mine = mine;
+    }
+
+    /// Takes over the content of the domain record.
+    pub fn observe(
+        &mut self,
+        members: &[Process],
+        holdings: BTreeMap<name::Group, Holding>,
+        now: Stamp,
+    ) {
+        self.members =
+            members.iter().map(|process| (process.instance.clone(), process.incarnation)).collect();
+        self.registered = members.contains(&self.me);
+        for process in members {
+            if *process != self.me {
+                self.row(process, now);
+            }
+        }
+        for holding in holdings.values() {
+            if holding.holder != self.me {
+                self.row(&holding.holder, now);
+            }
+        }
+        self.holdings = holdings;
+        self.forget_gone();
+    }
+
+    /// Records that a process was heard from, and what it says about its groups.
+    pub fn heard(&mut self, process: &Process, words: &[Word], stopping: bool, now: Stamp) {
+        let row = self.row(process, now);
+        row.peer.heard = now;
+        row.peer.stopping = stopping;
+        row.groups = words.len();
+        let older: Vec<Process> = self
+            .rows
+            .keys()
+            .filter(|other| other.instance == process.instance && *other != process)
+            .cloned()
+            .collect();
+        for other in older {
+            // Instances listen on fixed addresses, so a new incarnation proves the old one gone.
+            self.gone(&other, now);
+        }
+        self.words.retain(|_, (_, holder)| holder != process);
+        for word in words {
+            let known = self.words.get(&word.group).map_or(0, |(term, _)| *term);
+            if word.term >= known {
+                self.words.insert(word.group.clone(), (word.term, process.clone()));
+            }
+            if word.successor.as_ref() == Some(&self.me.instance) {
+                let naming = Naming { term: word.reserved, at: now, holder: process.clone() };
+                self.namings.insert(word.group.clone(), naming);
+            }
+        }
+    }
+
+    /// Records that a process answered a heartbeat that was sent at `sent`.
+    ///
+    /// It has then taken notice of every term that the heartbeat named.
+    pub fn answered(&mut self, process: &Process, sent: Stamp, now: Stamp) {
+        let row = self.row(process, now);
+        row.answered = row.answered.max(Some(sent));
+    }
+
+    /// Returns since when nobody can act for a group under an earlier term, if that is proved.
+    ///
+    /// `claimed` is when this instance took the group. The former coordinator must be gone or have given up. The
+    /// successor that it named must be gone, or have answered a heartbeat sent after the claim.
+    pub fn ended(&self, former: &Former, claimed: Stamp) -> Option<Stamp> {
+        let holder = if former.released || former.holder.instance == self.me.instance {
+            claimed
+        } else {
+            self.gone_at(&former.holder)?
+        };
+        let Some(successor) = &former.successor else { return Some(holder) };
+        if *successor == self.me.instance {
+            return Some(holder);
+        }
+        let mut latest = holder;
+        let processes = self.rows.iter().filter(|(process, _)| process.instance == *successor);
+        let mut known = false;
+        for (_, row) in processes {
+            known = true;
+            let answered = row.answered.filter(|sent| *sent >= claimed);
+            latest = latest.max(row.peer.gone.or(answered)?);
+        }
+        known.then_some(latest)
+    }
+
+    /// Records proof that a process is gone.
+    pub fn gone(&mut self, process: &Process, now: Stamp) {
+        let row = self.row(process, now);
+        row.peer.gone.get_or_insert(now);
+        row.groups = 0;
+        self.words.retain(|_, (_, holder)| holder != process);
+    }
+
+    /// Returns when a process was proved gone.
+    pub fn gone_at(&self, process: &Process) -> Option<Stamp> {
+        self.rows.get(process).and_then(|row| row.peer.gone)
+    }
+
+    /// Returns the processes that were heard from lately.
+    pub fn alive(&self, now: Stamp) -> Vec<Process> {
+        let alive = self.rows.iter().filter(|(_, row)| row.peer.alive(now));
+        alive.map(|(process, _)| process.clone()).collect()
+    }
+
+    /// Returns the listed processes that are neither heard from nor proved gone.
+    pub fn silent(&self, now: Stamp) -> Vec<Process> {
+        let listed =
+            |process: &Process| self.members.get(&process.instance) == Some(&process.incarnation);
+        self.rows
+            .iter()
+            .filter(|(process, row)| {
+                listed(process) && row.peer.gone.is_none() && !row.peer.alive(now)
+            })
+            .map(|(process, _)| process.clone())
+            .collect()
+    }
+
+    /// Returns the highest term known for a group, from the record or from heartbeats.
+    pub fn highest_term(&self, group: &name::Group) -> u64 {
+        let recorded = self.holdings.get(group).map_or(0, |holding| holding.term);
+        recorded.max(self.words.get(group).map_or(0, |(term, _)| *term))
+    }
+
+    /// Returns what the record says about a group.
+    pub fn holding(&self, group: &name::Group) -> Option<&Holding> {
+        self.holdings.get(group)
+    }
+
+    /// Returns the process that coordinates a group as far as it is known, with its term.
+    pub fn coordinator(&self, group: &name::Group) -> Option<(&Process, u64)> {
+        if let Some((term, process)) = self.words.get(group)
+            && *term >= self.holdings.get(group).map_or(0, |holding| holding.term)
+        {
+            return Some((process, *term));
+        }
+        self.holdings.get(group).map(|holding| (&holding.holder, holding.term))
+    }
+
+    /// Returns the groups that wait for proof that their silent coordinator is gone.
+    pub fn blocked(&self, now: Stamp) -> Vec<(name::Group, Process)> {
+        let blocked = |group: &Group| {
+            let (holder, process) = self.holder(&group.name)?;
+            let verdict = claim::judge(&holder, 0, group.checked, now, now);
+            if verdict == Verdict::Blocked { Some((group.name.clone(), process?)) } else { None }
+        };
+        self.groups.iter().filter_map(blocked).collect()
+    }
+
+    /// Returns what should be done now.
+    pub fn decide(&mut self, now: Stamp) -> Vec<Intent> {
+        let mut intents = Vec::new();
+        if !self.registered && !self.stopping && self.store_reachable {
+            intents.push(Intent::Register);
+        }
+        if self.registered && !self.stopping {
+            self.decide_claims(now, &mut intents);
+        }
+        self.decide_successors(now, &mut intents);
+        self.decide_handover(now, &mut intents);
+        intents
+    }
+
+    fn decide_claims(&mut self, now: Stamp, intents: &mut Vec<Intent>) {
+        let candidates = self.candidates(now);
+        for group in self.groups.clone() {
+            if self.mine.contains_key(&group.name) {
+                self.vacant.remove(&group.name);
+                continue;
+            }
+            let Some((holder, _)) = self.holder(&group.name) else { continue };
+            let Some(rank) = claim::rank(&group.name, &self.me.instance, &candidates) else {
+                continue;
+            };
+            let vacant_since = match &holder {
+                Holder::Peer(peer) if peer.alive(now) => {
+                    self.vacant.remove(&group.name);
+                    continue;
+                }
+                _ => *self.vacant.entry(group.name.clone()).or_insert(now),
+            };
+            if !self.store_reachable {
+                self.decide_succession(&group.name, intents);
+                continue;
+            }
+            let verdict = claim::judge(&holder, rank, group.checked, vacant_since, now);
+            if verdict == Verdict::Claim {
+                let expected = self.holdings.get(&group.name).map_or(0, |holding| holding.term);
+                let successor = self.choose_successor(&group.name, now).filter(|_| group.checked);
+                let former = self.former(&group.name);
+                let group = group.name;
+                intents.push(Intent::Claim { group, expected, former, successor });
+            }
+        }
+    }
+
+    fn former(&self, group: &name::Group) -> Option<Former> {
+        let (process, term) = self.coordinator(group)?;
+        let holding = self.holdings.get(group).filter(|holding| holding.term == term);
+        Some(Former {
+            holder: process.clone(),
+            released: holding.is_some_and(|holding| holding.released),
+            successor: holding.and_then(|holding| holding.successor.clone()),
+        })
+    }
+
+    fn decide_succession(&self, group: &name::Group, intents: &mut Vec<Intent>) {
+        let Some(naming) = self.namings.get(group) else { return };
+        let Some(row) = self.rows.get(&naming.holder) else { return };
+        let current = self.coordinator(group).is_none_or(|(process, _)| *process == naming.holder);
+        if current && claim::may_succeed(&row.peer, naming.at) {
+            let former = Former { holder: naming.holder.clone(), released: false, successor: None };
+            intents.push(Intent::Succeed { group: group.clone(), term: naming.term, former });
+        }
+    }
+
+    fn decide_successors(&mut self, now: Stamp, intents: &mut Vec<Intent>) {
+        let names: Vec<name::Instance> =
+            self.alive(now).into_iter().map(|process| process.instance).collect();
+        for group in self.mine.keys().cloned().collect::<Vec<_>>() {
+            let named = self.holdings.get(&group).and_then(|holding| holding.successor.clone());
+            if named.is_some_and(|name| names.contains(&name)) {
+                self.successor_lost.remove(&group);
+                continue;
+            }
+            let checked = |row: &Group| row.name == group && row.checked;
+            if !self.groups.iter().any(checked) {
+                continue;
+            }
+            let since = *self.successor_lost.entry(group.clone()).or_insert(now);
+            if !self.store_reachable || now.since(since) < claim::NAMING_PAUSE {
+                continue;
+            }
+            if let Some(successor) = self.choose_successor(&group, now) {
+                intents.push(Intent::Rename { group, successor });
+            }
+        }
+    }
+
+    /// Returns the successor to name in heartbeats: none while the recorded one is being replaced.
+    pub fn named_successor(&self, group: &name::Group) -> Option<(name::Instance, u64)> {
+        if self.successor_lost.contains_key(group) {
+            return None;
+        }
+        let holding = self.holdings.get(group)?;
+        let successor = holding.successor.clone()?;
+        (holding.holder == self.me).then_some((successor, holding.reserved))
+    }
+
+    fn decide_handover(&mut self, now: Stamp, intents: &mut Vec<Intent>) {
+        let early = now.since(self.started) < EVEN_OUT_START;
+        if self.stopping || early || now.since(self.evened) < EVEN_OUT || !self.store_reachable {
+            return;
+        }
+        let least = self.candidates(now).into_iter().min_by_key(|candidate| candidate.groups);
+        let Some(least) = least else { return };
+        if self.mine.len() >= least.groups + 2
+            && let Some(group) = self.mine.keys().next()
+        {
+            self.evened = now;
+            intents.push(Intent::HandOver { group: group.clone(), to: least.instance });
+        }
+    }
+
+    /// Returns the live instance that should get a group in a planned stop, if there is one.
+    pub fn receiver(&self, group: &name::Group, now: Stamp) -> Option<name::Instance> {
+        self.choose_successor(group, now)
+    }
+
+    fn choose_successor(&self, group: &name::Group, now: Stamp) -> Option<name::Instance> {
+        let mut others = self.candidates(now);
+        others.retain(|candidate| candidate.instance != self.me.instance);
+        let first = others
+            .iter()
+            .find(|candidate| claim::rank(group, &candidate.instance, &others) == Some(0));
+        first.map(|candidate| candidate.instance.clone())
+    }
+
+    fn candidates(&self, now: Stamp) -> Vec<Candidate> {
+        let others = self.rows.iter().filter(|(process, row)| {
+            row.peer.alive(now) && self.members.get(&process.instance) == Some(&process.incarnation)
+        });
+        let mut candidates: Vec<Candidate> = others
+            .map(|(process, row)| Candidate {
+                instance: process.instance.clone(),
+                groups: row.groups,
+            })
+            .collect();
+        if !self.stopping {
+            let instance = self.me.instance.clone();
+            candidates.push(Candidate { instance, groups: self.mine.len() });
+        }
+        candidates
+    }
+
+    /// Returns the holder of a group, as an input of [`claim::judge`].
+    fn holder(&self, group: &name::Group) -> Option<(Holder, Option<Process>)> {
+        let Some((process, term)) = self.coordinator(group) else {
+            return Some((Holder::Nobody, None));
+        };
+        if *process == self.me {
+            // The record or a peer still lists a term that this process has given up or not used.
+            return Some((Holder::Released, None));
+        }
+        if process.instance == self.me.instance {
+            // This process listens on the address of its former incarnation.
+            return Some((Holder::Released, Some(process.clone())));
+        }
+        if self.holdings.get(group).is_some_and(|holding| holding.released && holding.term == term)
+        {
+            return Some((Holder::Released, Some(process.clone())));
+        }
+        let row = self.rows.get(process)?;
+        Some((Holder::Peer(row.peer.clone()), Some(process.clone())))
+    }
+
+    fn row(&mut self, process: &Process, now: Stamp) -> &mut Row {
+        self.rows.entry(process.clone()).or_insert_with(|| Row {
+            peer: Peer { heard: now, gone: None, stopping: false },
+            groups: 0,
+            answered: None,
+        })
+    }
+
+    /// Forgets processes that are proved gone and that neither the record nor a group refers to.
+    fn forget_gone(&mut self) {
+        let members = &self.members;
+        let holdings = &self.holdings;
+        let namings = &self.namings;
+        self.rows.retain(|process, row| {
+            row.peer.gone.is_none()
+                || members.get(&process.instance) == Some(&process.incarnation)
+                || holdings.values().any(|holding| holding.holder == *process)
+                || namings.values().any(|naming| naming.holder == *process)
+        });
+    }
+}
--- /dev/null
+++ b/crates/store/src/errors.rs
@@ -0,0 +1,18 @@
+//! Errors of this crate.
+
+/// Result of an operation of this crate.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Why a call to the platform failed.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum Error {
+    /// The call had no answer. A write may have taken effect.
+    #[error("no answer from the store: {0}")]
+    NoAnswer(String),
+    /// The store answered with an unexpected status; the call had no effect.
+    #[error("the store answered with status {0}")]
+    Status(u16),
+    /// The answer or the stored value cannot be read.
+    #[error("the answer of the store is not valid: {0}")]
+    Invalid(String),
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,4 +1,9 @@
-//! Client of the platform's store and instance list.
+//! Client of the platform's store and instance list. All calls block.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
+
+pub mod client;
+pub mod errors;
+pub mod record;
+pub mod write;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -199,10 +199,10 @@
     /// A group was acquired with the reserved term because the store does not respond.
     308 Warn ReservedTermUsed "reserved-term-used" { group: name::Group, term: u64 }
         "acquired {group} with the reserved term {term} without the store"
-    /// Shards got a new owner.
+    /// Shards got an owner.
     309 Info ShardsReassigned "shards-reassigned"
-        { group: name::Group, from: name::Target, count: u32, token: Token, reason: String }
-        "{count} shards of {group} reassigned from {from} with token {token}: {reason}"
+        { group: name::Group, to: name::Target, count: u32, token: Token, reason: String }
+        "{count} shards of {group} are owned by {to} with token {token}: {reason}"
     /// Shards of a silent target cannot be reassigned yet.
     310 Warn ShardsWaiting "shards-waiting"
         { group: name::Group, target: name::Target, count: u32, waiting_for: String }
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -53,6 +53,8 @@
 labels! {
     /// Why a shard or split key changed its owner.
     Cause {
+        /// The shard had no owner.
+        Placed = "placed",
         /// The owner is proved gone.
         TargetGone = "target-gone",
         /// The grant of the owner ended.
