--- /dev/null
+++ b/crates/call/src/ledger.rs
@@ -0,0 +1,361 @@
+//! The record of a group's non-repeatable requests.
+//!
+//! A key runs again only if the record shows that it did not run, or after the retention time.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use caraway_core::shard;
+use caraway_core::time::Stamp;
+
+/// Memory that an entry takes besides its key and its answer, in bytes; an estimate of the map, the
+/// index and the record.
+const ENTRY_BYTES: usize = 256;
+
+/// Settings of a ledger.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Largest number of entries.
+    pub entries: usize,
+    /// Largest memory of the entries in bytes.
+    pub bytes: usize,
+    /// Time for which an entry is kept after its last change.
+    pub retention: Duration,
+    /// Longest answer body in bytes that is kept for replay.
+    pub body: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            entries: 50_000,
+            bytes: 64 * 1024 * 1024,
+            retention: Duration::from_secs(600),
+            body: 16 * 1024,
+        }
+    }
+}
+
+/// A recorded answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of the content type header, empty if there was none.
+    pub content_type: Arc<str>,
+    /// The body, or nothing if it was too long to be kept.
+    pub body: Option<Arc<[u8]>>,
+}
+
+/// What is known about a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum State {
+    /// It may have run; its outcome is not known.
+    Open,
+    /// It ran and this is its answer.
+    Answered(Answer),
+    /// It did not run.
+    Abandoned,
+}
+
+/// An entry as it is passed between instances.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Entry {
+    /// Idempotency key.
+    pub key: Arc<str>,
+    /// Digest of the request.
+    pub digest: u64,
+    /// Number of the attempt, increasing within a group. It orders the entries of one key.
+    pub attempt: u64,
+    /// Time since the last change.
+    pub age: Duration,
+    /// What is known.
+    pub state: State,
+}
+
+/// What to do with a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// Run it. The key is recorded as running.
+    Run,
+    /// The same request is running now.
+    InProgress,
+    /// It ran before; give the recorded answer.
+    Replay(Answer),
+    /// It may have run before.
+    Unknown,
+    /// The key was used for another request.
+    KeyReused,
+    /// It is not in the record, and the record may have gaps.
+    HistoryIncomplete,
+    /// The record has no room for another entry that it must keep.
+    Full,
+}
+
+/// Returns the digest of a request. A body that is not held counts by its length.
+pub fn digest(method: &str, path: &str, body: &[u8]) -> u64 {
+    let mut text = Vec::with_capacity(method.len() + path.len() + body.len() + 2);
+    text.extend_from_slice(method.as_bytes());
+    text.push(0);
+    text.extend_from_slice(path.as_bytes());
+    text.push(0);
+    text.extend_from_slice(body);
+    shard::hash(&text)
+}
+
+#[derive(Clone, Debug)]
+struct Record {
+    digest: u64,
+    attempt: u64,
+    changed: Stamp,
+    running: bool,
+    state: State,
+}
+
+impl Record {
+    fn bytes(&self, key: &str) -> usize {
+        let answer = match &self.state {
+            State::Open | State::Abandoned => 0,
+            State::Answered(answer) => {
+                answer.content_type.len() + answer.body.as_ref().map_or(0, |body| body.len())
+            }
+        };
+        ENTRY_BYTES + key.len() + answer
+    }
+}
+
+/// The record of one group.
+#[derive(Debug)]
+pub struct Ledger {
+    options: Options,
+    records: HashMap<Arc<str>, Record>,
+    /// Keys that are neither running nor abandoned, by last change.
+    kept: BTreeSet<(Stamp, Arc<str>)>,
+    /// Abandoned keys, by last change. They may be forgotten when room is needed.
+    abandoned: BTreeSet<(Stamp, Arc<str>)>,
+    bytes: usize,
+    attempt: u64,
+    incomplete_until: Stamp,
+}
+
+impl Ledger {
+    /// Makes an empty ledger.
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            records: HashMap::new(),
+            kept: BTreeSet::new(),
+            abandoned: BTreeSet::new(),
+            bytes: 0,
+            attempt: 0,
+            incomplete_until: Stamp::default(),
+        }
+    }
+
+    /// Returns the number of entries.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns true if there are no entries.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Returns the memory of the entries in bytes, as it is counted against the limit.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Returns the moment until which the record may have gaps.
+    pub fn incomplete_until(&self) -> Stamp {
+        self.incomplete_until
+    }
+
+    /// Sets the moment until which the record may have gaps.
+    pub fn set_incomplete_until(&mut self, until: Stamp) {
+        self.incomplete_until = until;
+    }
+
+    /// Decides whether a request runs. If it does, the key is recorded as running.
+    pub fn begin(&mut self, key: &Arc<str>, digest: u64, now: Stamp) -> Decision {
+        self.expire(now);
+        if let Some(decision) = self.known(key, digest) {
+            return decision;
+        }
+        if now < self.incomplete_until {
+            return Decision::HistoryIncomplete;
+        }
+        self.remove(key);
+        if !self.make_room(ENTRY_BYTES + key.len()) {
+            return Decision::Full;
+        }
+        self.attempt += 1;
+        let attempt = self.attempt;
+        let record = Record { digest, attempt, changed: now, running: true, state: State::Open };
+        self.insert(key, record);
+        Decision::Run
+    }
+
+    /// Records the answer of a request. An answer that is too long or has no room loses its body.
+    pub fn finish(&mut self, key: &Arc<str>, mut answer: Answer, now: Stamp) {
+        let Some(record) = self.remove(key) else { return };
+        let body = answer.body.as_ref().map_or(0, |body| body.len());
+        let needed = ENTRY_BYTES + key.len() + answer.content_type.len() + body;
+        if body > self.options.body || !self.make_room(needed) {
+            answer.body = None;
+        }
+        let state = State::Answered(answer);
+        self.insert(key, Record { changed: now, running: false, state, ..record });
+    }
+
+    /// Records that a running request did not run, so that its key may run again.
+    pub fn abandon(&mut self, key: &Arc<str>, now: Stamp) {
+        self.settle(key, State::Abandoned, now);
+    }
+
+    /// Records that the outcome of a running request is not known.
+    pub fn lose(&mut self, key: &Arc<str>, now: Stamp) {
+        self.settle(key, State::Open, now);
+    }
+
+    /// Returns the entry of a key.
+    pub fn entry(&self, key: &Arc<str>, now: Stamp) -> Option<Entry> {
+        let record = self.records.get(key)?;
+        Some(entry(key, record, now))
+    }
+
+    /// Returns all entries.
+    pub fn export(&self, now: Stamp) -> Vec<Entry> {
+        self.records.iter().map(|(key, record)| entry(key, record, now)).collect()
+    }
+
+    /// Merges an entry of another instance.
+    ///
+    /// A later attempt replaces an earlier one. Of the same attempt, an answer counts more than
+    /// "did not run", which counts more than "not known". A request that runs here is not changed.
+    /// If an entry has no room, the record counts as incomplete for the retention time.
+    pub fn import(&mut self, entry: Entry, now: Stamp) {
+        self.attempt = self.attempt.max(entry.attempt);
+        if entry.age >= self.options.retention || !self.supersedes(&entry) {
+            return;
+        }
+        self.remove(&entry.key);
+        let changed = now - entry.age;
+        let Entry { key, digest, attempt, state, .. } = entry;
+        let mut record = Record { digest, attempt, changed, running: false, state };
+        if !self.make_room(record.bytes(&key))
+            && let State::Answered(answer) = &mut record.state
+        {
+            answer.body = None;
+        }
+        if !self.make_room(record.bytes(&key)) {
+            self.incomplete_until = self.incomplete_until.max(now + self.options.retention);
+            return;
+        }
+        self.insert(&key, record);
+    }
+
+    /// Removes the entries whose retention has passed.
+    pub fn expire(&mut self, now: Stamp) {
+        let limit = self.options.retention;
+        while let Some((changed, key)) = self.kept.first().cloned()
+            && now.since(changed) >= limit
+        {
+            self.remove(&key);
+        }
+        while let Some((changed, key)) = self.abandoned.first().cloned()
+            && now.since(changed) >= limit
+        {
+            self.remove(&key);
+        }
+    }
+
+    fn known(&self, key: &Arc<str>, digest: u64) -> Option<Decision> {
+        let record = self.records.get(key)?;
+        if matches!(record.state, State::Abandoned) {
+            return None;
+        }
+        if record.digest != digest {
+            return Some(Decision::KeyReused);
+        }
+        if record.running {
+            return Some(Decision::InProgress);
+        }
+        match &record.state {
+            State::Open => Some(Decision::Unknown),
+            State::Answered(answer) => Some(Decision::Replay(answer.clone())),
+            State::Abandoned => None,
+        }
+    }
+
+    fn supersedes(&self, entry: &Entry) -> bool {
+        let Some(record) = self.records.get(&entry.key) else { return true };
+        if record.running || matches!(record.state, State::Answered(_)) {
+            return false;
+        }
+        match &entry.state {
+            State::Answered(_) => true,
+            State::Abandoned => entry.attempt >= record.attempt,
+            State::Open => entry.attempt > record.attempt,
+        }
+    }
+
+    fn settle(&mut self, key: &Arc<str>, state: State, now: Stamp) {
+        if !self.records.get(key).is_some_and(|record| record.running) {
+            return;
+        }
+        if let Some(record) = self.remove(key) {
+            self.insert(key, Record { changed: now, running: false, state, ..record });
+        }
+    }
+
+    /// Forgets abandoned keys until an entry of the given size fits; returns false if it does not.
+    fn make_room(&mut self, bytes: usize) -> bool {
+        while !self.fits(bytes) {
+            let Some((_, key)) = self.abandoned.first().cloned() else { return false };
+            self.remove(&key);
+        }
+        true
+    }
+
+    fn fits(&self, bytes: usize) -> bool {
+        self.records.len() < self.options.entries && self.bytes + bytes <= self.options.bytes
+    }
+
+    fn insert(&mut self, key: &Arc<str>, record: Record) {
+        let place = (record.changed, key.clone());
+        match record.state {
+            _ if record.running => {}
+            State::Abandoned => {
+                self.abandoned.insert(place);
+            }
+            State::Open | State::Answered(_) => {
+                self.kept.insert(place);
+            }
+        }
+        self.bytes += record.bytes(key);
+        self.records.insert(key.clone(), record);
+    }
+
+    fn remove(&mut self, key: &Arc<str>) -> Option<Record> {
+        let record = self.records.remove(key)?;
+        let place = (record.changed, key.clone());
+        self.kept.remove(&place);
+        self.abandoned.remove(&place);
+        self.bytes -= record.bytes(key);
+        Some(record)
+    }
+}
+
+fn entry(key: &Arc<str>, record: &Record, now: Stamp) -> Entry {
+    Entry {
+        key: key.clone(),
+        digest: record.digest,
+        attempt: record.attempt,
+        age: now.since(record.changed),
+        state: record.state.clone(),
+    }
+}
--- /dev/null
+++ b/crates/call/src/quarantine.rs
@@ -0,0 +1,221 @@
+//! Requests that crash targets, and how their further runs are contained.
+//!
+//! When a target crashes, every request that was in flight on it is a suspect. Suspects of the same
+//! crash run one at a time, so that the next crash, if there is one, is attributed to the request
+//! that caused it and not to those that shared a target with it twice.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use caraway_core::name;
+use caraway_core::shard;
+use caraway_core::time::Stamp;
+
+/// Crashes after which a request is refused.
+const CRASHES: usize = 2;
+
+/// Settings of a quarantine.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Largest number of suspects.
+    pub suspects: usize,
+    /// Time since the last crash after which a suspect is forgotten.
+    pub hold: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { suspects: 10_000, hold: Duration::from_secs(600) }
+    }
+}
+
+/// Identity of what a request asks for, whoever sends it.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Fingerprint(pub u64);
+
+impl Fingerprint {
+    /// Makes the fingerprint of a request. A body that is not held does not count.
+    pub fn new(method: &str, path: &str, body: Option<&[u8]>) -> Self {
+        let mut text = Vec::with_capacity(method.len() + path.len() + 18);
+        text.extend_from_slice(method.as_bytes());
+        text.push(0);
+        text.extend_from_slice(path.as_bytes());
+        if let Some(body) = body {
+            text.push(0);
+            text.extend_from_slice(&shard::hash(body).to_be_bytes());
+        }
+        Self(shard::hash(&text))
+    }
+}
+
+/// A crash of a target.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Crash {
+    /// Target that crashed.
+    pub target: name::Target,
+    /// Incarnation that crashed, or zero if it is not known.
+    pub incarnation: u64,
+}
+
+impl Crash {
+    /// Returns true if two reports may be about one crash: the same target, and the same
+    /// incarnation or one that is not known.
+    fn same(&self, other: &Self) -> bool {
+        let incarnations = [self.incarnation, other.incarnation];
+        let equal = self.incarnation == other.incarnation || incarnations.contains(&0);
+        self.target == other.target && equal
+    }
+}
+
+/// A crash and a request that was in flight, as instances tell each other.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// Request that was in flight.
+    pub fingerprint: Fingerprint,
+    /// The crash.
+    pub crash: Crash,
+    /// Time since the crash.
+    pub age: Duration,
+}
+
+/// Whether a request may run now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It is not a suspect.
+    Run,
+    /// It is a suspect and runs alone; [`Quarantine::settle`] must be called when it has ended.
+    Probe,
+    /// Another suspect of the same crash is running; ask again when that has ended.
+    Wait,
+    /// It has crashed too many targets.
+    Refuse,
+}
+
+#[derive(Debug)]
+struct Suspect {
+    crashes: Vec<Crash>,
+    last: Stamp,
+}
+
+/// The suspects of one instance.
+#[derive(Debug)]
+pub struct Quarantine {
+    options: Options,
+    suspects: HashMap<Fingerprint, Suspect>,
+    /// Suspects that are running, each with the first crash that it is suspected of.
+    probes: HashMap<Fingerprint, Crash>,
+}
+
+impl Quarantine {
+    /// Makes an empty quarantine.
+    pub fn new(options: Options) -> Self {
+        Self { options, suspects: HashMap::new(), probes: HashMap::new() }
+    }
+
+    /// Returns the number of suspects.
+    pub fn len(&self) -> usize {
+        self.suspects.len()
+    }
+
+    /// Returns true if there are no suspects.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Decides whether a request may run now.
+    pub fn admit(&mut self, fingerprint: Fingerprint, now: Stamp) -> Verdict {
+        let Some(suspect) = self.suspects.get(&fingerprint) else { return Verdict::Run };
+        if now.since(suspect.last) >= self.options.hold {
+            self.suspects.remove(&fingerprint);
+            return Verdict::Run;
+        }
+        if suspect.crashes.len() >= CRASHES {
+            return Verdict::Refuse;
+        }
+        let Some(crash) = suspect.crashes.first() else { return Verdict::Run };
+        let taken = self.probes.values().any(|running| running.same(crash));
+        if taken || self.probes.contains_key(&fingerprint) {
+            return Verdict::Wait;
+        }
+        self.probes.insert(fingerprint, crash.clone());
+        Verdict::Probe
+    }
+
+    /// Ends a probe, whatever came of it.
+    pub fn settle(&mut self, fingerprint: Fingerprint) {
+        self.probes.remove(&fingerprint);
+    }
+
+    /// Records that a request ran to its end. A suspect of one crash is cleared.
+    pub fn completed(&mut self, fingerprint: Fingerprint) {
+        let one = |suspect: &Suspect| suspect.crashes.len() < CRASHES;
+        if self.suspects.get(&fingerprint).is_some_and(one) {
+            self.suspects.remove(&fingerprint);
+        }
+    }
+
+    /// Records that a target crashed, or is believed to have crashed, with a request in flight.
+    pub fn crashed(&mut self, fingerprint: Fingerprint, crash: Crash, now: Stamp) {
+        self.merge(Report { fingerprint, crash, age: Duration::ZERO }, now);
+    }
+
+    /// Merges a report of another instance.
+    pub fn merge(&mut self, report: Report, now: Stamp) {
+        let Report { fingerprint, crash, age } = report;
+        if age >= self.options.hold {
+            return;
+        }
+        if !self.suspects.contains_key(&fingerprint) {
+            self.make_room(now);
+        }
+        let at = now - age;
+        let new = || Suspect { crashes: Vec::new(), last: at };
+        let suspect = self.suspects.entry(fingerprint).or_insert_with(new);
+        let known = suspect.crashes.iter_mut().find(|known| known.same(&crash));
+        if let Some(known) = known {
+            known.incarnation = known.incarnation.max(crash.incarnation);
+        } else if suspect.crashes.len() < CRASHES {
+            suspect.crashes.push(crash);
+        }
+        suspect.last = suspect.last.max(at);
+    }
+
+    /// Withdraws the reports about a target whose incarnation turned out to be alive.
+    pub fn absolve(&mut self, alive: &Crash) {
+        for suspect in self.suspects.values_mut() {
+            suspect.crashes.retain(|crash| !crash.same(alive));
+        }
+        self.suspects.retain(|_, suspect| !suspect.crashes.is_empty());
+    }
+
+    /// Returns all reports, for other instances.
+    pub fn reports(&self, now: Stamp) -> Vec<Report> {
+        let of = |(fingerprint, suspect): (&Fingerprint, &Suspect)| {
+            let (fingerprint, age) = (*fingerprint, now.since(suspect.last));
+            let report = move |crash: &Crash| Report { fingerprint, crash: crash.clone(), age };
+            suspect.crashes.iter().map(report).collect::<Vec<_>>()
+        };
+        self.suspects.iter().flat_map(of).collect()
+    }
+
+    /// Forgets the suspects whose time has passed.
+    pub fn expire(&mut self, now: Stamp) {
+        let hold = self.options.hold;
+        self.suspects.retain(|_, suspect| now.since(suspect.last) < hold);
+    }
+
+    /// Makes room for one suspect: forgets those whose time has passed, or else the oldest one.
+    fn make_room(&mut self, now: Stamp) {
+        if self.suspects.len() < self.options.suspects {
+            return;
+        }
+        self.expire(now);
+        if self.suspects.len() < self.options.suspects {
+            return;
+        }
+        let oldest = self.suspects.iter().min_by_key(|(_, suspect)| suspect.last);
+        if let Some(fingerprint) = oldest.map(|(fingerprint, _)| *fingerprint) {
+            self.suspects.remove(&fingerprint);
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/caller.rs
@@ -0,0 +1,256 @@
+//! Requests of callers: from a request to its route, class, deadline and group.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::HeaderMap;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+use caraway_call::attempt::Trail;
+use caraway_call::patience;
+use caraway_core::header as names;
+use caraway_core::name;
+use caraway_core::outcome::Outcome;
+use caraway_core::outcome::Reason;
+use caraway_core::shard;
+use caraway_core::shard::Shard;
+use caraway_core::time::Stamp;
+use caraway_document::plan::Division;
+use caraway_document::plan::Group;
+use caraway_document::plan::Plan;
+use caraway_document::plan::Route;
+
+use crate::answer;
+use crate::body;
+use crate::body::Body;
+use crate::call::Call;
+use crate::call::Stop;
+use crate::directory::Remote;
+use crate::directory::Row;
+use crate::directory::Snapshot;
+use crate::dispatch;
+use crate::explain::Record;
+use crate::fields;
+use crate::forward;
+use crate::observe;
+use crate::observe::Meter;
+use crate::router::Router;
+
+/// Pause before a request is offered again to a coordinator that did not take it, unless the
+/// directory changes first. A takeover takes about 0.2 s.
+const REOFFER_PAUSE: Duration = Duration::from_millis(25);
+
+/// Tenant of a request that names none.
+const ANONYMOUS: &str = "anonymous";
+
+/// Serves a request of a caller.
+pub async fn serve(router: Arc<Router>, request: Request<Incoming>) -> Response<Body> {
+    let arrived = router.clock.now();
+    let mut meter = Meter::new(router.observer.clone(), router.clock, arrived);
+    let id = match fields::name(request.headers(), names::REQUEST_ID) {
+        Ok(Some(id)) => Arc::from(id),
+        Ok(None) => router.new_request_id(),
+        Err(reason) => {
+            meter.end(observe::End::Outcome(Outcome::Refused(reason)));
+            return answer::failure(Outcome::Refused(reason), "");
+        }
+    };
+    let steps = router.explain.open(&id);
+    let prepared = prepare(&router, request, &id, arrived, &steps, &mut meter).await;
+    let outcome = match prepared {
+        Err(reason) => Outcome::Refused(reason),
+        Ok(mut call) => {
+            call.meter = Some(meter);
+            match route(&router, &mut call).await {
+                Ok(response) => return response,
+                Err(outcome) => {
+                    meter = call.meter.take().unwrap_or_else(|| {
+                        Meter::new(router.observer.clone(), router.clock, arrived)
+                    });
+                    outcome
+                }
+            }
+        }
+    };
+    steps.add(router.clock.now(), format!("ended: {outcome:?}"));
+    meter.end(observe::End::Outcome(outcome));
+    answer::failure(outcome, &id)
+}
+
+/// Makes a call of a request.
+async fn prepare(
+    router: &Arc<Router>,
+    request: Request<Incoming>,
+    id: &Arc<str>,
+    arrived: Stamp,
+    steps: &Arc<Record>,
+    meter: &mut Meter,
+) -> Result<Call, Reason> {
+    let snapshot = router.directory.current().ok_or(Reason::NotReady)?;
+    let (mut parts, body) = request.into_parts();
+    if fields::unacceptable(&parts.headers) {
+        return Err(Reason::BadRequest);
+    }
+    let path = parts.uri.path_and_query().cloned().ok_or(Reason::BadRequest)?;
+    let (route, key) = find_route(snapshot.plan(), &parts.method, path.path())?;
+    let tenant = tenant(&parts.headers)?;
+    meter.label(snapshot.tenant_label(&tenant), Arc::from(route.class.name.as_str()));
+    let idempotency = idempotency(&parts.headers, route)?;
+    let asked = asked(&parts.headers)?;
+    let deadline = patience::deadline(arrived, route.class.patience, asked);
+    fields::remove_hop_by_hop(&mut parts.headers);
+    fields::remove_internal(&mut parts.headers);
+    parts.headers.remove(names::PATIENCE);
+    let limits = body::Limits {
+        buffered: snapshot.plan().limits.buffered_body_bytes,
+        body: snapshot.plan().limits.body_bytes,
+        time: deadline.since(router.clock.now()),
+    };
+    let payload = body::receive(body, limits, &router.memory).await?;
+    router.budget().request(arrived);
+    steps.add(arrived, format!("arrived: {} {path}", parts.method));
+    Ok(Call {
+        id: id.clone(),
+        method: parts.method,
+        headers: parts.headers,
+        payload,
+        shard: shard::of_key(key.as_bytes(), route.service.shards),
+        key: Arc::from(key),
+        tenant,
+        service: route.service.clone(),
+        class: route.class.clone(),
+        idempotency,
+        deadline,
+        trail: Trail::new(),
+        steps: steps.clone(),
+        meter: None,
+        path: path.clone(),
+    })
+}
+
+/// Returns the route of a request and its key. HEAD takes the route of GET if it has none.
+pub fn find_route<'a>(
+    plan: &'a Plan,
+    method: &Method,
+    path: &'a str,
+) -> Result<(&'a Route, &'a str), Reason> {
+    let route = plan.route(method.as_str(), path);
+    let head = || (*method == Method::HEAD).then(|| plan.route("GET", path)).flatten();
+    route.or_else(head).ok_or(Reason::NoRoute)
+}
+
+/// Returns the tenant that a request names.
+pub fn tenant(headers: &HeaderMap) -> Result<name::Tenant, Reason> {
+    let tenant = fields::name(headers, names::TENANT)?;
+    Ok(name::Tenant::new(tenant.unwrap_or(ANONYMOUS)))
+}
+
+/// Returns the idempotency key of a request, which a class that is not repeatable requires.
+pub fn idempotency(headers: &HeaderMap, route: &Route) -> Result<Option<Arc<str>>, Reason> {
+    let key = fields::name(headers, names::IDEMPOTENCY_KEY)?;
+    if key.is_none() && !route.class.repeatable {
+        return Err(Reason::KeyRequired);
+    }
+    Ok(key.map(Arc::from))
+}
+
+fn asked(headers: &HeaderMap) -> Result<Option<Duration>, Reason> {
+    if !headers.contains_key(names::PATIENCE) {
+        return Ok(None);
+    }
+    fields::millis(headers, names::PATIENCE).map(Some).ok_or(Reason::BadRequest)
+}
+
+/// Gives a call to the coordinators of its group, one after another, until it ends.
+async fn route(router: &Arc<Router>, call: &mut Call) -> Result<Response<Body>, Outcome> {
+    let mut changes = router.directory.changes();
+    loop {
+        let snapshot = changes.borrow_and_update().clone();
+        let Some(snapshot) = snapshot else { return Err(call.trail.conclude(Reason::NotReady)) };
+        let (stop, pause) = offer(router, &snapshot, call).await;
+        let reason = match stop {
+            Ok(response) => return Ok(response),
+            Err(Stop::End(outcome)) => return Err(outcome),
+            Err(Stop::Reroute(reason)) => reason,
+        };
+        let now = router.clock.now();
+        call.steps.add(now, format!("not taken: {reason}; waiting for another coordinator"));
+        let left = patience::remaining(call.deadline, now);
+        let left = left.ok_or_else(|| call.trail.conclude(reason))?;
+        let wait = pause.map_or(left, |pause| pause.min(left));
+        // The time limit only ends the wait; the loop finds out whether the call has ended.
+        let _ = timeout(wait, changes.changed()).await;
+        if patience::remaining(call.deadline, router.clock.now()).is_none() {
+            return Err(call.trail.conclude(reason));
+        }
+    }
+}
+
+/// Gives a call to the coordinator of its group. If it is not taken, also returns the longest pause
+/// before it is offered again, or nothing if only a change of the directory can help.
+async fn offer(
+    router: &Arc<Router>,
+    snapshot: &Arc<Snapshot>,
+    call: &mut Call,
+) -> (Result<Response<Body>, Stop>, Option<Duration>) {
+    let Some(group) = select(&router.options.domain, snapshot, call) else {
+        return (Err(call.reroute(Reason::NoCoordinator)), None);
+    };
+    match snapshot.row(&group.name) {
+        Row::Local(local) => (dispatch::run(router, local, &group, call).await, None),
+        Row::Remote(remote) => {
+            let version = snapshot.plan().version;
+            let sent = send(router, remote, &group, version, call).await;
+            (sent, Some(REOFFER_PAUSE))
+        }
+        Row::Unknown => (Err(call.reroute(Reason::NoCoordinator)), None),
+    }
+}
+
+async fn send(
+    router: &Arc<Router>,
+    remote: &Remote,
+    group: &Group,
+    version: u64,
+    call: &mut Call,
+) -> Result<Response<Body>, Stop> {
+    forward::run(router, remote, &group.name, version, call).await
+}
+
+/// Selects the group of a call and sets its shard.
+///
+/// A keyed service goes by the key, a pooled one by the idempotency key if the request is not
+/// repeatable. A repeatable request to a pooled service goes to a group of the instance's own failure
+/// domain unless all their queues are full, and among those to the one with the shortest queue.
+fn select(domain: &name::Domain, snapshot: &Snapshot, call: &mut Call) -> Option<Arc<Group>> {
+    let service = call.service.clone();
+    let groups = snapshot.groups(&service.name);
+    let by_hash = match (service.division, call.class.repeatable) {
+        (Division::Keyed, _) => Some(call.key.clone()),
+        (Division::Pooled, false) => call.idempotency.clone(),
+        (Division::Pooled, true) => None,
+    };
+    if let Some(text) = by_hash {
+        call.shard = shard::of_key(text.as_bytes(), service.shards);
+        return groups.iter().find(|group| group.shards.contains(&call.shard.0)).cloned();
+    }
+    let group = groups.iter().min_by_key(|group| preference(domain, snapshot, group))?;
+    call.shard = Shard(group.shards.start);
+    Some(group.clone())
+}
+
+/// Orders the groups that may run a request: the lowest value is the best.
+fn preference(
+    domain: &name::Domain,
+    snapshot: &Snapshot,
+    group: &Group,
+) -> (bool, bool, bool, u32) {
+    let percent = snapshot.row(&group.name).queue_percent();
+    let foreign = group.domain != *domain;
+    let full = percent.is_some_and(|percent| percent >= 100);
+    (percent.is_none(), full, foreign, percent.unwrap_or(0))
+}
--- /dev/null
+++ b/crates/relay/src/directory.rs
@@ -0,0 +1,162 @@
+//! The directory: who coordinates each group, together with the plan in force.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use tokio::sync::watch;
+
+use caraway_admission::lane::Lane;
+use caraway_call::ledger::Ledger;
+use caraway_core::name;
+use caraway_document::plan::Class;
+use caraway_document::plan::Group;
+use caraway_document::plan::Plan;
+
+use crate::observe;
+
+/// A group that this instance coordinates.
+#[derive(Clone, Debug)]
+pub struct Local {
+    /// Lane to the targets of the group.
+    pub lane: Arc<Lane>,
+    /// Term under which this instance coordinates the group.
+    pub term: u64,
+    /// Record of the group's non-repeatable requests.
+    pub ledger: Arc<Mutex<Ledger>>,
+}
+
+impl Local {
+    /// Returns the ledger. The lock is held for short steps only, never across a wait.
+    pub fn ledger(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// A group that another instance coordinates.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Remote {
+    /// Coordinator of the group.
+    pub instance: name::Instance,
+    /// Address of its peer listener.
+    pub peer_address: SocketAddr,
+    /// Term under which it coordinates the group.
+    pub term: u64,
+    /// Fill of the group's queue in percent, as last reported.
+    pub queue_percent: u32,
+}
+
+/// Who coordinates a group.
+#[derive(Clone, Debug)]
+pub enum Row {
+    /// This instance.
+    Local(Local),
+    /// Another instance.
+    Remote(Remote),
+    /// No instance is known to coordinate the group at the moment.
+    Unknown,
+}
+
+impl Row {
+    /// Returns the fill of the group's queue in percent, if a coordinator is known.
+    pub fn queue_percent(&self) -> Option<u32> {
+        match self {
+            Self::Local(local) => Some(local.lane.queue_percent()),
+            Self::Remote(remote) => Some(remote.queue_percent),
+            Self::Unknown => None,
+        }
+    }
+}
+
+/// The plan and the rows of one moment.
+#[derive(Debug)]
+pub struct Snapshot {
+    plan: Arc<Plan>,
+    rows: HashMap<name::Group, Row>,
+    services: HashMap<name::Service, Vec<Arc<Group>>>,
+    classes: HashMap<name::Class, Arc<Class>>,
+    tenants: HashSet<Arc<str>>,
+}
+
+impl Snapshot {
+    /// Makes a snapshot. A group without a row counts as unknown.
+    pub fn new(plan: Arc<Plan>, rows: HashMap<name::Group, Row>) -> Self {
+        let mut services: HashMap<_, Vec<_>> = HashMap::new();
+        for group in &plan.groups {
+            services.entry(group.service.name.clone()).or_default().push(group.clone());
+        }
+        let classes =
+            plan.routes.iter().map(|route| (route.class.name.clone(), route.class.clone()));
+        let classes = classes.collect();
+        let tenants = plan.tenants.iter().map(|tenant| Arc::from(tenant.as_str())).collect();
+        Self { plan, rows, services, classes, tenants }
+    }
+
+    /// Returns the plan.
+    pub fn plan(&self) -> &Arc<Plan> {
+        &self.plan
+    }
+
+    /// Returns the row of a group.
+    pub fn row(&self, group: &name::Group) -> &Row {
+        self.rows.get(group).unwrap_or(&Row::Unknown)
+    }
+
+    /// Returns the rows of the groups that have one.
+    pub fn rows(&self) -> &HashMap<name::Group, Row> {
+        &self.rows
+    }
+
+    /// Returns the groups of a service in document order.
+    pub fn groups(&self, service: &name::Service) -> &[Arc<Group>] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// Returns the metrics label of a tenant: its name if the document names it.
+    pub fn tenant_label(&self, tenant: &name::Tenant) -> Arc<str> {
+        observe::tenant(tenant.as_str(), &self.tenants)
+    }
+
+    /// Returns the call class of a name.
+    pub fn class(&self, name: &str) -> Option<&Arc<Class>> {
+        self.classes.get(name)
+    }
+}
+
+/// The current snapshot, which the control plane replaces as a whole.
+#[derive(Debug)]
+pub struct Directory {
+    current: watch::Sender<Option<Arc<Snapshot>>>,
+}
+
+impl Default for Directory {
+    fn default() -> Self {
+        Self { current: watch::Sender::new(None) }
+    }
+}
+
+impl Directory {
+    /// Makes a directory without a snapshot; the instance is not ready before it has one.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the current snapshot, if there is one.
+    pub fn current(&self) -> Option<Arc<Snapshot>> {
+        self.current.borrow().clone()
+    }
+
+    /// Replaces the snapshot and wakes the requests that wait for a change.
+    pub fn replace(&self, snapshot: Arc<Snapshot>) {
+        self.current.send_replace(Some(snapshot));
+    }
+
+    /// Returns a receiver that is notified of every replacement after this call.
+    pub fn changes(&self) -> watch::Receiver<Option<Arc<Snapshot>>> {
+        self.current.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/relay/src/dispatch.rs
@@ -0,0 +1,422 @@
+//! Dispatch of a call to a target, on the coordinator of its group.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::header;
+use tokio::time::sleep;
+
+use caraway_admission::lane;
+use caraway_admission::lane::Finish;
+use caraway_admission::lane::Permit;
+use caraway_call::attempt::Event;
+use caraway_call::attempt::Verdict;
+use caraway_call::ledger;
+use caraway_call::ledger::Decision;
+use caraway_call::patience;
+use caraway_call::quarantine::Crash;
+use caraway_call::quarantine::Fingerprint;
+use caraway_core::header as names;
+use caraway_core::name;
+use caraway_core::outcome::Outcome;
+use caraway_core::outcome::Reason;
+use caraway_core::shard;
+use caraway_document::plan::Group;
+
+use crate::answer;
+use crate::answer::Base;
+use crate::answer::Tail;
+use crate::body::Body;
+use crate::call::Call;
+use crate::call::Stop;
+use crate::contain;
+use crate::contain::Clearance;
+use crate::directory::Local;
+use crate::exchange;
+use crate::exchange::Order;
+use crate::fields;
+use crate::pool::Lease;
+use crate::report;
+use crate::router::Router;
+use crate::ticket::Ticket;
+
+/// Pause before the first retry; it doubles with each one, up to [`MAX_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(2);
+
+/// Longest pause before a retry. Ownership moves within 0.65 s, so some retries always see the result.
+const MAX_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest answer body that is kept in the ledger, in bytes.
+const KEPT_BODY_BYTES: usize = 16 * 1024;
+
+/// What stays the same for all attempts of a call.
+struct Run<'a> {
+    router: &'a Arc<Router>,
+    local: &'a Local,
+    group: &'a Arc<Group>,
+    fingerprint: Fingerprint,
+}
+
+/// How an attempt ended.
+enum Attempt {
+    Answered(Box<Response<Body>>),
+    Failed { event: Event, target: name::Target },
+}
+
+/// Runs a call on a target of a group that this instance coordinates.
+///
+/// # Errors
+///
+/// The call has ended, or this instance no longer coordinates the group.
+pub async fn run(
+    router: &Arc<Router>,
+    local: &Local,
+    group: &Arc<Group>,
+    call: &mut Call,
+) -> Result<Response<Body>, Stop> {
+    let mut ticket = match begin(router, local, group, call).await? {
+        Begun::Run(ticket) => ticket,
+        Begun::Replay(response) => return Ok(*response),
+    };
+    let run = Run { router, local, group, fingerprint: call.fingerprint() };
+    let mut pause = FIRST_PAUSE;
+    let mut avoid = None;
+    loop {
+        let (event, target) = match attempt(&run, call, &mut ticket, avoid.take()).await? {
+            Attempt::Answered(response) => return Ok(*response),
+            Attempt::Failed { event, target } => (event, target),
+        };
+        let now = router.clock.now();
+        call.steps.add(now, format!("{target}: {event:?}"));
+        if let Verdict::End(outcome) = call.trail.record(event, call.permits()) {
+            return Err(Stop::End(outcome));
+        }
+        let left = patience::remaining(call.deadline, now).unwrap_or_default();
+        if left <= pause || !router.budget().retry(now) {
+            return Err(call.refuse(event.reason()));
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(MAX_PAUSE);
+        avoid = Some(target);
+    }
+}
+
+enum Begun {
+    Run(Option<Ticket>),
+    Replay(Box<Response<Body>>),
+}
+
+/// Looks a non-repeatable call up in the ledger and records its intent.
+async fn begin(
+    router: &Arc<Router>,
+    local: &Local,
+    group: &Arc<Group>,
+    call: &mut Call,
+) -> Result<Begun, Stop> {
+    let key = match &call.idempotency {
+        Some(key) if !call.class.repeatable => key.clone(),
+        Some(_) | None => return Ok(Begun::Run(None)),
+    };
+    let now = router.clock.now();
+    let digest = call.digest();
+    let decision = local.ledger().begin(&key, digest, now);
+    match decision {
+        Decision::Run => {
+            let ticket = Ticket::new(router, local, &group.name, &key);
+            let replicated = ticket.replicate(call.deadline).await;
+            replicated.map_err(|reason| call.refuse(reason))?;
+            call.steps.add(router.clock.now(), "intent recorded at other instances");
+            Ok(Begun::Run(Some(ticket)))
+        }
+        Decision::Replay(answer) => match &answer.body {
+            Some(bytes) => {
+                call.steps.add(now, "repeated the recorded answer");
+                let response = answer::replay(&answer, bytes, &call.id);
+                if let Some(meter) = call.meter.take() {
+                    meter.end(crate::observe::End::Outcome(Outcome::Answered));
+                }
+                Ok(Begun::Replay(Box::new(response)))
+            }
+            // The request ran, but its answer was too long to be kept.
+            None => Err(unknown(Reason::EarlierAttemptUnknown)),
+        },
+        Decision::Unknown => Err(unknown(Reason::EarlierAttemptUnknown)),
+        Decision::HistoryIncomplete => Err(unknown(Reason::HistoryIncomplete)),
+        Decision::InProgress => Err(call.refuse(Reason::InProgress)),
+        Decision::KeyReused => Err(call.refuse(Reason::KeyReused)),
+        Decision::Full => Err(call.refuse(Reason::Overloaded)),
+    }
+}
+
+fn unknown(reason: Reason) -> Stop {
+    Stop::End(Outcome::Unknown(reason))
+}
+
+/// Sends a call to one target.
+async fn attempt(
+    run: &Run<'_>,
+    call: &mut Call,
+    ticket: &mut Option<Ticket>,
+    avoid: Option<name::Target>,
+) -> Result<Attempt, Stop> {
+    let (permit, clearance) = admit(run, call, avoid).await?;
+    let target = permit.target.clone();
+    let request = request(run, call, &permit)?;
+    call.steps.add(run.router.clock.now(), format!("sent to {target} with token {}", permit.token));
+    if let Some(meter) = &mut call.meter {
+        meter.attempt();
+    }
+    let order = Order {
+        address: permit.address,
+        limit: usize::try_from(run.group.service.connections).unwrap_or(usize::MAX),
+        write_before: permit.write_before.min(call.deadline),
+        deadline: call.deadline,
+    };
+    // If the caller goes away during the exchange, the ticket is dropped in this state.
+    mark_sent(ticket, true);
+    let event = match exchange::send(&run.router.pool, run.router.clock, &order, request).await {
+        Ok((response, lease)) => match check(run, call, &target, &response) {
+            None => {
+                let held = Held { permit, clearance, ticket: ticket.take() };
+                let response = pass(run, call, response, lease, held);
+                return Ok(Attempt::Answered(Box::new(response)));
+            }
+            Some(event) => refused(run, event, permit, response, lease).await,
+        },
+        Err(failure) => {
+            let refused = failure.refused;
+            failed(run, &target, failure.event, refused);
+            failure.event
+        }
+    };
+    if !event.may_have_run() {
+        mark_sent(ticket, false);
+    }
+    Ok(Attempt::Failed { event, target })
+}
+
+fn mark_sent(ticket: &mut Option<Ticket>, sent: bool) {
+    if let Some(ticket) = ticket {
+        ticket.sent = sent;
+    }
+}
+
+/// Waits for a permit and for the permission of the quarantine.
+async fn admit(
+    run: &Run<'_>,
+    call: &mut Call,
+    avoid: Option<name::Target>,
+) -> Result<(Permit, Clearance), Stop> {
+    loop {
+        let cleared = contain::wait(run.router, run.fingerprint, call.deadline).await;
+        let clearance = cleared.map_err(|reason| call.refuse(reason))?;
+        let started = run.router.clock.now();
+        let request = lane::Request {
+            shard: call.shard,
+            key: call.key.clone(),
+            tenant: call.tenant.clone(),
+            urgency: call.class.urgency,
+            deadline: call.deadline,
+            avoid: avoid.clone(),
+        };
+        let acquired = run.local.lane.acquire(request).await;
+        let now = run.router.clock.now();
+        if let Some(meter) = &mut call.meter {
+            meter.waited(now.since(started));
+        }
+        let permit = acquired.map_err(|reason| not_admitted(call, reason))?;
+        if let Clearance::Alone(_) = clearance {
+            return Ok((permit, clearance));
+        }
+        // The request may have become a suspect while it waited in the queue.
+        let asked = contain::ask(run.router, run.fingerprint);
+        if let Some(clearance) = asked.map_err(|reason| call.refuse(reason))? {
+            return Ok((permit, clearance));
+        }
+    }
+}
+
+fn not_admitted(call: &Call, reason: Reason) -> Stop {
+    match reason {
+        Reason::NoCoordinator | Reason::Misdirected | Reason::NotReady => call.reroute(reason),
+        _ => call.refuse(reason),
+    }
+}
+
+/// Makes the request to a target.
+fn request(run: &Run<'_>, call: &mut Call, permit: &Permit) -> Result<Request<Body>, Stop> {
+    let left = patience::for_hop(call.deadline, run.router.clock.now());
+    let left = left.ok_or_else(|| call.refuse(Reason::DeadlineBeforeDispatch))?;
+    let mut request = call.request().ok_or_else(|| call.refuse(Reason::NoOwner))?;
+    let headers = request.headers_mut();
+    fields::set(headers, names::TOKEN, &permit.token.to_string());
+    fields::set(headers, names::SHARD, &call.shard.to_string());
+    fields::set(headers, names::KEY, &call.key);
+    fields::set(headers, names::DEADLINE, &left.as_millis().to_string());
+    Ok(request)
+}
+
+/// Returns nothing if a response answers the call, otherwise what is wrong with it.
+fn check(
+    run: &Run<'_>,
+    call: &Call,
+    target: &name::Target,
+    response: &Response<Incoming>,
+) -> Option<Event> {
+    let headers = response.headers();
+    let id = fields::text(headers, names::REQUEST_ID);
+    let refused = fields::text(headers, names::REFUSED);
+    // Some refusals are given before the target has read the request's identity.
+    let matches = id == Some(&*call.id) || (id.is_none() && refused.is_some());
+    if !matches {
+        return Some(Event::BadAnswer);
+    }
+    if let Some(incarnation) = fields::text(headers, names::INCARNATION) {
+        let hash = || shard::hash(incarnation.as_bytes());
+        let number = incarnation.parse().unwrap_or_else(|_| hash());
+        run.router.learn_incarnation(target, number);
+    }
+    let reason = refused?;
+    if !matches!(response.status().as_u16(), 409 | 503 | 504) {
+        return Some(Event::BadAnswer);
+    }
+    run.router.report(report::Event::Refused {
+        group: run.group.name.clone(),
+        target: target.clone(),
+        reason: reason.chars().take(64).collect(),
+    });
+    match reason {
+        "deadline" => Some(Event::Refused(Reason::DeadlineBeforeDispatch)),
+        "shed" => Some(Event::Refused(Reason::Overloaded)),
+        _ => Some(Event::Refused(Reason::TargetRefused)),
+    }
+}
+
+/// Ends an attempt whose response is not passed on.
+async fn refused(
+    run: &Run<'_>,
+    event: Event,
+    permit: Permit,
+    response: Response<Incoming>,
+    lease: Lease,
+) -> Event {
+    let shed = event == Event::Refused(Reason::Overloaded);
+    permit.finish(if shed { Finish::Shed } else { Finish::Failed });
+    if event != Event::BadAnswer && exchange::drained(response.into_body()).await {
+        run.router.pool.give_back(lease);
+    }
+    event
+}
+
+/// Reports a failed exchange. A lost connection makes the request a suspect.
+fn failed(run: &Run<'_>, target: &name::Target, event: Event, refused: bool) {
+    let group = run.group.name.clone();
+    match event {
+        Event::ConnectFailed => {
+            let target = target.clone();
+            run.router.report(report::Event::ConnectFailed { group, target, refused });
+        }
+        Event::Lost => suspect(run.router, &group, target, run.fingerprint),
+        Event::Unsent
+        | Event::Refused(_)
+        | Event::BodyLost
+        | Event::BadAnswer
+        | Event::TimedOut { .. } => {}
+    }
+}
+
+fn suspect(router: &Router, group: &name::Group, target: &name::Target, fingerprint: Fingerprint) {
+    let incarnation = router.incarnation(target);
+    let crash = Crash { target: target.clone(), incarnation };
+    router.quarantine().crashed(fingerprint, crash, router.clock.now());
+    let (group, target) = (group.clone(), target.clone());
+    router.report(report::Event::Lost { group, target, incarnation, fingerprint });
+}
+
+/// What is held until the answer has been passed on.
+struct Held {
+    permit: Permit,
+    clearance: Clearance,
+    ticket: Option<Ticket>,
+}
+
+/// Tail of an answer that a target gave.
+struct Served {
+    base: Base,
+    held: Held,
+    group: name::Group,
+    fingerprint: Fingerprint,
+    status: u16,
+    content_type: Arc<str>,
+    /// The body so far, for the ledger; nothing if it is too long.
+    kept: Option<Vec<u8>>,
+}
+
+impl Tail for Served {
+    fn data(&mut self, bytes: &Bytes) {
+        let Some(kept) = &mut self.kept else { return };
+        if kept.len() + bytes.len() > KEPT_BODY_BYTES {
+            self.kept = None;
+        } else {
+            kept.extend_from_slice(bytes);
+        }
+    }
+
+    fn complete(self: Box<Self>) {
+        let Self { base, held, fingerprint, status, content_type, kept, .. } = *self;
+        if let Some(ticket) = held.ticket {
+            let body = kept.map(Arc::from);
+            ticket.finish(ledger::Answer { status, content_type, body });
+        }
+        base.router.quarantine().completed(fingerprint);
+        drop(held.clearance);
+        held.permit.finish(Finish::Answered);
+        base.complete();
+    }
+
+    fn truncated(self: Box<Self>) {
+        let Self { base, held, group, fingerprint, .. } = *self;
+        suspect(&base.router, &group, &held.permit.target, fingerprint);
+        base.truncated();
+    }
+}
+
+/// Passes the answer of a target on.
+fn pass(
+    run: &Run<'_>,
+    call: &mut Call,
+    response: Response<Incoming>,
+    lease: Lease,
+    held: Held,
+) -> Response<Body> {
+    let (mut parts, body) = response.into_parts();
+    let now = run.router.clock.now();
+    call.steps.add(now, format!("{}: answer {} begins", held.permit.target, parts.status));
+    fields::remove_hop_by_hop(&mut parts.headers);
+    fields::remove_between_instances(&mut parts.headers);
+    let content_type = parts.headers.get(header::CONTENT_TYPE);
+    let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or("");
+    let kept = held.ticket.is_some().then(Vec::new);
+    let tail = Served {
+        group: run.group.name.clone(),
+        fingerprint: run.fingerprint,
+        status: parts.status.as_u16(),
+        content_type: Arc::from(content_type),
+        kept,
+        held,
+        base: Base {
+            router: run.router.clone(),
+            lease,
+            outcome: Outcome::Answered,
+            meter: call.meter.take(),
+        },
+    };
+    let body = answer::relay(body, Box::new(tail), call.deadline, now);
+    let mut response = Response::from_parts(parts, body);
+    answer::mark(&mut response, Outcome::Answered, &call.id);
+    response
+}
--- /dev/null
+++ b/crates/relay/src/gate.rs
@@ -0,0 +1,142 @@
+//! Gate of a connection: decides at the socket whether a byte of a request may be written.
+//!
+//! The HTTP library writes in a task of its own, so a check before the request is handed over would
+//! leave a gap in which the process can be paused. The gate is checked directly before the first
+//! write of each exchange, and it records whether that write took place.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::net::TcpStream;
+
+use caraway_core::time::Clock;
+use caraway_core::time::Stamp;
+
+/// No exchange is open; nothing may be written.
+const SHUT: u8 = 0;
+/// An exchange is open and none of its bytes has been written.
+const ARMED: u8 = 1;
+/// A byte of the exchange may have been written.
+const WRITTEN: u8 = 2;
+
+/// Whether and until when the bytes of an exchange may be written.
+#[derive(Debug, Default)]
+pub struct Gate {
+    clock: Clock,
+    state: AtomicU8,
+    write_before: AtomicU64,
+}
+
+impl Gate {
+    /// Opens the gate for one exchange whose first byte is written before the given moment.
+    pub fn arm(&self, write_before: Stamp) {
+        self.write_before.store(write_before.as_micros(), Ordering::SeqCst);
+        self.state.store(ARMED, Ordering::SeqCst);
+    }
+
+    /// Closes the gate and returns true if a byte of the exchange may have been written.
+    ///
+    /// If it returns false, no byte has been written and none will be.
+    pub fn shut(&self) -> bool {
+        self.state.swap(SHUT, Ordering::SeqCst) == WRITTEN
+    }
+
+    /// Passes a write and returns true if it is the first of the exchange.
+    fn pass(&self) -> io::Result<bool> {
+        if self.state.load(Ordering::SeqCst) == WRITTEN {
+            return Ok(false);
+        }
+        if self.clock.now().as_micros() >= self.write_before.load(Ordering::SeqCst) {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        match self.state.compare_exchange(ARMED, WRITTEN, Ordering::SeqCst, Ordering::SeqCst) {
+            Ok(_) => Ok(true),
+            Err(_) => Err(io::ErrorKind::BrokenPipe.into()),
+        }
+    }
+
+    /// Takes back a first write that wrote nothing.
+    fn undo(&self) {
+        let _ = self.state.compare_exchange(WRITTEN, ARMED, Ordering::SeqCst, Ordering::SeqCst);
+    }
+}
+
+/// A connection whose writes pass a gate.
+#[derive(Debug)]
+pub struct Stream {
+    inner: TcpStream,
+    gate: Arc<Gate>,
+}
+
+impl Stream {
+    /// Makes a gated stream. Its gate is shut.
+    pub fn new(inner: TcpStream) -> Self {
+        Self { inner, gate: Arc::default() }
+    }
+
+    /// Returns the gate of the stream.
+    pub fn gate(&self) -> Arc<Gate> {
+        self.gate.clone()
+    }
+
+    fn gated(
+        &mut self,
+        write: impl FnOnce(Pin<&mut TcpStream>) -> Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let first = self.gate.pass()?;
+        let result = write(Pin::new(&mut self.inner));
+        if first && !matches!(result, Poll::Ready(Ok(_))) {
+            self.gate.undo();
+        }
+        result
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.gated(|inner| inner.poll_write(cx, buf))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.gated(|inner| inner.poll_write_vectored(cx, bufs))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.inner.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/peer.rs
@@ -0,0 +1,125 @@
+//! Requests that other instances forward to this one as the coordinator of a group.
+
+use std::sync::Arc;
+
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+
+use caraway_call::attempt::Trail;
+use caraway_core::header as names;
+use caraway_core::outcome::Outcome;
+use caraway_core::outcome::Reason;
+use caraway_core::shard::Shard;
+use caraway_document::plan::Group;
+
+use crate::answer;
+use crate::body;
+use crate::body::Body;
+use crate::call::Call;
+use crate::call::Stop;
+use crate::caller;
+use crate::directory::Local;
+use crate::directory::Row;
+use crate::directory::Snapshot;
+use crate::dispatch;
+use crate::fields;
+use crate::router::Router;
+
+/// Largest number of instances that a request passes.
+const MAX_HOPS: u32 = 2;
+
+/// Serves a forwarded request.
+pub async fn serve(router: Arc<Router>, request: Request<Incoming>) -> Response<Body> {
+    let id: Arc<str> = match fields::name(request.headers(), names::REQUEST_ID) {
+        Ok(Some(id)) => Arc::from(id),
+        Ok(None) | Err(_) => {
+            return answer::failure(Outcome::Refused(Reason::BadRequest), "");
+        }
+    };
+    let outcome = match prepare(&router, request, &id).await {
+        Err(reason) => Outcome::Refused(reason),
+        Ok((mut call, local, group)) => {
+            match dispatch::run(&router, &local, &group, &mut call).await {
+                Ok(response) => return response,
+                Err(Stop::End(outcome)) => outcome,
+                Err(Stop::Reroute(_)) => call.trail.conclude(Reason::Misdirected),
+            }
+        }
+    };
+    let steps = router.explain.open(&id);
+    steps.add(router.clock.now(), format!("as coordinator: ended: {outcome:?}"));
+    answer::failure(outcome, &id)
+}
+
+async fn prepare(
+    router: &Arc<Router>,
+    request: Request<Incoming>,
+    id: &Arc<str>,
+) -> Result<(Call, Local, Arc<Group>), Reason> {
+    let arrived = router.clock.now();
+    let snapshot = router.directory.current().ok_or(Reason::NotReady)?;
+    let (mut parts, body) = request.into_parts();
+    let (local, group) = place(&snapshot, &parts.headers)?;
+    let shard = Shard(fields::parsed(&parts.headers, names::SHARD).ok_or(Reason::BadRequest)?);
+    if !group.shards.contains(&shard.0) {
+        return Err(Reason::Misdirected);
+    }
+    let path = parts.uri.path_and_query().cloned().ok_or(Reason::BadRequest)?;
+    // A route that this instance does not know yet is served after its next document change.
+    let found = caller::find_route(snapshot.plan(), &parts.method, path.path());
+    let (route, key) = found.map_err(|_| Reason::Misdirected)?;
+    let class = fields::text(&parts.headers, names::CLASS).ok_or(Reason::BadRequest)?;
+    let class = snapshot.class(class).cloned().ok_or(Reason::Misdirected)?;
+    let left = fields::millis(&parts.headers, names::DEADLINE).ok_or(Reason::BadRequest)?;
+    let deadline = arrived + left.min(class.patience);
+    let tenant = caller::tenant(&parts.headers)?;
+    let idempotency = caller::idempotency(&parts.headers, route)?;
+    if idempotency.is_none() && !class.repeatable {
+        return Err(Reason::KeyRequired);
+    }
+    fields::remove_hop_by_hop(&mut parts.headers);
+    fields::remove_between_instances(&mut parts.headers);
+    let limits = body::Limits {
+        buffered: snapshot.plan().limits.buffered_body_bytes,
+        body: snapshot.plan().limits.body_bytes,
+        time: left,
+    };
+    let payload = body::receive(body, limits, &router.memory).await?;
+    router.budget().request(arrived);
+    let steps = router.explain.open(id);
+    steps.add(arrived, format!("as coordinator of {}: arrived", group.name));
+    let call = Call {
+        id: id.clone(),
+        method: parts.method,
+        headers: parts.headers,
+        payload,
+        shard,
+        key: Arc::from(key),
+        tenant,
+        service: group.service.clone(),
+        class,
+        idempotency,
+        deadline,
+        trail: Trail::new(),
+        steps,
+        meter: None,
+        path: path.clone(),
+    };
+    Ok((call, local, group))
+}
+
+/// Returns the group that a request is for, if this instance coordinates it under the term that the
+/// sender knows or a later one.
+fn place(snapshot: &Snapshot, headers: &hyper::HeaderMap) -> Result<(Local, Arc<Group>), Reason> {
+    let group = fields::text(headers, names::GROUP).ok_or(Reason::BadRequest)?;
+    let term: u64 = fields::parsed(headers, names::TERM).ok_or(Reason::BadRequest)?;
+    let hops: u32 = fields::parsed(headers, names::HOPS).ok_or(Reason::BadRequest)?;
+    let group = snapshot.plan().group(&group.into()).ok_or(Reason::Misdirected)?;
+    match snapshot.row(&group.name) {
+        Row::Local(local) if local.term >= term && hops <= MAX_HOPS => {
+            Ok((local.clone(), group.clone()))
+        }
+        Row::Local(_) | Row::Remote(_) | Row::Unknown => Err(Reason::Misdirected),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/router.rs
@@ -0,0 +1,164 @@
+//! The state that all requests of an instance share.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use tokio::sync::Notify;
+use tokio::sync::Semaphore;
+use tokio::sync::mpsc;
+
+use caraway_call::budget::Budget;
+use caraway_call::quarantine;
+use caraway_call::quarantine::Quarantine;
+use caraway_core::name;
+use caraway_core::time::Clock;
+use caraway_core::time::Stamp;
+
+use crate::directory::Directory;
+use crate::explain;
+use crate::observe::Observer;
+use crate::pool;
+use crate::pool::Pool;
+use crate::replication;
+use crate::report;
+
+/// Settings of the data path.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Name of this instance.
+    pub instance: name::Instance,
+    /// Failure domain of this instance.
+    pub domain: name::Domain,
+    /// Settings of the connection pool.
+    pub pool: pool::Options,
+    /// Connections to the peer listener of one instance.
+    pub peer_connections: usize,
+    /// Bytes of request bodies that are buffered at once.
+    pub buffered_bytes: usize,
+    /// Requests that can be explained.
+    pub explained: usize,
+    /// Settings of the quarantine.
+    pub quarantine: quarantine::Options,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            instance: name::Instance::new(""),
+            domain: name::Domain::new(""),
+            pool: pool::Options::default(),
+            peer_connections: 256,
+            buffered_bytes: 64 * 1024 * 1024,
+            explained: 10_000,
+            quarantine: quarantine::Options::default(),
+        }
+    }
+}
+
+/// Channels to the control plane.
+#[derive(Clone, Debug)]
+pub struct Channels {
+    /// Observations; those that do not fit are dropped.
+    pub reports: mpsc::Sender<report::Event>,
+    /// Ledger entries to record at other instances.
+    pub replication: mpsc::Sender<replication::Job>,
+}
+
+/// The data path of one instance.
+#[derive(Debug)]
+pub struct Router {
+    /// Settings.
+    pub options: Options,
+    /// Clock.
+    pub clock: Clock,
+    /// Who coordinates each group.
+    pub directory: Directory,
+    /// Connections to targets and instances.
+    pub pool: Pool,
+    /// Recent requests.
+    pub explain: explain::Table,
+    /// Metrics.
+    pub observer: Arc<Observer>,
+    /// Channels to the control plane.
+    pub channels: Channels,
+    /// One permit for each byte of request bodies that may be buffered.
+    pub memory: Arc<Semaphore>,
+    /// Notified when a suspect has ended.
+    pub settled: Notify,
+    quarantine: Mutex<Quarantine>,
+    budget: Mutex<Budget>,
+    incarnations: Mutex<HashMap<name::Target, u64>>,
+    started: Stamp,
+    requests: AtomicU64,
+}
+
+impl Router {
+    /// Makes the data path of an instance. It is not ready before its directory has a snapshot.
+    pub fn new(
+        options: Options,
+        clock: Clock,
+        channels: Channels,
+        observer: Observer,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            clock,
+            directory: Directory::new(),
+            pool: Pool::new(options.pool.clone(), clock),
+            explain: explain::Table::new(options.explained),
+            observer: Arc::new(observer),
+            channels,
+            memory: Arc::new(Semaphore::new(options.buffered_bytes.min(Semaphore::MAX_PERMITS))),
+            settled: Notify::new(),
+            quarantine: Mutex::new(Quarantine::new(options.quarantine.clone())),
+            budget: Mutex::default(),
+            incarnations: Mutex::default(),
+            started: clock.now(),
+            requests: AtomicU64::new(0),
+            options,
+        })
+    }
+
+    /// Returns the quarantine. The lock is held for short steps only, never across a wait.
+    pub fn quarantine(&self) -> MutexGuard<'_, Quarantine> {
+        self.quarantine.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the retry budget, with the same rule for the lock.
+    pub fn budget(&self) -> MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records the incarnation of a target, as it is seen in an answer or in a grant.
+    pub fn learn_incarnation(&self, target: &name::Target, incarnation: u64) {
+        let mut known = self.incarnations.lock().unwrap_or_else(PoisonError::into_inner);
+        if known.get(target) != Some(&incarnation) {
+            known.insert(target.clone(), incarnation);
+        }
+    }
+
+    /// Returns the incarnation of a target as last seen, or zero.
+    pub fn incarnation(&self, target: &name::Target) -> u64 {
+        let known = self.incarnations.lock().unwrap_or_else(PoisonError::into_inner);
+        known.get(target).copied().unwrap_or(0)
+    }
+
+    /// Reports an observation to the control plane.
+    pub fn report(&self, event: report::Event) {
+        if self.channels.reports.try_send(event).is_err() {
+            log::debug!("observation dropped; the channel to the control plane is full or closed");
+        }
+    }
+
+    /// Makes the identity of a request that has none. It is unique among instances of different names
+    /// and among runs of this one.
+    pub fn new_request_id(&self) -> Arc<str> {
+        let number = self.requests.fetch_add(1, Ordering::Relaxed);
+        let started = self.started.as_micros();
+        Arc::from(format!("{}-{started:x}-{number:x}", self.options.instance))
+    }
+}
--- /dev/null
+++ b/crates/relay/src/server.rs
@@ -0,0 +1,153 @@
+//! Listeners for callers and for other instances.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::OwnedSemaphorePermit;
+use tokio::sync::Semaphore;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+
+use crate::caller;
+use crate::peer;
+use crate::router::Router;
+use crate::stall;
+
+/// Smallest read buffer that the HTTP library accepts.
+const MIN_BUFFER_BYTES: usize = 8192;
+
+/// Pause after an error of accept, such as too many open files, which would otherwise repeat at once.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Who connects to a listener.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Side {
+    /// Callers.
+    Caller,
+    /// Other instances.
+    Peer,
+}
+
+/// Settings of a listener.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Who connects.
+    pub side: Side,
+    /// Largest number of connections; further ones wait in the accept queue.
+    pub connections: usize,
+    /// Longest header section in bytes.
+    pub header_bytes: usize,
+    /// Time within which the next header section must arrive on an open connection. It bounds both
+    /// idle connections and slowly sent headers.
+    pub idle: Duration,
+    /// Time after which a connection is closed whose reader takes nothing.
+    pub stall: Duration,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            side: Side::Caller,
+            connections: 4096,
+            header_bytes: 16 * 1024,
+            idle: Duration::from_secs(30),
+            stall: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Serves connections until `stop` becomes true, then finishes the requests in flight.
+///
+/// It returns when the last connection has ended. Dropping the future closes all connections.
+pub async fn serve(
+    listener: TcpListener,
+    router: Arc<Router>,
+    options: Options,
+    mut stop: watch::Receiver<bool>,
+) {
+    let slots = Arc::new(Semaphore::new(options.connections.max(1)));
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = stopped(&mut stop) => break,
+            Some(_) = connections.join_next() => {}
+            accepted = accept(&listener, &slots) => {
+                if let Some((stream, slot)) = accepted {
+                    let connection = connection(stream, slot, router.clone(), options.clone(), stop.clone());
+                    connections.spawn(connection);
+                }
+            }
+        }
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+}
+
+/// Waits until `stop` becomes true or nobody can set it any more.
+async fn stopped(stop: &mut watch::Receiver<bool>) {
+    let _ = stop.wait_for(|stop| *stop).await;
+}
+
+async fn accept(
+    listener: &TcpListener,
+    slots: &Arc<Semaphore>,
+) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+    let slot = slots.clone().acquire_owned().await.ok()?;
+    match listener.accept().await {
+        Ok((stream, _)) => Some((stream, slot)),
+        Err(error) => {
+            log::debug!("accept failed: {error}");
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
+
+async fn connection(
+    stream: TcpStream,
+    _slot: OwnedSemaphorePermit,
+    router: Arc<Router>,
+    options: Options,
+    mut stop: watch::Receiver<bool>,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("TCP_NODELAY cannot be set: {error}");
+    }
+    let side = options.side;
+    let service = service_fn(move |request: Request<Incoming>| {
+        let router = router.clone();
+        async move {
+            let response = match side {
+                Side::Caller => caller::serve(router, request).await,
+                Side::Peer => peer::serve(router, request).await,
+            };
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let io = TokioIo::new(stall::Stream::new(stream, options.stall));
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(options.idle)
+        .max_buf_size(options.header_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(io, service);
+    tokio::pin!(serving);
+    let result = tokio::select! {
+        result = serving.as_mut() => result,
+        () = stopped(&mut stop) => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(error) = result {
+        log::debug!("connection from {side:?} ended: {error}");
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/support/mod.rs
@@ -0,0 +1,424 @@
+//! A router with scripted targets on loopback.
+#![allow(dead_code, reason = "each test file uses a part")]
+#![allow(clippy::unwrap_used, clippy::indexing_slicing, reason = "a panic fails the test")]
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use caraway_admission::lane::Lane;
+use caraway_admission::lane::Options as LaneOptions;
+use caraway_admission::lane::State;
+use caraway_call::ledger::Ledger;
+use caraway_core::class::Urgency;
+use caraway_core::name;
+use caraway_core::shard::Shard;
+use caraway_core::time::Clock;
+use caraway_core::token::Token;
+use caraway_document::plan;
+use caraway_document::plan::Division;
+use caraway_document::plan::Plan;
+use caraway_relay::directory::Local;
+use caraway_relay::directory::Row;
+use caraway_relay::directory::Snapshot;
+use caraway_relay::observe::Observer;
+use caraway_relay::replication::Job;
+use caraway_relay::report::Event;
+use caraway_relay::router::Channels;
+use caraway_relay::router::Options;
+use caraway_relay::router::Router;
+use caraway_relay::server;
+use caraway_relay::server::Side;
+
+/// What a scripted target does with a request.
+pub enum Act {
+    /// Writes bytes and keeps the connection.
+    Write(Vec<u8>),
+    /// Writes bytes and closes the connection.
+    WriteClose(Vec<u8>),
+    /// Writes bytes after a time, whether or not the connection is still open.
+    Late(Duration, Vec<u8>),
+    /// Resets the connection, as a crash does.
+    Crash,
+    /// Writes nothing and waits until the other side closes.
+    Hang,
+}
+
+/// A request as a target has read it.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub connection: usize,
+    pub head: String,
+    pub body: usize,
+}
+
+impl Seen {
+    pub fn field(&self, name: &str) -> Option<&str> {
+        let prefix = format!("{name}: ");
+        self.head.lines().find_map(|line| line.strip_prefix(&prefix))
+    }
+
+    pub fn id(&self) -> &str {
+        self.field("caraway-request-id").unwrap_or("")
+    }
+}
+
+/// A complete answer to a request.
+pub fn ok(seen: &Seen, body: &str) -> Vec<u8> {
+    let (id, length) = (seen.id(), body.len());
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/plain";
+    format!("{head}\r\ncaraway-request-id: {id}\r\ncontent-length: {length}\r\n\r\n{body}").into()
+}
+
+/// A refusal by a target.
+pub fn refusal(seen: &Seen, status: u16, reason: &str) -> Vec<u8> {
+    let id = seen.id();
+    format!(
+        "HTTP/1.1 {status} No\r\ncaraway-refused: {reason}\r\ncaraway-request-id: {id}\r\n\
+         content-length: 0\r\n\r\n"
+    )
+    .into()
+}
+
+type Script = Arc<dyn Fn(&Seen, usize) -> Act + Send + Sync>;
+
+/// A target that follows a script. The script gets each request and its number, from 0.
+#[derive(Clone)]
+pub struct Target {
+    pub address: SocketAddr,
+    pub seen: Arc<Mutex<Vec<Seen>>>,
+    /// Connections that the other side closed while a request was unanswered.
+    pub cancelled: Arc<AtomicUsize>,
+}
+
+impl Target {
+    pub async fn start(script: impl Fn(&Seen, usize) -> Act + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let target = Self { address, seen: Arc::default(), cancelled: Arc::default() };
+        let (served, script) = (target.clone(), Arc::new(script) as Script);
+        tokio::spawn(async move {
+            let mut connection = 0;
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(served.clone().connection(stream, connection, script.clone()));
+                connection += 1;
+            }
+        });
+        target
+    }
+
+    pub fn count(&self) -> usize {
+        self.seen.lock().unwrap().len()
+    }
+
+    async fn connection(self, mut stream: TcpStream, connection: usize, script: Script) {
+        let mut buffer = Vec::new();
+        while let Some(seen) = read(&mut stream, &mut buffer, connection).await {
+            let number = {
+                let mut all = self.seen.lock().unwrap();
+                all.push(seen.clone());
+                all.len() - 1
+            };
+            match script(&seen, number) {
+                Act::Write(bytes) => stream.write_all(&bytes).await.unwrap(),
+                Act::WriteClose(bytes) => {
+                    stream.write_all(&bytes).await.unwrap();
+                    return;
+                }
+                Act::Late(time, bytes) => {
+                    sleep(time).await;
+                    let _ = stream.write_all(&bytes).await;
+                }
+                Act::Crash => {
+                    stream.set_zero_linger().unwrap();
+                    return;
+                }
+                Act::Hang => {
+                    let _ = stream.read(&mut [0; 1]).await;
+                    self.cancelled.fetch_add(1, Ordering::SeqCst);
+                    return;
+                }
+            }
+        }
+    }
+}
+
+async fn read(stream: &mut TcpStream, buffer: &mut Vec<u8>, connection: usize) -> Option<Seen> {
+    let end = loop {
+        if let Some(end) = buffer.windows(4).position(|four| four == b"\r\n\r\n") {
+            break end + 4;
+        }
+        if stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+    };
+    let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
+    buffer.drain(..end);
+    let mut seen = Seen { connection, head, body: 0 };
+    let length: usize = seen.field("content-length").map_or(0, |text| text.parse().unwrap());
+    while seen.body < length {
+        if buffer.is_empty() && stream.read_buf(buffer).await.ok()? == 0 {
+            return None;
+        }
+        let taken = buffer.len().min(length - seen.body);
+        buffer.drain(..taken);
+        seen.body += taken;
+    }
+    Some(seen)
+}
+
+/// What a caller got.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub headers: hyper::HeaderMap,
+    /// The body, or the bytes that arrived before it was cut off.
+    pub body: Result<Bytes, usize>,
+}
+
+impl Answer {
+    pub fn field(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", |value| value.to_str().unwrap())
+    }
+
+    pub fn outcome(&self) -> (&str, &str) {
+        (self.field("caraway-outcome"), self.field("caraway-reason"))
+    }
+
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(self.body.as_ref().unwrap()).unwrap()
+    }
+}
+
+/// Sends a request on a new connection. Returns nothing if no answer head arrives.
+pub async fn fetch(address: SocketAddr, request: Request<Full<Bytes>>) -> Option<Answer> {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut sender, driver) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.unwrap();
+    let driver = tokio::spawn(driver);
+    let response = sender.send_request(request).await.ok()?;
+    let (parts, mut body) = response.into_parts();
+    let mut bytes = Vec::new();
+    let mut whole = true;
+    while let Some(frame) = body.frame().await {
+        match frame {
+            Ok(frame) => bytes.extend_from_slice(frame.data_ref().map_or(&[], |data| data)),
+            Err(_) => whole = false,
+        }
+    }
+    driver.abort();
+    let body = if whole { Ok(Bytes::from(bytes)) } else { Err(bytes.len()) };
+    Some(Answer { status: parts.status.as_u16(), headers: parts.headers, body })
+}
+
+/// Makes a request.
+pub fn request(
+    method: &str,
+    path: &str,
+    fields: &[(&str, &str)],
+    body: &str,
+) -> Request<Full<Bytes>> {
+    let builder = Request::builder().method(method).uri(path).header("host", "entry");
+    let builder =
+        fields.iter().fold(builder, |builder, (name, value)| builder.header(*name, *value));
+    builder.body(Full::new(Bytes::copy_from_slice(body.as_bytes()))).unwrap()
+}
+
+/// A router with one keyed service `lectura` and one pooled service `ordenes`.
+pub struct Entry {
+    pub router: Arc<Router>,
+    pub caller: SocketAddr,
+    pub peer: SocketAddr,
+    pub plan: Arc<Plan>,
+    pub stop: watch::Sender<bool>,
+    pub reports: mpsc::Receiver<Event>,
+    pub jobs: mpsc::UnboundedReceiver<caraway_call::ledger::Entry>,
+    pub servers: Vec<JoinHandle<()>>,
+}
+
+pub const KEYED: &str = "lectura/med/0";
+pub const POOLED: &str = "ordenes/med/0";
+
+/// Patience of every class.
+pub const PATIENCE: Duration = Duration::from_millis(1500);
+
+fn plan() -> Arc<Plan> {
+    let service = |name: &str, division| {
+        Arc::new(plan::Service {
+            name: name.into(),
+            division,
+            fencing: plan::Fencing::Checked,
+            shards: 16,
+            slots: 4,
+            connections: 8,
+            queue: 64,
+            warmup: Duration::ZERO,
+        })
+    };
+    let class = |name: &str, repeatable, attempts| {
+        let urgency = Urgency::Normal;
+        Arc::new(plan::Class {
+            name: name.into(),
+            patience: PATIENCE,
+            repeatable,
+            urgency,
+            attempts,
+        })
+    };
+    let (lectura, ordenes) =
+        (service("lectura", Division::Keyed), service("ordenes", Division::Pooled));
+    let (reading, order) = (class("reading", true, 3), class("order", false, 1));
+    let route = |method: &str, prefix: &str, service: &Arc<_>, class: &Arc<_>| plan::Route {
+        method: method.into(),
+        prefix: prefix.into(),
+        service: Arc::clone(service),
+        class: Arc::clone(class),
+    };
+    let group = |name: &str, service: &Arc<_>| {
+        Arc::new(plan::Group {
+            name: name.into(),
+            service: Arc::clone(service),
+            domain: "med".into(),
+            shards: 0..16,
+            targets: Vec::new(),
+        })
+    };
+    Arc::new(Plan {
+        version: 1,
+        environment: "test".into(),
+        domains: vec!["med".into()],
+        tenants: vec!["acme".into()],
+        routes: vec![
+            route("GET", "/lectura/", &lectura, &reading),
+            route("PUT", "/lectura/", &lectura, &reading),
+            route("POST", "/lectura/", &lectura, &order),
+            route("GET", "/ordenes/", &ordenes, &reading),
+            route("POST", "/ordenes/", &ordenes, &order),
+        ],
+        groups: vec![group(KEYED, &lectura), group(POOLED, &ordenes)],
+        limits: plan::Limits {
+            buffered_body_bytes: 65536,
+            body_bytes: 134_217_728,
+            header_bytes: 16384,
+            idle: Duration::from_secs(5),
+        },
+    })
+}
+
+impl Entry {
+    /// Starts a router without rows.
+    pub async fn start(instance: &str) -> Self {
+        let (reports_in, reports) = mpsc::channel(1000);
+        let (replication, mut queue) = mpsc::channel::<Job>(1000);
+        let (held, jobs) = mpsc::unbounded_channel();
+        let options =
+            Options { instance: instance.into(), domain: "med".into(), ..Options::default() };
+        let channels = Channels { reports: reports_in, replication };
+        let router = Router::new(options, Clock, channels, Observer::new());
+        let (stop, stopped) = watch::channel(false);
+        let mut servers = vec![tokio::spawn(async move {
+            while let Some(job) = queue.recv().await {
+                let _ = held.send(job.entry);
+                let _ = job.done.send(true);
+            }
+        })];
+        let mut addresses = Vec::new();
+        for side in [Side::Caller, Side::Peer] {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            addresses.push(listener.local_addr().unwrap());
+            let options =
+                server::Options { side, stall: Duration::from_millis(500), ..Default::default() };
+            let serving = server::serve(listener, router.clone(), options, stopped.clone());
+            servers.push(tokio::spawn(serving));
+        }
+        let (caller, peer) = (addresses[0], addresses[1]);
+        Self { router, caller, peer, plan: plan(), stop, reports, jobs, servers }
+    }
+
+    /// Starts a router that coordinates both groups on the given targets.
+    pub async fn with(targets: &[&Target]) -> Self {
+        let entry = Self::start("entry-1").await;
+        let rows = [entry.local(KEYED, targets), entry.local(POOLED, targets)];
+        entry.replace(rows.into());
+        entry
+    }
+
+    /// Makes a row for a group on the given targets. The first one owns all shards.
+    pub fn local(&self, group: &str, targets: &[&Target]) -> (name::Group, Row) {
+        let group: name::Group = group.into();
+        let pooled = group.as_str() == POOLED;
+        let options = LaneOptions {
+            group: group.clone(),
+            pooled,
+            slots: 4,
+            queue: 64,
+            warmup: Duration::ZERO,
+        };
+        let lane = Lane::new(options);
+        let token = Token::new(2, 1);
+        for (number, target) in targets.iter().enumerate() {
+            let name = target_name(number);
+            lane.set_target(&name, target.address, State::Live);
+            lane.set_token(&name, token);
+            lane.allow_until(&name, Clock.now() + Duration::from_secs(60));
+        }
+        if !pooled {
+            (0..16).for_each(|shard| lane.assign(Shard(shard), &target_name(0), token));
+        }
+        let ledger = Arc::new(Mutex::new(Ledger::new(Default::default())));
+        (group, Row::Local(Local { lane, term: 2, ledger }))
+    }
+
+    pub fn replace(&self, rows: HashMap<name::Group, Row>) {
+        self.router.directory.replace(Arc::new(Snapshot::new(self.plan.clone(), rows)));
+    }
+
+    pub fn lane(&self, group: &str) -> Arc<Lane> {
+        match self.router.directory.current().unwrap().row(&group.into()) {
+            Row::Local(local) => local.lane.clone(),
+            Row::Remote(_) | Row::Unknown => panic!("{group} is not local"),
+        }
+    }
+
+    pub async fn get(&self, path: &str, fields: &[(&str, &str)]) -> Answer {
+        fetch(self.caller, request("GET", path, fields, "")).await.unwrap()
+    }
+
+    pub async fn post(&self, path: &str, key: &str, body: &str) -> Answer {
+        let fields = [("idempotency-key", key)];
+        fetch(self.caller, request("POST", path, &fields, body)).await.unwrap()
+    }
+}
+
+pub fn target_name(number: usize) -> name::Target {
+    name::Target::new(&format!("target-{number}"))
+}
+
+/// Waits until a condition holds; panics after 5 s.
+pub async fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+    for _ in 0..500 {
+        if condition() {
+            return;
+        }
+        sleep(Duration::from_millis(10)).await;
+    }
+    panic!("{what} did not happen within 5 s");
+}
