Prove the group machine over random histories

Fakes of targets, network and store around real machines: loss, delay, repetition, reordering, freezes of both sides, restarts without memory, takeovers with and without proof.

--- a/bins/entry/src/control.rs
+++ b/bins/entry/src/control.rs
@@ -107,6 +107,8 @@
     published: Stamp,
     stopping: Option<Stamp>,
     last_handover: Stamp,
+    /// True once the own process is no longer listed, at the end of a planned stop.
+    left: bool,
     started: Stamp,
 }
 
@@ -116,6 +118,7 @@
     reachable: bool,
     last_ok: Option<Stamp>,
     changing: bool,
+    next_change: Stamp,
 }
 
 impl Control {
@@ -155,6 +158,7 @@
             published: now,
             stopping: None,
             last_handover: now,
+            left: false,
             started: now,
         })
     }
@@ -187,6 +191,7 @@
     /// Handles a message.
     pub fn receive(&mut self, _cx: CX![], message: Message) {
         let now = self.clock.now();
+        self.notice_pause(now);
         match message {
             Message::Target(answer) => self.take_target_answer(answer, now),
             Message::Beat { beat, reply } => {
@@ -213,7 +218,7 @@
             Message::Admin { question, reply } => {
                 let _ = reply.send(self.answer(&question, now));
             }
-            Message::Stop => self.begin_stop(now),
+            Message::Stop { signal } => self.begin_stop(signal, now),
         }
     }
 
--- a/bins/entry/src/control/configuration.rs
+++ b/bins/entry/src/control/configuration.rs
@@ -29,8 +29,8 @@
         if version <= held || version <= self.rejected_version {
             return;
         }
-        let plan = Envelope::parse(&text)
-            .and_then(|envelope| Plan::try_new(&envelope.document, version));
+        let plan =
+            Envelope::parse(&text).and_then(|envelope| Plan::try_new(&envelope.document, version));
         match plan {
             Ok(plan) => {
                 let plan = Arc::new(plan);
--- a/bins/entry/src/control/membership.rs
+++ b/bins/entry/src/control/membership.rs
@@ -102,9 +102,7 @@
             .directory
             .rows()
             .iter()
-            .filter(|(group, row)| {
-                self.is_own_domain(group) || changed_lately(row)
-            })
+            .filter(|(group, row)| self.is_own_domain(group) || changed_lately(row))
             .filter(|(group, _)| !self.coordinated.contains_key(*group))
             .filter(|(_, row)| row.holder != self.parts.me.process)
             .map(|(group, row)| Directory::to_wire(group, row));
@@ -133,9 +131,8 @@
     fn own_rows(&self) -> Vec<peer::Row> {
         let row = |group: &name::Group, coordination: &crate::coordination::Coordination| {
             let named = self.roster.named_successor(group);
-            let (successor, reserved_term) = named.map_or((String::new(), 0), |(name, term)| {
-                (name.to_string(), term)
-            });
+            let (successor, reserved_term) =
+                named.map_or((String::new(), 0), |(name, term)| (name.to_string(), term));
             peer::Row {
                 group: group.to_string(),
                 term: coordination.origin.term,
--- a/bins/entry/src/control/terms.rs
+++ b/bins/entry/src/control/terms.rs
@@ -29,6 +29,9 @@
 /// Longest time that a planned stop waits for the handover of all groups.
 const HANDOVER_WAIT: Duration = Duration::from_secs(5);
 
+/// Pause after a change that could not be made, so that a lasting reason costs few store calls.
+const CHANGE_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time for which a stopping instance goes on accepting callers, so that the balancer sees that it is not ready.
 const STOP_NOTICE: Duration = Duration::from_millis(500);
 
@@ -53,13 +56,16 @@
         }
         if self.stopping.is_some() && self.store.reachable {
             changes.extend(self.hand_over_all(now));
+            if self.coordinated.is_empty() && !self.left {
+                changes.push(Change::Leave(self.parts.me.process.clone()));
+            }
         }
-        self.change(changes);
+        self.change(changes, now);
     }
 
     /// Sends changes to the store, one compare-and-swap at a time.
-    fn change(&mut self, changes: Vec<Change>) {
-        if changes.is_empty() || self.store.changing {
+    fn change(&mut self, changes: Vec<Change>, now: Stamp) {
+        if changes.is_empty() || self.store.changing || now < self.store.next_change {
             return;
         }
         self.store.changing = true;
@@ -132,6 +138,9 @@
                 self.store.changing = false;
                 self.store_answered(now);
                 self.take_record(revision, &record, began, now);
+                if applied.is_empty() {
+                    self.store.next_change = now + CHANGE_PAUSE;
+                }
                 for change in applied {
                     self.take_applied(change, &record, now);
                 }
@@ -139,6 +148,7 @@
             }
             Done::ChangeFailed { unavailable } => {
                 self.store.changing = false;
+                self.store.next_change = now + CHANGE_PAUSE;
                 if unavailable {
                     self.store_failed();
                 }
@@ -181,7 +191,9 @@
 
     fn store_failed(&mut self) {
         if self.store.reachable {
-            event::emit(LogEvent::StoreUnreachable { error: "call failed or timed out".to_owned() });
+            event::emit(LogEvent::StoreUnreachable {
+                error: "call failed or timed out".to_owned(),
+            });
         }
         self.store.reachable = false;
         self.roster.set_store_reachable(false);
@@ -207,9 +219,7 @@
         for (group, holding) in &holdings {
             if holding.holder != self.parts.me.process {
                 let held = self.coordinated.get(group).map(|row| row.origin.term);
-                if held.is_some_and(|term| term < holding.term)
-                    && !self.releasing.contains(group)
-                {
+                if held.is_some_and(|term| term < holding.term) && !self.releasing.contains(group) {
                     self.step(group, Event::Fenced(holding.term), now);
                 }
             }
@@ -218,12 +228,7 @@
         self.step_all(&Event::Confirmed(began), now);
     }
 
-    fn take_applied(
-        &mut self,
-        change: Change,
-        record: &caraway_store::record::Domain,
-        now: Stamp,
-    ) {
+    fn take_applied(&mut self, change: Change, record: &caraway_store::record::Domain, now: Stamp) {
         match change {
             Change::Claim { group, former, holder, reason, .. } => {
                 let row = record.groups.iter().find(|row| row.group == group);
@@ -235,7 +240,8 @@
                 }
             }
             Change::HandOver { group, to, term, .. } => self.handed_over(&group, &to, term, record),
-            Change::Register(_) | Change::Leave(_) | Change::Rename { .. } => {}
+            Change::Leave(_) => self.left = true,
+            Change::Register(_) | Change::Rename { .. } => {}
         }
     }
 
@@ -274,22 +280,29 @@
     /// with a higher term; the ledgers wait among the copies.
     fn retake_released(&mut self, now: Stamp) {
         for group in std::mem::take(&mut self.releasing) {
-            if let Some(row) = self.coordinated.remove(&group) {
-                let entries = row.lock_ledger().export(now);
-                let entries = entries.into_iter().map(ledgers::to_wire).collect();
-                self.parts.copies.record(&group, row.origin.term, entries, now);
-            }
+            self.set_aside(&group, now);
         }
         self.note_mine();
         self.dirty = true;
     }
 
+    /// Ends a coordination and keeps its ledger among the copies.
+    fn set_aside(&mut self, group: &name::Group, now: Stamp) {
+        if let Some(row) = self.coordinated.remove(group) {
+            row.close();
+            let entries = row.lock_ledger().export(now);
+            let entries = entries.into_iter().map(ledgers::to_wire).collect();
+            self.parts.copies.record(group, row.origin.term, entries, now);
+        }
+    }
+
     pub(super) fn take_handover(
         &mut self,
         request: &peer::HandoverRequest,
         now: Stamp,
     ) -> peer::HandoverReply {
-        let refuse = |reason: &str| peer::HandoverReply { accepted: false, reason: reason.to_owned() };
+        let refuse =
+            |reason: &str| peer::HandoverReply { accepted: false, reason: reason.to_owned() };
         let me = &self.parts.me.process;
         if request.holder != me.instance.as_str() || request.holder_incarnation != me.incarnation {
             return refuse("the group was handed to another process");
@@ -339,6 +352,7 @@
             now,
         );
         let Ok(row) = started else { return };
+        self.set_aside(group, now);
         self.coordinated.insert(group.clone(), row);
         self.take_own_history(group, origin.term, now);
         for member in peers {
@@ -362,8 +376,12 @@
             return Vec::new();
         }
         let holder = former.map(|former| former.holder.clone());
-        let listed: BTreeSet<Process> =
-            self.roster.alive(self.clock.now()).into_iter().chain(self.roster.silent(self.clock.now())).collect();
+        let listed: BTreeSet<Process> = self
+            .roster
+            .alive(self.clock.now())
+            .into_iter()
+            .chain(self.roster.silent(self.clock.now()))
+            .collect();
         self.directory
             .of_domain(&self.parts.me.domain)
             .into_iter()
@@ -398,9 +416,9 @@
         self.note_mine();
     }
 
-    pub(super) fn begin_stop(&mut self, now: Stamp) {
+    pub(super) fn begin_stop(&mut self, signal: String, now: Stamp) {
         if self.stopping.is_none() {
-            event::emit(LogEvent::StopRequested { signal: "signal".to_owned() });
+            event::emit(LogEvent::StopRequested { signal });
             self.stopping = Some(now);
             self.roster.stop();
             self.announce(now);
@@ -413,7 +431,8 @@
         // The successors that this process named may act until a while after its end, so the
         // last naming has to be older than that when the process ends.
         let settled = now.since(since.max(self.last_handover)) >= STOP_NOTICE;
-        (self.coordinated.is_empty() && settled) || now.since(since) >= HANDOVER_WAIT
+        let left = self.left || !self.store.reachable;
+        (self.coordinated.is_empty() && settled && left) || now.since(since) >= HANDOVER_WAIT
     }
 }
 
--- a/bins/entry/src/domain.rs
+++ b/bins/entry/src/domain.rs
@@ -84,10 +84,8 @@
             true
         }
         Change::HandOver { group, from, term, to } => {
-            let Some(row) = held(record, group, from).filter(|row| row.term <= *term) else {
-                return false;
-            };
-            row.term = claim::next_term(*term);
+            let Some(row) = held(record, group, from) else { return false };
+            row.term = claim::next_term(row.term.max(*term));
             row.holder = to.instance.clone();
             row.holder_incarnation = to.incarnation;
             row.successor = None;
@@ -184,10 +182,7 @@
 pub fn holdings(record: &record::Domain) -> BTreeMap<name::Group, Holding> {
     let holding = |row: &record::Group| Holding {
         term: row.term,
-        holder: Process {
-            instance: row.holder.clone(),
-            incarnation: row.holder_incarnation,
-        },
+        holder: Process { instance: row.holder.clone(), incarnation: row.holder_incarnation },
         successor: row.successor.clone(),
         reserved: row.reserved,
         released: row.released,
--- a/bins/entry/src/message.rs
+++ b/bins/entry/src/message.rs
@@ -79,7 +79,10 @@
         reply: Sender<Option<serde_json::Value>>,
     },
     /// A planned stop begins.
-    Stop,
+    Stop {
+        /// Name of the signal.
+        signal: String,
+    },
 }
 
 /// A question of the admin interface.
@@ -119,4 +122,3 @@
         }
     }
 }
-
--- a/bins/entry/src/peers.rs
+++ b/bins/entry/src/peers.rs
@@ -91,7 +91,11 @@
         });
     }
 
-    async fn exchange(&self, address: SocketAddr, beat: peer::Beat) -> Result<Box<peer::Beat>, Silence> {
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        beat: peer::Beat,
+    ) -> Result<Box<peer::Beat>, Silence> {
         let Some(mut client) = self.client(address) else { return Err(Silence::Unknown) };
         match timeout(BEAT_TIMEOUT, client.heartbeat(Request::new(beat))).await {
             Ok(Ok(answer)) => Ok(Box::new(answer.into_inner())),
@@ -113,7 +117,9 @@
             let calls = addresses.into_iter().map(|address| {
                 let caller = caller.clone();
                 let request = request.clone();
-                tokio::spawn(async move { caller.record_at(address, request, RECORD_TIMEOUT).await })
+                tokio::spawn(
+                    async move { caller.record_at(address, request, RECORD_TIMEOUT).await },
+                )
             });
             let mut stored = true;
             for call in calls.collect::<Vec<_>>() {
@@ -148,7 +154,13 @@
     }
 
     /// Asks another instance for its ledger entries of a group.
-    pub fn history(&self, from: name::Instance, address: SocketAddr, group: name::Group, term: u64) {
+    pub fn history(
+        &self,
+        from: name::Instance,
+        address: SocketAddr,
+        group: name::Group,
+        term: u64,
+    ) {
         let caller = self.clone();
         self.runtime.spawn(async move {
             let Some(mut client) = caller.client(address) else { return };
@@ -244,7 +256,10 @@
 
 #[tonic::async_trait]
 impl Peer for Service {
-    async fn heartbeat(&self, request: Request<peer::Beat>) -> Result<Response<peer::Beat>, Status> {
+    async fn heartbeat(
+        &self,
+        request: Request<peer::Beat>,
+    ) -> Result<Response<peer::Beat>, Status> {
         let (reply, answer) = oneshot::channel();
         let beat = Box::new(request.into_inner());
         self.outbox.send(Message::Beat { beat, reply });
@@ -291,7 +306,9 @@
         self.outbox.send(Message::DocumentWanted { reply });
         let held = answer.await.map_err(ended)?;
         match held.filter(|(version, _)| *version >= wanted) {
-            Some((version, document)) => Ok(Response::new(peer::DocumentReply { version, document })),
+            Some((version, document)) => {
+                Ok(Response::new(peer::DocumentReply { version, document }))
+            }
             None => Err(Status::not_found("this instance has no document of that version")),
         }
     }
--- a/bins/entry/src/storage.rs
+++ b/bins/entry/src/storage.rs
@@ -165,8 +165,7 @@
     let (reads, read_jobs) = channel();
     let worker =
         Worker { client, keys, me, outbox, stop: stop.clone(), watching: watching.clone() };
-    let (a, b, c, d, e) =
-        (worker.clone(), worker.clone(), worker.clone(), worker.clone(), worker);
+    let (a, b, c, d, e) = (worker.clone(), worker.clone(), worker.clone(), worker.clone(), worker);
     let handles = vec![
         spawn("store-change", move || a.serve(&change_jobs))?,
         spawn("store-read", move || b.serve(&read_jobs))?,
@@ -181,7 +180,8 @@
     name: &'static str,
     body: F,
 ) -> errors::Result<JoinHandle<()>> {
-    let failed = |error: std::io::Error| errors::Error::Start { what: name, problem: error.to_string() };
+    let failed =
+        |error: std::io::Error| errors::Error::Start { what: name, problem: error.to_string() };
     std::thread::Builder::new().name(name.to_owned()).spawn(body).map_err(failed)
 }
 
--- a/bins/entry/src/target.rs
+++ b/bins/entry/src/target.rs
@@ -185,10 +185,11 @@
     }
 
     async fn connect(&mut self) -> Result<(), Failure> {
-        let stream = TcpStream::connect(self.address).await.map_err(|error| match error.kind() {
-            ErrorKind::ConnectionRefused => Failure::Refused,
-            _ => Failure::Silent,
-        })?;
+        let stream =
+            TcpStream::connect(self.address).await.map_err(|error| match error.kind() {
+                ErrorKind::ConnectionRefused => Failure::Refused,
+                _ => Failure::Silent,
+            })?;
         stream.set_nodelay(true).map_err(|_| Failure::Silent)?;
         let handshake = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| Failure::Silent)?;
--- a/crates/ownership/src/roster.rs
+++ b/crates/ownership/src/roster.rs
@@ -425,6 +425,10 @@
         let names: Vec<name::Instance> =
             self.alive(now).into_iter().map(|process| process.instance).collect();
         for group in self.mine.keys().cloned().collect::<Vec<_>>() {
+            if self.must_record_again(&group) {
+                self.claim_again(group, now, intents);
+                continue;
+            }
             let named = self.holdings.get(&group).and_then(|holding| holding.successor.clone());
             if named.is_some_and(|name| names.contains(&name)) {
                 self.successor_lost.remove(&group);
@@ -444,6 +448,29 @@
         }
     }
 
+    /// Returns true if the record does not name this instance as holder, because the group was taken with a reserved
+    /// term, or if all reserved terms of the recorded term are used up.
+    fn must_record_again(&self, group: &name::Group) -> bool {
+        let Some(holding) = self.holdings.get(group) else { return true };
+        let used = holding.reserved.saturating_sub(holding.term);
+        holding.holder != self.me || claim::reserved_term(holding.term, used).is_none()
+    }
+
+    fn claim_again(&self, group: name::Group, now: Stamp, intents: &mut Vec<Intent>) {
+        if !self.store_reachable || self.stopping {
+            return;
+        }
+        let holding = self.holdings.get(&group);
+        let expected = holding.map_or(0, |holding| holding.term);
+        let former = Former {
+            holder: self.me.clone(),
+            released: true,
+            successor: holding.and_then(|holding| holding.successor.clone()),
+        };
+        let successor = self.choose_successor(&group, now);
+        intents.push(Intent::Claim { group, expected, former: Some(former), successor });
+    }
+
     /// Returns the successor to name in heartbeats: none while the recorded one is being replaced.
     pub fn named_successor(&self, group: &name::Group) -> Option<(name::Instance, u64)> {
         if self.successor_lost.contains_key(group) {
--- /dev/null
+++ b/crates/ownership/tests/history/main.rs
@@ -0,0 +1,86 @@
+//! Histories of coordinators, targets and the store under faults.
+//!
+//! Guards against two targets that believe to own the same shard, whatever is lost, delayed,
+//! repeated, reordered, frozen, restarted or taken over.
+
+mod world;
+
+use proptest::collection::vec;
+use proptest::prelude::Just;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prop_assert_eq;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::RngSeed;
+
+use crate::world::Action;
+use crate::world::SHARDS;
+use crate::world::TARGETS;
+use crate::world::World;
+
+fn action() -> impl Strategy<Value = Action> {
+    prop_oneof![
+        6 => (1u64..160).prop_map(Action::Wait),
+        1 => (300u64..900).prop_map(Action::Wait),
+        8 => (0usize..64).prop_map(Action::Deliver),
+        6 => Just(Action::DeliverAll),
+        2 => (0usize..64).prop_map(Action::Drop),
+        2 => (0usize..64).prop_map(Action::Duplicate),
+        2 => (0..TARGETS).prop_map(Action::FreezeTarget),
+        2 => (0..TARGETS).prop_map(Action::ThawTarget),
+        1 => (0..TARGETS).prop_map(Action::RestartTarget),
+        1 => (0usize..8).prop_map(Action::Freeze),
+        2 => (0usize..8).prop_map(Action::Thaw),
+        1 => (0usize..8).prop_map(Action::Kill),
+        1 => Just(Action::TakeOver),
+        3 => (0usize..8).prop_map(Action::Confirm),
+        2 => (0..SHARDS, 0..TARGETS).prop_map(|(shard, to)| Action::Move(shard, to)),
+        1 => (0..TARGETS).prop_map(Action::Leave),
+    ]
+}
+
+/// Cases of one run; `CARAWAY_HISTORY_CASES` and `CARAWAY_HISTORY_SEED` make it long and different.
+fn config() -> ProptestConfig {
+    let number = |name: &str, default: u64| {
+        std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
+    };
+    ProptestConfig {
+        cases: u32::try_from(number("CARAWAY_HISTORY_CASES", 500)).unwrap_or(u32::MAX),
+        rng_seed: RngSeed::Fixed(number("CARAWAY_HISTORY_SEED", 7)),
+        rng_algorithm: RngAlgorithm::ChaCha,
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn no_shard_has_two_owners(actions in vec(action(), 1..120)) {
+        let mut world = World::new();
+        for action in &actions {
+            world.act(action);
+        }
+    }
+
+    #[test]
+    fn every_shard_has_an_owner_after_the_faults(actions in vec(action(), 1..60)) {
+        let mut world = World::new();
+        let kept = |action: &&Action| !matches!(action, Action::Leave(_));
+        for action in actions.iter().filter(kept) {
+            world.act(action);
+        }
+        prop_assert_eq!(world.settle(), usize::try_from(SHARDS).unwrap_or(0));
+    }
+}
+
+/// Guards against a world in which nothing ever happens, which would prove nothing.
+#[test]
+fn a_quiet_world_assigns_every_shard() {
+    let mut world = World::new();
+    assert_eq!(world.settle(), usize::try_from(SHARDS).unwrap_or(0));
+    assert!(world.assigned >= usize::try_from(SHARDS).unwrap_or(0));
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -28,13 +28,11 @@
 use caraway_admission::lane::Options as LaneOptions;
 use caraway_admission::lane::State;
 use caraway_call::ledger::Ledger;
-use caraway_core::class::Urgency;
 use caraway_core::name;
 use caraway_core::shard::Shard;
 use caraway_core::time::Clock;
 use caraway_core::token::Token;
-use caraway_document::plan;
-use caraway_document::plan::Division;
+use caraway_document::check;
 use caraway_document::plan::Plan;
 use caraway_relay::directory::Local;
 use caraway_relay::directory::Row;
@@ -261,66 +259,50 @@
 pub const PATIENCE: Duration = Duration::from_millis(1500);
 
 fn plan() -> Arc<Plan> {
-    let service = |name: &str, division| {
-        Arc::new(plan::Service {
-            name: name.into(),
-            division,
-            fencing: plan::Fencing::Checked,
-            shards: 16,
-            slots: 4,
-            connections: 8,
-            queue: 64,
-            warmup: Duration::ZERO,
+    let service = |name: &str, division: &str, port: u16| {
+        serde_json::json!({
+            "name": name, "division": division, "shards": 16, "fencing": "checked",
+            "slots": 4, "connections": 8, "queue": 64, "warmup_ms": 0,
+            "targets": [{
+                "name": format!("{name}-01"),
+                "failure_domain": "med",
+                "address": format!("127.0.0.1:{port}"),
+            }],
         })
     };
-    let class = |name: &str, repeatable, attempts| {
-        let urgency = Urgency::Normal;
-        Arc::new(plan::Class {
-            name: name.into(),
-            patience: PATIENCE,
-            repeatable,
-            urgency,
-            attempts,
+    let class = |name: &str, repeatable: bool, attempts: u32| {
+        serde_json::json!({
+            "name": name, "patience_ms": PATIENCE.as_millis() as u64,
+            "repeatable": repeatable, "urgency": "normal", "attempts": attempts,
         })
     };
-    let (lectura, ordenes) =
-        (service("lectura", Division::Keyed), service("ordenes", Division::Pooled));
-    let (reading, order) = (class("reading", true, 3), class("order", false, 1));
-    let route = |method: &str, prefix: &str, service: &Arc<_>, class: &Arc<_>| plan::Route {
-        method: method.into(),
-        prefix: prefix.into(),
-        service: Arc::clone(service),
-        class: Arc::clone(class),
-    };
-    let group = |name: &str, service: &Arc<_>| {
-        Arc::new(plan::Group {
-            name: name.into(),
-            service: Arc::clone(service),
-            domain: "med".into(),
-            shards: 0..16,
-            targets: Vec::new(),
+    let route = |method: &str, service: &str, class: &str| {
+        serde_json::json!({
+            "method": method, "prefix": format!("/{service}/"),
+            "service": service, "class": class,
         })
     };
-    Arc::new(Plan {
-        version: 1,
-        environment: "test".into(),
-        domains: vec!["med".into()],
-        tenants: vec!["acme".into()],
-        routes: vec![
-            route("GET", "/lectura/", &lectura, &reading),
-            route("PUT", "/lectura/", &lectura, &reading),
-            route("POST", "/lectura/", &lectura, &order),
-            route("GET", "/ordenes/", &ordenes, &reading),
-            route("POST", "/ordenes/", &ordenes, &order),
+    let document = serde_json::json!({
+        "format": 1,
+        "environment": "test",
+        "failure_domains": ["med"],
+        "tenants": ["acme"],
+        "classes": [class("reading", true, 3), class("order", false, 1)],
+        "services": [service("lectura", "keyed", 4001), service("ordenes", "pooled", 4002)],
+        "routes": [
+            route("GET", "lectura", "reading"),
+            route("PUT", "lectura", "reading"),
+            route("POST", "lectura", "order"),
+            route("GET", "ordenes", "reading"),
+            route("POST", "ordenes", "order"),
         ],
-        groups: vec![group(KEYED, &lectura), group(POOLED, &ordenes)],
-        limits: plan::Limits {
-            buffered_body_bytes: 65536,
-            body_bytes: 134_217_728,
-            header_bytes: 16384,
-            idle: Duration::from_secs(5),
+        "limits": {
+            "buffered_body_bytes": 65536, "body_bytes": 134_217_728,
+            "header_bytes": 16384, "idle_ms": 5000,
         },
-    })
+    });
+    let document = check::parse(&document.to_string()).unwrap();
+    Arc::new(Plan::try_new(&document, 1).unwrap())
 }
 
 impl Entry {
--- a/crates/store/src/write.rs
+++ b/crates/store/src/write.rs
@@ -63,8 +63,8 @@
             return Ok(Outcome::Unchanged { revision, record });
         }
         record.write_id = write_id();
-        let text = serde_json::to_string(&record)
-            .map_err(|error| Error::Invalid(error.to_string()))?;
+        let text =
+            serde_json::to_string(&record).map_err(|error| Error::Invalid(error.to_string()))?;
         match client.put(key, &text, revision) {
             Ok(Put::Written(revision)) => return Ok(Outcome::Written { revision, record }),
             Ok(Put::Conflict(_)) => {}
