Test two takeovers that random histories do not reach

Ruled out as redundant: the filter against grants for shards held elsewhere, which the order of release already ensures.

--- a/crates/ownership/tests/history/main.rs
+++ b/crates/ownership/tests/history/main.rs
@@ -34,6 +34,8 @@
         1 => (0usize..8).prop_map(Action::Freeze),
         2 => (0usize..8).prop_map(Action::Thaw),
         1 => (0usize..8).prop_map(Action::Kill),
+        2 => (0usize..4, 0..TARGETS).prop_map(|(from, to)| Action::Cut(from, to)),
+        2 => (0usize..4, 0..TARGETS).prop_map(|(from, to)| Action::Heal(from, to)),
         1 => Just(Action::TakeOver),
         3 => (0usize..8).prop_map(Action::Confirm),
         2 => (0..SHARDS, 0..TARGETS).prop_map(|(shard, to)| Action::Move(shard, to)),
@@ -84,3 +86,45 @@
     assert_eq!(world.settle(), usize::try_from(SHARDS).unwrap_or(0));
     assert!(world.assigned >= usize::try_from(SHARDS).unwrap_or(0));
 }
+
+fn run(world: &mut World, rounds: usize, actions: &[Action]) {
+    for _ in 0..rounds {
+        for action in actions {
+            world.act(action);
+        }
+    }
+}
+
+/// Guards against a coordinator that is cut off, loses its term, and is the first to reach a
+/// restarted target, which has no memory of the higher term.
+#[test]
+fn a_cut_off_coordinator_grants_nothing_to_a_restarted_target() {
+    let mut world = World::new();
+    let turn = [Action::Wait(20), Action::DeliverFor(0), Action::DeliverFor(1)];
+    run(&mut world, 20, &turn);
+    for target in 0..TARGETS {
+        world.act(&Action::Cut(0, target));
+    }
+    world.act(&Action::TakeOver);
+    run(&mut world, 60, &turn);
+    world.act(&Action::Cut(1, 0));
+    run(&mut world, 60, &turn);
+    run(&mut world, 1, &[Action::RestartTarget(0), Action::Heal(0, 0)]);
+    run(&mut world, 60, &turn);
+}
+
+/// Guards against a coordinator that is frozen before its first contact with a target, loses its
+/// term, and places shards when it wakes up.
+#[test]
+fn a_woken_coordinator_grants_nothing_before_its_term_is_checked() {
+    let mut world = World::new();
+    let turn = [Action::Wait(20), Action::DeliverFor(0), Action::DeliverFor(1)];
+    run(&mut world, 1, &[Action::Freeze(0), Action::TakeOver]);
+    // The other targets know the higher term and would tell it.
+    run(&mut world, 1, &[Action::Cut(0, 1), Action::Cut(0, 2)]);
+    run(&mut world, 60, &[Action::Wait(20), Action::DeliverFor(1)]);
+    world.act(&Action::Cut(1, 0));
+    run(&mut world, 60, &[Action::Wait(20), Action::DeliverFor(1)]);
+    run(&mut world, 1, &[Action::RestartTarget(0), Action::Thaw(0)]);
+    run(&mut world, 60, &turn);
+}
--- a/crates/ownership/tests/history/world.rs
+++ b/crates/ownership/tests/history/world.rs
@@ -55,6 +55,16 @@
     Answer { coordinator: usize, target: usize, sent: Stamp, reply: Reply },
 }
 
+impl Packet {
+    fn ends(&self) -> (usize, usize) {
+        match self {
+            Self::Call { coordinator, target, .. } | Self::Answer { coordinator, target, .. } => {
+                (*coordinator, *target)
+            }
+        }
+    }
+}
+
 #[derive(Debug)]
 pub struct World {
     now: Stamp,
@@ -62,6 +72,7 @@
     targets: Vec<Target>,
     coordinators: Vec<Coordinator>,
     packets: Vec<Packet>,
+    cuts: BTreeSet<(usize, usize)>,
     pub assigned: usize,
 }
 
@@ -70,6 +81,9 @@
     Wait(u64),
     Deliver(usize),
     DeliverAll,
+    DeliverFor(usize),
+    Cut(usize, usize),
+    Heal(usize, usize),
     Drop(usize),
     Duplicate(usize),
     FreezeTarget(usize),
@@ -109,6 +123,7 @@
             targets: (0..TARGETS).map(target).collect(),
             coordinators: Vec::new(),
             packets: Vec::new(),
+            cuts: BTreeSet::new(),
             assigned: 0,
         };
         world.act(&Action::TakeOver);
@@ -124,6 +139,13 @@
                     self.deliver(0);
                 }
             }
+            Action::DeliverFor(coordinator) => self.deliver_for(*coordinator),
+            Action::Cut(coordinator, target) => {
+                self.cuts.insert((*coordinator, *target));
+            }
+            Action::Heal(coordinator, target) => {
+                self.cuts.remove(&(*coordinator, *target));
+            }
             Action::Drop(index) => {
                 if !self.packets.is_empty() {
                     self.packets.remove(index % self.packets.len());
@@ -273,6 +295,10 @@
             return;
         }
         let index = index % self.packets.len();
+        if self.cuts.contains(&self.packets[index].ends()) {
+            self.packets.remove(index);
+            return;
+        }
         match self.packets[index].clone() {
             Packet::Call { coordinator, target, sent, message } => {
                 if self.targets[target].frozen {
@@ -294,6 +320,14 @@
         }
     }
 
+    fn deliver_for(&mut self, coordinator: usize) {
+        let of = |packet: &Packet| packet.ends().0 == coordinator;
+        for _ in 0..self.packets.len() {
+            let Some(index) = self.packets.iter().position(of) else { return };
+            self.deliver(index);
+        }
+    }
+
     fn clock_ms(&self, target: usize) -> u64 {
         self.now.as_millis() + self.targets[target].offset_ms
     }
@@ -351,6 +385,7 @@
             coordinator.frozen = false;
         }
         self.coordinators[last].gone = None;
+        self.cuts.clear();
         for target in &mut self.targets {
             target.frozen = false;
         }
