Add the operator's tool: check, diff, put, promote, status, explain

Promotion is a compare-and-swap whose result is known: a conflict or a lost response is read back by write ID, and the same write is sent again while the key is unchanged. Status and explain ask the admin interfaces of live instances and never the store.

--- /dev/null
+++ b/bins/ctl/src/command.rs
@@ -0,0 +1,57 @@
+//! Dispatch of commands.
+
+use serde_json::Value;
+
+use caraway_document::rule;
+
+use crate::document;
+use crate::errors::Error;
+use crate::errors::Result;
+use crate::explain;
+use crate::flag::Command;
+use crate::flag::Flags;
+use crate::flag::Subject;
+use crate::status;
+
+/// Result of a command.
+#[derive(Clone, Debug)]
+pub struct Output {
+    /// For humans, with a line break at the end.
+    pub text: String,
+    /// For programs.
+    pub json: Value,
+    /// False if the command has a result but did not succeed, such as a document with findings or an
+    /// instance that did not respond.
+    pub complete: bool,
+}
+
+/// Runs the command of the flags.
+///
+/// # Errors
+///
+/// The command has no result.
+pub fn run(flags: &Flags) -> Result<Output> {
+    match flags.command.as_ref() {
+        None => Err(Error::Usage("no command; see --help".into())),
+        Some(Command::Check { document }) => document::check(document),
+        Some(Command::Diff { old, new }) => document::diff(old, new),
+        Some(Command::Schema) => Ok(schema()),
+        Some(Command::Put { store, stage, document }) => {
+            document::put(&store.store, *stage, document)
+        }
+        Some(Command::Promote { store, environment, from, to }) => {
+            document::promote(&store.store, environment, *from, *to)
+        }
+        Some(Command::Status { entries }) => status::run(&entries.entry),
+        Some(Command::Explain { subject }) => match subject {
+            Subject::Key { entries, service, key } => explain::key(&entries.entry, service, key),
+            Subject::Request { entries, id } => explain::request(&entries.entry, id),
+            Subject::Fleet { entries } => explain::fleet(&entries.entry),
+        },
+    }
+}
+
+fn schema() -> Output {
+    let json = rule::json_schema();
+    Output { text: format!("{json:#}\n"), json, complete: true }
+}
--- /dev/null
+++ b/bins/ctl/src/http.rs
@@ -0,0 +1,121 @@
+//! HTTP calls with time limits.
+
+use std::time::Duration;
+
+use serde_json::Value;
+use ureq::Agent;
+use ureq::Error;
+use ureq::Timeout;
+
+/// Longest time for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time for a whole call. The store's values have at most 1 MB and the admin interfaces
+/// answer from memory, so a longer call means that the other side is stuck.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Longest answer in bytes that is read.
+const ANSWER_BYTES: u64 = 64 << 20;
+
+/// Why a call has no answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Failure {
+    /// The request was not sent.
+    NotSent(String),
+    /// The request may have been received.
+    NoAnswer(String),
+}
+
+impl Failure {
+    /// Returns what happened.
+    pub fn problem(&self) -> &str {
+        match self {
+            Self::NotSent(problem) | Self::NoAnswer(problem) => problem,
+        }
+    }
+}
+
+/// Status and body of an answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: u16,
+    /// Body, null if it is not JSON.
+    pub body: Value,
+}
+
+/// Returns an agent that keeps no connection: a pooled connection that the other side has closed
+/// would make the agent send a request a second time by itself.
+pub fn agent() -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .max_redirects_will_error(false)
+        .max_idle_connections(0)
+        .proxy(None)
+        .timeout_connect(Some(CONNECT_TIMEOUT))
+        .timeout_global(Some(CALL_TIMEOUT))
+        .build()
+        .into()
+}
+
+/// Sends a GET request.
+pub fn get(agent: &Agent, url: &str) -> Result<Answer, Failure> {
+    agent.get(url).call().map_err(failure).and_then(read)
+}
+
+/// Sends a PUT request with a JSON body.
+pub fn put(agent: &Agent, url: &str, body: &Value) -> Result<Answer, Failure> {
+    let request = agent.put(url).header("content-type", "application/json");
+    request.send(body.to_string()).map_err(failure).and_then(read)
+}
+
+fn read(mut response: ureq::http::Response<ureq::Body>) -> Result<Answer, Failure> {
+    let status = response.status().as_u16();
+    let body = response.body_mut().with_config().limit(ANSWER_BYTES).read_to_vec();
+    let body = body.map_err(|error| Failure::NoAnswer(describe(&error)))?;
+    Ok(Answer { status, body: serde_json::from_slice(&body).unwrap_or(Value::Null) })
+}
+
+fn failure(error: Error) -> Failure {
+    let problem = describe(&error);
+    let refused =
+        matches!(&error, Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused);
+    let not_connected = matches!(
+        error,
+        Error::Http(_)
+            | Error::BadUri(_)
+            | Error::HostNotFound
+            | Error::ConnectionFailed
+            | Error::Timeout(Timeout::Connect | Timeout::Resolve)
+    );
+    if refused || not_connected { Failure::NotSent(problem) } else { Failure::NoAnswer(problem) }
+}
+
+fn describe(error: &Error) -> String {
+    match error {
+        Error::Timeout(Timeout::Connect) => {
+            format!("no connection within {} s", CONNECT_TIMEOUT.as_secs())
+        }
+        Error::Timeout(_) => format!("no answer within {} s", CALL_TIMEOUT.as_secs()),
+        Error::Io(error) => error.to_string(),
+        other => other.to_string(),
+    }
+}
+
+/// Encodes a path segment (RFC 3986): everything but unreserved characters is percent-encoded.
+pub fn segment(text: &str) -> String {
+    let mut encoded = String::with_capacity(text.len());
+    for byte in text.bytes() {
+        if byte.is_ascii_alphanumeric() || b"-._~".contains(&byte) {
+            encoded.push(char::from(byte));
+        } else {
+            encoded.push_str(&format!("%{byte:02X}"));
+        }
+    }
+    encoded
+}
+
+/// Returns the base URL of an address that is given with or without a scheme.
+pub fn base(address: &str) -> String {
+    let address = address.trim_end_matches('/');
+    if address.contains("://") { address.to_owned() } else { format!("http://{address}") }
+}
--- a/bins/ctl/src/main.rs
+++ b/bins/ctl/src/main.rs
@@ -1,5 +1,59 @@
 //! The operator's tool.
+//!
+//! Reads and promotes environment documents and asks live entry instances what they know. Results
+//! are printed on standard output and problems on standard error.
 
 #![forbid(unsafe_code)]
 
-fn main() {}
+use std::io::Write;
+use std::process::ExitCode;
+
+use clap::CommandFactory;
+use clap::Parser;
+
+use crate::command::Output;
+use crate::errors::Error;
+use crate::flag::Flags;
+
+mod admin;
+mod command;
+mod document;
+mod errors;
+mod explain;
+mod flag;
+mod http;
+mod status;
+mod store;
+mod swap;
+mod table;
+
+fn main() -> ExitCode {
+    let flags = Flags::parse();
+    if let Some(shell) = flags.completions {
+        let mut script = Vec::new();
+        clap_complete::generate(shell, &mut Flags::command(), "caraway-ctl", &mut script);
+        print(&script);
+        return ExitCode::SUCCESS;
+    }
+    match command::run(&flags) {
+        Ok(output) => {
+            print(render(&flags, &output).as_bytes());
+            ExitCode::from(u8::from(!output.complete))
+        }
+        Err(error) => fail(&error),
+    }
+}
+
+fn render(flags: &Flags, output: &Output) -> String {
+    if flags.json { format!("{:#}\n", output.json) } else { output.text.clone() }
+}
+
+fn fail(error: &Error) -> ExitCode {
+    let _ = writeln!(std::io::stderr(), "caraway-ctl: {}", error.to_string().trim_end());
+    ExitCode::from(error.exit_code())
+}
+
+/// Writes to standard output. A reader that has gone away, such as `head`, is no error.
+fn print(bytes: &[u8]) {
+    let _ = std::io::stdout().write_all(bytes);
+}
