--- a/crates/document/src/diff.rs
+++ b/crates/document/src/diff.rs
@@ -9,9 +9,9 @@
 
 use caraway_core::finding::Report;
 use caraway_core::name;
-use caraway_core::shard::Shard;
 
 use crate::errors::Result;
+use crate::plan::Group;
 use crate::plan::Plan;
 use crate::schema::Document;
 
@@ -146,7 +146,7 @@
             diff.findings.add(&format!("{place}/shards"), &problem, &allowed);
             continue;
         }
-        let moves = moves(&old_plan, &new_plan, &service.name, service.shard_count());
+        let moves = moves(&old_plan, &new_plan, &service.name);
         for step in &moves {
             let problem = format!(
                 "shards {} to {} of {} would move from group {} to group {}",
@@ -241,30 +241,29 @@
         .collect()
 }
 
-/// Returns the ranges of shards of a service whose group differs between two plans.
-fn moves(old: &Plan, new: &Plan, service: &name::Service, shards: u32) -> Vec<Move> {
-    let mut moves: Vec<Move> = Vec::new();
-    for shard in 0..shards {
-        let from = old.group_of(service, Shard(shard));
-        let to = new.group_of(service, Shard(shard));
-        let (Some(from), Some(to)) = (from, to) else { continue };
-        if from.name == to.name {
-            continue;
-        }
-        match moves.last_mut() {
-            Some(last)
-                if last.last + 1 == shard && last.from == from.name && last.to == to.name =>
-            {
-                last.last = shard;
+/// Returns the ranges of shards of a service whose group differs between two plans, in the order of the
+/// shards. Both plans divide the same number of shards into contiguous ranges, so that every pair of
+/// groups has at most one range in common.
+fn moves(old: &Plan, new: &Plan, service: &name::Service) -> Vec<Move> {
+    let mut moves = Vec::new();
+    for from in groups(old, service) {
+        for to in groups(new, service).filter(|to| to.name != from.name) {
+            let start = from.shards.start.max(to.shards.start);
+            let end = from.shards.end.min(to.shards.end);
+            if start < end {
+                moves.push(Move {
+                    service: service.clone(),
+                    first: start,
+                    last: end - 1,
+                    from: from.name.clone(),
+                    to: to.name.clone(),
+                });
             }
-            _ => moves.push(Move {
-                service: service.clone(),
-                first: shard,
-                last: shard,
-                from: from.name.clone(),
-                to: to.name.clone(),
-            }),
         }
     }
     moves
 }
+
+fn groups<'a>(plan: &'a Plan, service: &name::Service) -> impl Iterator<Item = &'a Group> {
+    plan.groups.iter().map(|group| &**group).filter(move |group| group.service.name == *service)
+}
--- a/crates/document/tests/plan.rs
+++ b/crates/document/tests/plan.rs
@@ -139,6 +139,26 @@
         prop_assert!(plan.group_of(&name::Service::new("none"), Shard(0)).is_none());
     }
 
+    /// Guards against a moved shard that is not listed, or one that is listed and stays.
+    #[test]
+    fn moves_agree_with_the_plans(before in vec(1_usize..20, 2..4), after in vec(1_usize..20, 2..4)) {
+        let (old, new) = (read(&with_counts(&before, 97)), read(&with_counts(&after, 97)));
+        let diff = diff::compare(&old, &new).unwrap();
+        let (old, new) = (Plan::try_new(&old, 1).unwrap(), Plan::try_new(&new, 2).unwrap());
+        let service = name::Service::new("lectura");
+        let mut listed = diff.moves.iter().flat_map(|step| {
+            (step.first..=step.last).map(move |shard| (shard, step.from.clone(), step.to.clone()))
+        });
+        for shard in 0..97 {
+            let from = &old.group_of(&service, Shard(shard)).unwrap().name;
+            let to = &new.group_of(&service, Shard(shard)).unwrap().name;
+            if from != to {
+                prop_assert_eq!(listed.next(), Some((shard, from.clone(), to.clone())));
+            }
+        }
+        prop_assert_eq!(listed.next(), None);
+    }
+
     /// Guards against a route lookup that differs from the definition: the longest prefix of the
     /// method after which a key follows.
     #[test]
