--- a/crates/document/tests/check.rs
+++ b/crates/document/tests/check.rs
@@ -20,6 +20,7 @@
 use caraway_document::errors::Error;
 use caraway_document::plan::Plan;
 use caraway_document::rule;
+use caraway_document::rule::Rule;
 
 const ANDINA: &str = include_str!("../../../environments/andina.json");
 const THURGAU: &str = include_str!("../../../environments/thurgau.json");
@@ -133,6 +134,41 @@
     assert_eq!(published, rule::json_schema());
 }
 
+/// Adds the table rows that describe the fields of a rule.
+fn rows(rule: &Rule, all: &mut Vec<String>) {
+    match rule {
+        Rule::List(item, ..) => rows(item, all),
+        Rule::Object(fields) => {
+            for field in *fields {
+                let allowed = match field.rule {
+                    Rule::Object(_) => "an object, see below".into(),
+                    _ => field.rule.allowed(),
+                };
+                let optional = if field.required { "" } else { " (optional)" };
+                all.push(format!("| `{}` | {allowed}{optional} | {} |", field.name, field.meaning));
+                rows(&field.rule, all);
+            }
+        }
+        Rule::Name
+        | Rule::Prefix
+        | Rule::Address
+        | Rule::Integer(..)
+        | Rule::Flag
+        | Rule::Choice(_) => {}
+    }
+}
+
+/// Guards against a reference page that states other limits than the checks.
+#[test]
+fn the_reference_page_is_current() {
+    let page = include_str!("../../../docs/configuration.md");
+    let mut expected = Vec::new();
+    rows(&rule::DOCUMENT, &mut expected);
+    for row in expected {
+        assert!(page.lines().any(|line| line == row), "{row}");
+    }
+}
+
 fn any_json() -> impl Strategy<Value = Value> {
     let leaf = prop_oneof![
         Just(Value::Null),
