Escape control characters of documents in messages on standard error

Field names of a document from elsewhere were printed as they are, so that they could control the operator's terminal.

--- a/bins/ctl/src/document.rs
+++ b/bins/ctl/src/document.rs
@@ -91,7 +91,9 @@
     }
     if !difference.findings.is_empty() {
         text.push_str("\nThis change cannot be promoted:\n");
-        text.push_str(&difference.findings.to_string());
+        for finding in difference.findings.findings() {
+            text.push_str(&format!("{}\n", table::plain(&finding.to_string())));
+        }
     }
     text
 }
--- a/bins/ctl/src/main.rs
+++ b/bins/ctl/src/main.rs
@@ -49,7 +49,10 @@
 }
 
 fn fail(error: &Error) -> ExitCode {
-    let _ = writeln!(std::io::stderr(), "caraway-ctl: {}", error.to_string().trim_end());
+    let message = error.to_string();
+    for line in format!("caraway-ctl: {}", message.trim_end()).lines() {
+        let _ = writeln!(std::io::stderr(), "{}", table::plain(line));
+    }
     ExitCode::from(error.exit_code())
 }
 
--- a/bins/ctl/tests/ctl/promotion.rs
+++ b/bins/ctl/tests/ctl/promotion.rs
@@ -177,6 +177,19 @@
     assert!(run.err.contains("no field services"), "{}", run.err);
 }
 
+/// Guards against a document from elsewhere whose field names control the terminal.
+#[test]
+fn control_characters_of_a_document_are_escaped() {
+    let store = Store::start();
+    let mut document = andina();
+    document["\u{1b}[2J"] = json!(1);
+    let path = file("control", &document);
+    for run in [put(&store, &path), ctl(&["check", &path])] {
+        assert_eq!(run.code, 1);
+        assert!(!run.err.contains('\u{1b}') && !run.out.contains('\u{1b}'), "{}", run.err);
+    }
+}
+
 /// Guards against a tool that hangs or says only "error" while the store is down or stuck.
 #[test]
 fn an_unreachable_store_is_named() {
--- a/crates/document/tests/check.rs
+++ b/crates/document/tests/check.rs
@@ -234,6 +234,8 @@
         let _ = check::parse(&ANDINA[..at]);
         let _ = check::parse(&format!("{}{text}{}", &ANDINA[..at], &ANDINA[at..]));
         let _ = check::parse(&text);
+        let _ = Envelope::parse(&format!("{{\"write_id\":\"w\",\"document\":{}}}", &ANDINA[..at]));
+        let _ = Envelope::parse(&text);
     }
 
     /// Guards against a place that does not lead to the value that it names.
