Count requests per shard and heavy key; test the lane's table against a model

The placement policy needs own counts: requests per shard, the heaviest keys per shard (space-saving, 16 entries), work per target. The model found four faults, which are fixed: a removed target that waits for its last permits accepted assignments, a returning one kept its reduced slots, an ended split held its key back although its owner owned the shard, and one with permits for a lost target never ended.

--- a/crates/admission/src/backend.rs
+++ b/crates/admission/src/backend.rs
@@ -53,6 +53,7 @@
             self.removed = false;
             self.token = None;
             self.allow_until = Stamp::default();
+            self.slots.restart(now);
         }
         self.address = address;
         self.slots.set_state(state, now);
@@ -118,16 +119,26 @@
         self.list.iter_mut().find(|backend| backend.member == member)
     }
 
-    /// Returns a target by its name.
-    pub fn named(&self, target: &name::Target) -> Option<&Backend> {
+    /// Returns a target by its name, even if it is removed.
+    pub fn known(&self, target: &name::Target) -> Option<&Backend> {
         self.list.iter().find(|backend| backend.name == *target)
     }
 
-    /// Returns a target by its name.
-    pub fn named_mut(&mut self, target: &name::Target) -> Option<&mut Backend> {
+    /// Returns a target by its name, even if it is removed.
+    pub fn known_mut(&mut self, target: &name::Target) -> Option<&mut Backend> {
         self.list.iter_mut().find(|backend| backend.name == *target)
     }
 
+    /// Returns a target that is not removed by its name.
+    pub fn named(&self, target: &name::Target) -> Option<&Backend> {
+        self.known(target).filter(|backend| !backend.removed)
+    }
+
+    /// Returns a target that is not removed by its name.
+    pub fn named_mut(&mut self, target: &name::Target) -> Option<&mut Backend> {
+        self.known_mut(target).filter(|backend| !backend.removed)
+    }
+
     /// Returns true if a target is lost or no longer known.
     pub fn is_lost(&self, member: Member) -> bool {
         self.get(member).is_none_or(|backend| backend.slots.state() == State::Lost)
--- a/crates/admission/src/lane.rs
+++ b/crates/admission/src/lane.rs
@@ -19,6 +19,7 @@
 use caraway_core::time::Stamp;
 use caraway_core::token::Token;
 
+use crate::rates::Report;
 use crate::table::Effect;
 use crate::table::Entry;
 use crate::table::Grant;
@@ -380,6 +381,15 @@
         self.change(|table, _| table.close(reason));
     }
 
+    /// Returns the counts of requests since the previous call and starts new ones.
+    ///
+    /// One caller per lane takes them, once per window of the placement policy.
+    pub fn rates(&self) -> Report {
+        let Ok(mut inner) = self.inner.lock() else { return Report::default() };
+        let now = self.clock.now();
+        inner.table.rates(now)
+    }
+
     /// Returns the fill of the queue in percent.
     pub fn queue_percent(&self) -> u32 {
         self.read(Table::queue_percent).unwrap_or(100)
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod backend;
 pub mod lane;
 pub mod queue;
+pub mod rates;
 pub mod scope;
+pub mod sketch;
 pub mod slots;
 pub mod table;
--- a/crates/admission/src/slots.rs
+++ b/crates/admission/src/slots.rs
@@ -58,12 +58,18 @@
     /// is repeated.
     pub fn set_state(&mut self, state: State, now: Stamp) {
         if state == State::Cold && self.state != State::Cold {
-            self.cold_since = now;
-            self.reduced = None;
+            self.restart(now);
         }
         self.state = state;
     }
 
+    /// Forgets what is known about the target except for the slots that are taken.
+    pub fn restart(&mut self, now: Stamp) {
+        self.cold_since = now;
+        self.reduced = None;
+        self.service_micros = None;
+    }
+
     /// Returns true if the state allows new work.
     pub fn accepts(&self) -> bool {
         match self.state {
@@ -193,9 +199,9 @@
         self.in_flight
     }
 
-    /// Returns how many attempts were answered.
-    pub fn completed(&self) -> u64 {
-        self.completed
+    /// Returns how many attempts were answered since the previous call.
+    pub fn take_completed(&mut self) -> u64 {
+        std::mem::take(&mut self.completed)
     }
 
     /// Returns the running mean of the time that an answered attempt holds its slot.
--- a/crates/admission/src/table.rs
+++ b/crates/admission/src/table.rs
@@ -18,11 +18,13 @@
 use crate::lane::Request;
 use crate::queue::Queue;
 use crate::queue::Waiter;
+use crate::rates::Counts;
 use crate::scope::Member;
 use crate::scope::Scope;
 use crate::scope::Unit;
 
 mod control;
+mod export;
 
 /// One part in this many of the queue is reserved for urgent requests (design, section 4).
 const URGENT_SHARE: usize = 8;
@@ -67,6 +69,7 @@
 struct Out {
     member: Member,
     scope: Scope,
+    shard: Shard,
     key: Arc<str>,
     epoch: u64,
     taken: Stamp,
@@ -94,6 +97,7 @@
     held: Queue,
     lots: HashMap<u64, (Lot, Urgency)>,
     permits: HashMap<u64, Out>,
+    counts: Counts,
     effects: Vec<Effect>,
     closed: Option<Reason>,
     next_ticket: u64,
@@ -111,6 +115,7 @@
             held: Queue::default(),
             lots: HashMap::new(),
             permits: HashMap::new(),
+            counts: Counts::default(),
             effects: Vec::new(),
             closed: None,
             next_ticket: 0,
@@ -131,6 +136,7 @@
             return Entry::Refused(Reason::DeadlineBeforeDispatch);
         }
         let waiter = self.waiter(request);
+        self.count(&waiter);
         let lot = self.lot(&waiter);
         self.serve_lot(lot, now);
         if let Some(member) = self.free_member(lot, &waiter, now) {
@@ -155,6 +161,14 @@
         }
     }
 
+    fn count(&mut self, waiter: &Waiter) {
+        match self.scope(waiter) {
+            Scope::Pool => self.counts.pooled(waiter.shard),
+            Scope::Shard(shard) => self.counts.keyed(shard, &waiter.key),
+            Scope::Key(key) => self.counts.split(&key),
+        }
+    }
+
     fn free_member(&mut self, lot: Lot, waiter: &Waiter, now: Stamp) -> Option<Member> {
         match lot {
             Lot::Held => None,
@@ -183,7 +197,7 @@
         match urgency {
             Urgency::Urgent => len < capacity || self.displace(Urgency::Bulk),
             Urgency::Normal | Urgency::Bulk => {
-                let others = len - self.count(Urgency::Urgent);
+                let others = len - self.waiting_of(Urgency::Urgent);
                 len < capacity && others < capacity - capacity / URGENT_SHARE
             }
         }
@@ -206,7 +220,7 @@
         self.fleet.iter().map(|backend| &backend.queue).chain([&self.pool, &self.held])
     }
 
-    fn count(&self, urgency: Urgency) -> usize {
+    fn waiting_of(&self, urgency: Urgency) -> usize {
         self.queues().map(|queue| queue.count(urgency)).sum()
     }
 
@@ -314,8 +328,8 @@
             epoch = unit.take(member);
             assigned = unit.owner.map(|owner| owner.token);
         }
-        let key = waiter.key.clone();
-        self.permits.insert(waiter.ticket, Out { member, scope, key, epoch, taken: now });
+        let (shard, key) = (waiter.shard, waiter.key.clone());
+        self.permits.insert(waiter.ticket, Out { member, scope, shard, key, epoch, taken: now });
         let Some(backend) = self.fleet.get_mut(member) else {
             unreachable!("a permit is handed out for a known target");
         };
@@ -443,10 +457,8 @@
 
     /// Continues a change of ownership that waited for the last permit of a unit.
     fn settle(&mut self, scope: &Scope, now: Stamp) {
-        if let Scope::Key(key) = scope
-            && self.keys.get(key).is_some_and(|unit| unit.ending)
-        {
-            self.merge(key);
+        if matches!(scope, Scope::Key(_)) {
+            self.merge_ended();
         }
         if !self.held.is_empty() {
             self.rehome(Lot::Held);
@@ -465,6 +477,7 @@
     }
 
     fn rehome_all(&mut self, now: Stamp) {
+        self.merge_ended();
         if self.lots.is_empty() {
             return;
         }
@@ -480,20 +493,4 @@
         }
         self.advance(now);
     }
-
-    /// Returns how many requests wait.
-    pub fn waiting(&self) -> usize {
-        self.lots.len()
-    }
-
-    /// Returns the fill of the queue in percent.
-    pub fn queue_percent(&self) -> u32 {
-        let percent = self.lots.len() * 100 / self.capacity().max(1);
-        u32::try_from(percent).unwrap_or(100)
-    }
-
-    /// Returns the next moment at which a slot may become free without any event.
-    pub fn next_growth(&self, now: Stamp) -> Option<Stamp> {
-        self.fleet.iter().filter_map(|backend| backend.slots.next_growth(now)).min()
-    }
 }
--- a/crates/admission/src/table/control.rs
+++ b/crates/admission/src/table/control.rs
@@ -11,11 +11,13 @@
 use caraway_core::token::Token;
 
 use crate::lane::State;
+use crate::scope::Member;
 use crate::scope::Owner;
 use crate::scope::Scope;
 use crate::scope::Unit;
 use crate::slots::Slots;
 use crate::table::Effect;
+use crate::table::Out;
 use crate::table::Table;
 
 impl Table {
@@ -27,7 +29,7 @@
         state: State,
         now: Stamp,
     ) {
-        if let Some(backend) = self.fleet.named_mut(target) {
+        if let Some(backend) = self.fleet.known_mut(target) {
             backend.restate(address, state, now);
         } else {
             let slots = Slots::new(self.options.slots, self.options.warmup, state, now);
@@ -97,7 +99,7 @@
 
     /// Returns how many permits for a target are out.
     pub fn target_in_flight(&self, target: &name::Target) -> usize {
-        let count = self.fleet.named(target).map_or(0, |backend| backend.slots.in_flight());
+        let count = self.fleet.known(target).map_or(0, |backend| backend.slots.in_flight());
         usize::try_from(count).unwrap_or(usize::MAX)
     }
 
@@ -141,24 +143,51 @@
         self.permits.values().filter(|out| *out.key == *key).count()
     }
 
-    /// Ends a split. The requests of the key wait until its permits are back.
+    /// Ends a split. The requests of the key wait until its permits are back, unless these are for
+    /// the owner of the shard.
     pub fn unsplit(&mut self, key: &str, now: Stamp) {
         let Some(unit) = self.keys.get_mut(key) else { return };
-        if unit.holder().is_some() {
-            unit.ending = true;
-        } else {
-            self.merge(key);
-        }
+        unit.ending = true;
         self.rehome_all(now);
     }
 
+    /// Moves the permits of a key to its shard if the holder of both is the owner of the shard.
+    fn rejoin(&mut self, key: &str, holder: Member) -> bool {
+        let same_owner = |unit: &Unit| {
+            unit.owner.is_some_and(|owner| owner.member == holder)
+                && unit.holder().is_none_or(|other| other == holder)
+        };
+        let Some(split) = self.keys.get(key) else { return false };
+        let current = |out: &&mut Out| is_key(&out.scope, key) && out.epoch == split.epoch();
+        for out in self.permits.values_mut().filter(current) {
+            let Some(unit) = self.shards.get_mut(&out.shard).filter(|unit| same_owner(unit)) else {
+                return false;
+            };
+            out.epoch = unit.take(out.member);
+            out.scope = Scope::Shard(out.shard);
+        }
+        true
+    }
+
+    /// Ends the splits that nothing holds up any more.
+    pub(super) fn merge_ended(&mut self) {
+        let ending = self.keys.iter().filter(|(_, unit)| unit.ending);
+        let ending: Vec<(Arc<str>, Option<Member>)> =
+            ending.map(|(key, unit)| (key.clone(), unit.holder())).collect();
+        for (key, holder) in ending {
+            let free =
+                holder.is_none_or(|holder| self.fleet.is_lost(holder) || self.rejoin(&key, holder));
+            if free {
+                self.merge(&key);
+            }
+        }
+    }
+
     /// Removes the unit of a key. Permits for lost owners of the key no longer count for a unit.
-    pub(super) fn merge(&mut self, key: &str) {
+    fn merge(&mut self, key: &str) {
         self.keys.remove(key);
-        for out in self.permits.values_mut() {
-            if matches!(&out.scope, Scope::Key(other) if **other == *key) {
-                out.scope = Scope::Pool;
-            }
+        for out in self.permits.values_mut().filter(|out| is_key(&out.scope, key)) {
+            out.scope = Scope::Pool;
         }
     }
 
@@ -172,3 +201,7 @@
         }
     }
 }
+
+fn is_key(scope: &Scope, key: &str) -> bool {
+    matches!(scope, Scope::Key(other) if **other == *key)
+}
--- /dev/null
+++ b/crates/admission/tests/model/mod.rs
@@ -0,0 +1,451 @@
+//! A model of the table that only remembers what the table was told and answered.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_oneof;
+
+use caraway_admission::lane::Finish;
+use caraway_admission::lane::Options;
+use caraway_admission::lane::Request;
+use caraway_admission::lane::State;
+use caraway_admission::table::Effect;
+use caraway_admission::table::Entry;
+use caraway_admission::table::Grant;
+use caraway_admission::table::Table;
+use caraway_core::class::Urgency;
+use caraway_core::name;
+use caraway_core::shard::Shard;
+use caraway_core::time::Stamp;
+use caraway_core::token::Token;
+
+const TARGETS: usize = 3;
+const SHARDS: u32 = 4;
+const KEYS: usize = 5;
+const SLOTS: u32 = 3;
+const QUEUE: usize = 4;
+const WARMUP: Duration = Duration::from_millis(300);
+
+/// A random event.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Acquire { key: usize, tenant: u8, urgency: u8, patience_ms: u64, avoid: Option<usize> },
+    Finish { index: usize, finish: u8 },
+    Cancel(usize),
+    Assign(u32, usize),
+    Pause(u32),
+    Target(usize, u8),
+    Remove(usize),
+    Allow(usize, u64),
+    Split(usize, usize),
+    PauseKey(usize),
+    Unsplit(usize),
+    Wait(u64),
+}
+
+/// Generates events.
+pub fn event() -> impl Strategy<Value = Event> {
+    let target = || 0..TARGETS;
+    let key = || 0..KEYS;
+    prop_oneof![
+        12 => (key(), 0u8..3, 0u8..3, 1u64..400, proptest::option::of(target())).prop_map(
+            |(key, tenant, urgency, patience_ms, avoid)| Event::Acquire {
+                key, tenant, urgency, patience_ms, avoid
+            }
+        ),
+        8 => (any::<usize>(), 0u8..4).prop_map(|(index, finish)| Event::Finish { index, finish }),
+        2 => any::<usize>().prop_map(Event::Cancel),
+        4 => (0..SHARDS, target()).prop_map(|(shard, target)| Event::Assign(shard, target)),
+        1 => (0..SHARDS).prop_map(Event::Pause),
+        2 => (target(), 0u8..8).prop_map(|(target, state)| Event::Target(target, state)),
+        1 => target().prop_map(Event::Remove),
+        2 => (target(), 0u64..500).prop_map(|(target, ms)| Event::Allow(target, ms)),
+        2 => (key(), target()).prop_map(|(key, target)| Event::Split(key, target)),
+        1 => key().prop_map(Event::PauseKey),
+        1 => key().prop_map(Event::Unsplit),
+        3 => (0u64..120).prop_map(Event::Wait),
+    ]
+}
+
+struct Sent {
+    key: usize,
+    target: usize,
+    abandoned: bool,
+    /// True if the permit belongs to a split key and not to its shard.
+    apart: bool,
+}
+
+struct Waiting {
+    key: usize,
+    deadline: Stamp,
+    avoid: Option<usize>,
+}
+
+struct Known {
+    state: State,
+    cold_since: Stamp,
+    allow_until: Stamp,
+    shed: bool,
+}
+
+/// What the model was told, and the permits and waiting requests that follow from the answers.
+pub struct Model {
+    table: Table,
+    now: Stamp,
+    pooled: bool,
+    seq: u64,
+    targets: BTreeMap<usize, Known>,
+    lost_when_removed: BTreeSet<usize>,
+    shards: BTreeMap<u32, (usize, Token)>,
+    split: BTreeMap<usize, Option<(usize, Token)>>,
+    sent: BTreeMap<u64, Sent>,
+    waiting: BTreeMap<u64, Waiting>,
+}
+
+fn shard_of(key: usize) -> u32 {
+    // Two keys share shard 0, so that splits leave requests behind.
+    u32::try_from(key).unwrap() % SHARDS
+}
+
+fn key_name(key: usize) -> Arc<str> {
+    Arc::from(format!("escalator-{key}"))
+}
+
+fn target_name(target: usize) -> name::Target {
+    name::Target::new(&format!("lectura-{target}"))
+}
+
+fn address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 21001))
+}
+
+impl Model {
+    /// Makes a model of a lane whose shards are assigned.
+    pub fn new(pooled: bool) -> Self {
+        let table = Table::new(Options {
+            group: name::Group::new("lectura/med/0"),
+            pooled,
+            slots: SLOTS,
+            queue: QUEUE,
+            warmup: WARMUP,
+        });
+        let mut model = Self {
+            table,
+            now: Stamp::from_millis(1000),
+            pooled,
+            seq: 0,
+            targets: BTreeMap::new(),
+            lost_when_removed: BTreeSet::new(),
+            shards: BTreeMap::new(),
+            split: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            waiting: BTreeMap::new(),
+        };
+        for target in 0..TARGETS {
+            model.apply(Event::Target(target, 1));
+            model.apply(Event::Allow(target, 450));
+        }
+        for shard in 0..SHARDS {
+            model.apply(Event::Assign(shard, usize::try_from(shard).unwrap() % TARGETS));
+        }
+        model
+    }
+
+    fn token(&mut self) -> Token {
+        self.seq += 1;
+        Token::new(2, self.seq)
+    }
+
+    fn owner(&self, key: usize) -> Option<(usize, Token)> {
+        match self.split.get(&key) {
+            Some(owner) => *owner,
+            None => self.shards.get(&shard_of(key)).copied(),
+        }
+    }
+
+    fn in_flight(&self, target: usize) -> usize {
+        self.sent.values().filter(|sent| sent.target == target).count()
+    }
+
+    fn accepts(&self, target: usize) -> bool {
+        self.targets.get(&target).is_some_and(|known| {
+            matches!(known.state, State::Cold | State::Live) && self.now < known.allow_until
+        })
+    }
+
+    fn lost(&self, target: usize) -> bool {
+        let removed = self.lost_when_removed.contains(&target);
+        self.targets.get(&target).map_or(removed, |known| known.state == State::Lost)
+    }
+
+    fn ramp(&self, target: usize) -> usize {
+        let known = &self.targets[&target];
+        let age = self.now.since(known.cold_since).as_micros();
+        let grown = u128::from(SLOTS - 1) * age / WARMUP.as_micros();
+        let slots = usize::try_from(SLOTS).unwrap();
+        match known.state {
+            State::Cold => slots.min(1 + usize::try_from(grown).unwrap()),
+            _ => slots,
+        }
+    }
+
+    /// Checks a permit against everything that the table was told.
+    fn granted(&mut self, grant: &Grant, key: usize, deadline: Stamp, avoid: Option<usize>) {
+        let target = (0..TARGETS).find(|target| target_name(*target) == grant.target).unwrap();
+        assert!(self.accepts(target), "a target got work that it must not get");
+        assert!(self.in_flight(target) < self.ramp(target), "the slots are exceeded");
+        assert_eq!(grant.write_before, deadline.min(self.targets[&target].allow_until));
+        assert!(self.now < grant.write_before);
+        if self.pooled {
+            self.check_pooled(target, avoid);
+        } else {
+            assert_eq!(Some((target, grant.token)), self.owner(key), "not the owner's permit");
+            self.check_exclusive(target, key);
+        }
+        let apart = self.split.contains_key(&key);
+        let sent = Sent { key, target, abandoned: false, apart };
+        assert!(self.sent.insert(grant.ticket, sent).is_none(), "a ticket was granted twice");
+    }
+
+    fn check_pooled(&self, target: usize, avoid: Option<usize>) {
+        let others = (0..TARGETS).filter(|other| *other != target && self.accepts(*other));
+        if avoid == Some(target) {
+            assert_eq!(others.count(), 0, "the avoided target was selected without need");
+            return;
+        }
+        let least = others
+            .filter(|other| Some(*other) != avoid && !self.targets[other].shed)
+            .filter(|other| self.in_flight(*other) < self.ramp(*other))
+            .map(|other| self.in_flight(other))
+            .min();
+        assert!(least.is_none_or(|least| self.in_flight(target) <= least), "not the least loaded");
+    }
+
+    /// Checks that no other target runs requests of the same key or shard, and gives up permits of
+    /// lost owners.
+    fn check_exclusive(&mut self, target: usize, key: usize) {
+        let lost: Vec<bool> = (0..TARGETS).map(|target| self.lost(target)).collect();
+        let whole_shard = !self.split.contains_key(&key);
+        for sent in self.sent.values_mut() {
+            let same_shard = whole_shard && shard_of(sent.key) == shard_of(key) && !sent.apart;
+            if sent.target != target && !sent.abandoned && (sent.key == key || same_shard) {
+                assert!(lost[sent.target], "two targets run requests of one shard");
+                sent.abandoned = true;
+            }
+        }
+    }
+
+    fn take_effects(&mut self) {
+        for effect in self.table.effects() {
+            match effect {
+                Effect::Grant(grant) => {
+                    let waiting = self.waiting.remove(&grant.ticket).expect("was waiting");
+                    self.granted(&grant, waiting.key, waiting.deadline, waiting.avoid);
+                }
+                Effect::Refuse(ticket, _) => {
+                    assert!(self.waiting.remove(&ticket).is_some(), "refused without waiting");
+                }
+            }
+        }
+    }
+
+    fn acquire(&mut self, request: Request, key: usize, avoid: Option<usize>) {
+        let deadline = request.deadline;
+        let entry = self.table.acquire(request, self.now);
+        self.take_effects();
+        match entry {
+            Entry::Granted(grant) => self.granted(&grant, key, deadline, avoid),
+            Entry::Queued(ticket) => {
+                self.waiting.insert(ticket, Waiting { key, deadline, avoid });
+            }
+            Entry::Refused(_) => {}
+        }
+    }
+
+    /// Applies an event to the table and checks the answers.
+    pub fn apply(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Acquire { key, tenant, urgency, patience_ms, avoid } => {
+                let urgencies = [Urgency::Urgent, Urgency::Normal, Urgency::Bulk];
+                let request = Request {
+                    shard: Shard(shard_of(key)),
+                    key: key_name(key),
+                    tenant: name::Tenant::new(&format!("tenant-{tenant}")),
+                    urgency: urgencies[usize::from(urgency)],
+                    deadline: now + Duration::from_millis(patience_ms),
+                    avoid: avoid.map(target_name),
+                };
+                self.acquire(request, key, avoid);
+            }
+            Event::Finish { index, finish } => self.finish(index, finish),
+            Event::Cancel(index) => {
+                let Some(ticket) = nth(&self.waiting, index) else { return };
+                self.waiting.remove(&ticket);
+                assert!(self.table.cancel(ticket));
+            }
+            Event::Assign(shard, target) => {
+                let token = self.token();
+                self.table.assign(Shard(shard), &target_name(target), token, now);
+                if self.targets.contains_key(&target) {
+                    self.shards.insert(shard, (target, token));
+                }
+            }
+            Event::Pause(shard) => {
+                self.table.pause(Shard(shard), now);
+                self.shards.remove(&shard);
+            }
+            Event::Target(target, state) => self.set_target(target, state),
+            Event::Remove(target) => {
+                self.table.remove_target(&target_name(target), now);
+                if self.targets.remove(&target).is_some_and(|known| known.state == State::Lost) {
+                    self.lost_when_removed.insert(target);
+                }
+                self.shards.retain(|_, owner| owner.0 != target);
+                for owner in self.split.values_mut() {
+                    *owner = owner.filter(|owner| owner.0 != target);
+                }
+            }
+            Event::Allow(target, ms) => {
+                let until = now + Duration::from_millis(ms);
+                self.table.allow_until(&target_name(target), until, now);
+                if let Some(known) = self.targets.get_mut(&target) {
+                    known.allow_until = until;
+                }
+            }
+            Event::Split(key, target) => {
+                let token = self.token();
+                self.table.split(&key_name(key), &target_name(target), token, now);
+                if self.targets.contains_key(&target) {
+                    self.set_apart(key, Some((target, token)));
+                }
+            }
+            Event::PauseKey(key) => {
+                self.table.pause_key(&key_name(key), now);
+                self.set_apart(key, None);
+            }
+            Event::Unsplit(key) => {
+                self.table.unsplit(&key_name(key), now);
+                self.split.remove(&key);
+                self.give_up_ended_splits();
+            }
+            Event::Wait(ms) => self.wait(ms),
+        }
+        self.take_effects();
+        self.check();
+    }
+
+    fn set_apart(&mut self, key: usize, owner: Option<(usize, Token)>) {
+        self.split.insert(key, owner);
+        for sent in self.sent.values_mut().filter(|sent| sent.key == key) {
+            sent.apart = true;
+        }
+    }
+
+    fn finish(&mut self, index: usize, finish: u8) {
+        let Some(ticket) = nth(&self.sent, index) else { return };
+        let finishes = [Some(Finish::Answered), Some(Finish::Shed), Some(Finish::Failed), None];
+        let finish = finishes[usize::from(finish)];
+        let sent = self.sent.remove(&ticket).unwrap();
+        if let Some(known) = self.targets.get_mut(&sent.target) {
+            known.shed |= finish == Some(Finish::Shed);
+        }
+        self.table.finish(ticket, finish, self.now);
+    }
+
+    fn set_target(&mut self, target: usize, state: u8) {
+        let states = [State::Cold, State::Live, State::Draining, State::Lost];
+        let state = *states.get(usize::from(state)).unwrap_or(&State::Live);
+        self.table.set_target(&target_name(target), address(), state, self.now);
+        self.table.set_token(&target_name(target), Token::new(2, 0), self.now);
+        let now = self.now;
+        let known = self.targets.entry(target).or_insert(Known {
+            state,
+            cold_since: now,
+            allow_until: Stamp::default(),
+            shed: false,
+        });
+        if known.state != State::Cold {
+            known.cold_since = now;
+        }
+        known.state = state;
+        self.lost_when_removed.remove(&target);
+        self.give_up_ended_splits();
+    }
+
+    /// Permits of an ended split for a lost target no longer hold up the key.
+    fn give_up_ended_splits(&mut self) {
+        let lost: Vec<bool> = (0..TARGETS).map(|target| self.lost(target)).collect();
+        for sent in self.sent.values_mut() {
+            sent.abandoned |=
+                sent.apart && !self.split.contains_key(&sent.key) && lost[sent.target];
+        }
+    }
+
+    fn wait(&mut self, ms: u64) {
+        self.now = self.now + Duration::from_millis(ms);
+        let due: Vec<u64> =
+            self.waiting.iter().filter(|w| w.1.deadline <= self.now).map(|w| *w.0).collect();
+        for ticket in due {
+            self.waiting.remove(&ticket);
+            assert!(self.table.expire(ticket, self.now).is_some());
+        }
+        self.table.advance(self.now);
+    }
+
+    /// Checks the table's own counts and that no request waits that could be sent.
+    fn check(&self) {
+        let bound = QUEUE * self.targets.len().max(1);
+        assert!(self.waiting.len() <= bound, "the queue exceeds its bound");
+        assert_eq!(self.table.waiting(), self.waiting.len());
+        for target in self.targets.keys() {
+            let count = self.table.target_in_flight(&target_name(*target));
+            assert_eq!(count, self.in_flight(*target));
+        }
+        for waiting in self.waiting.values() {
+            let sendable = if self.pooled {
+                let others = (0..TARGETS).filter(|other| Some(*other) != waiting.avoid);
+                others.into_iter().any(|other| self.has_room(other))
+            } else {
+                self.owner(waiting.key)
+                    .is_some_and(|owner| self.has_room(owner.0) && self.alone(owner.0, waiting.key))
+            };
+            assert!(!sendable, "a request waits although its target is free");
+        }
+    }
+
+    fn has_room(&self, target: usize) -> bool {
+        self.accepts(target)
+            && !self.targets[&target].shed
+            && self.in_flight(target) < self.ramp(target)
+    }
+
+    fn alone(&self, target: usize, key: usize) -> bool {
+        self.sent.values().all(|sent| sent.target == target || shard_of(sent.key) != shard_of(key))
+    }
+
+    /// Ends every request and checks that nothing is left.
+    pub fn end(mut self) {
+        while !self.sent.is_empty() {
+            self.apply(Event::Finish { index: 0, finish: 0 });
+        }
+        self.apply(Event::Wait(1000));
+        while !self.sent.is_empty() {
+            self.apply(Event::Finish { index: 0, finish: 0 });
+        }
+        assert_eq!(self.table.waiting(), 0);
+        for key in 0..KEYS {
+            assert_eq!(self.table.key_in_flight(&key_name(key)), 0);
+            assert_eq!(self.table.in_flight(Shard(shard_of(key))), 0);
+        }
+    }
+}
+
+fn nth<T>(map: &BTreeMap<u64, T>, index: usize) -> Option<u64> {
+    map.keys().nth(index % map.len().max(1)).copied()
+}
