--- a/crates/admission/src/table.rs
+++ b/crates/admission/src/table.rs
@@ -180,7 +180,7 @@
     }
 
     fn enqueue(&mut self, lot: Lot, waiter: Waiter) -> Entry {
-        if !self.make_room(waiter.urgency) {
+        if !self.make_room(lot, waiter.urgency) {
             return Entry::Refused(Reason::Overloaded);
         }
         let ticket = waiter.ticket;
@@ -191,18 +191,27 @@
 
     /// Returns true if a request of the urgency may join the queue, after displacing another one if
     /// need be.
-    fn make_room(&mut self, urgency: Urgency) -> bool {
+    fn make_room(&mut self, lot: Lot, urgency: Urgency) -> bool {
         let capacity = self.capacity();
         let len = self.lots.len();
         match urgency {
             Urgency::Urgent => len < capacity || self.displace(Urgency::Bulk),
             Urgency::Normal | Urgency::Bulk => {
                 let others = len - self.waiting_of(Urgency::Urgent);
-                len < capacity && others < capacity - capacity / URGENT_SHARE
+                let room = len < capacity && others < capacity - capacity / URGENT_SHARE;
+                room && self.within_share(lot)
             }
         }
     }
 
+    /// Returns true if the requests of one target take less than half of the queue. One hot shard
+    /// would otherwise fill the queue, and requests for idle targets of the group were refused.
+    fn within_share(&self, lot: Lot) -> bool {
+        let Lot::Backend(member) = lot else { return true };
+        let waiting = self.fleet.get(member).map_or(0, |backend| backend.queue.len());
+        self.fleet.count() < 2 || waiting < self.capacity().div_ceil(2)
+    }
+
     /// Refuses the newest waiting request of an urgency. Returns false if there is none.
     fn displace(&mut self, urgency: Urgency) -> bool {
         let newest = self.queues().filter_map(|queue| queue.newest(urgency)).max();
--- a/crates/admission/tests/lane.rs
+++ b/crates/admission/tests/lane.rs
@@ -175,3 +175,47 @@
     let second = tokio::time::timeout(LONG / 10, lane.acquire(request(3, LONG))).await;
     assert!(second.expect("in time").is_ok());
 }
+
+/// Guards against lost wakeups, leaked permits and exceeded slots when many tasks acquire, give up
+/// and finish at once while a shard changes its owner.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn concurrent_use_leaks_nothing() {
+    const TASKS: u32 = 16;
+    const ROUNDS: u32 = 200;
+    let lane = lane(2, 2);
+    for shard in 0..4 {
+        lane.assign(Shard(shard), &target(0), Token::new(2, 1));
+    }
+    let mut tasks = Vec::new();
+    for task in 0..TASKS {
+        let lane = lane.clone();
+        tasks.push(tokio::spawn(async move {
+            let mut sent = 0;
+            for round in 0..ROUNDS {
+                let request = request((task + round) % 4, LONG);
+                let patience = Duration::from_micros(u64::from((task * 7 + round * 13) % 500));
+                let acquire = tokio::time::timeout(patience, lane.acquire(request));
+                let Ok(Ok(permit)) = acquire.await else { continue };
+                assert!(lane.target_in_flight(&permit.target) <= 2);
+                tokio::task::yield_now().await;
+                sent += 1;
+                permit.finish(Finish::Answered);
+            }
+            sent
+        }));
+    }
+    for change in 0..50 {
+        lane.pause(Shard(0));
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        lane.assign(Shard(0), &target(change % 2), Token::new(2, u64::from(change)));
+    }
+    let mut sent = 0;
+    for task in tasks {
+        sent += tokio::time::timeout(LONG, task).await.expect("in time").expect("task");
+    }
+    assert!(sent > 0);
+    assert_eq!(lane.queue_percent(), 0);
+    assert_eq!(lane.target_in_flight(&target(0)) + lane.target_in_flight(&target(1)), 0);
+    let last = tokio::time::timeout(LONG, lane.acquire(request(0, LONG))).await;
+    assert!(last.expect("in time").is_ok());
+}
