Add the load generator and verifier

The project had no means to check answers, journals and unavailable times under load.

caraway-load sends a profile in a closed or an open loop over hyper's connection API, which never resends. It checks request id, outcome, status and body of every answer, submits orders with an unknown outcome again through another instance, compares answers with the targets' journals and derives unavailable times of keys.

--- /dev/null
+++ b/bins/load/src/client.rs
@@ -0,0 +1,209 @@
+//! One caller connection: opens it, sends one request at a time and never sends a request twice.
+
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use http_body_util::BodyExt;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::answer::Head;
+use crate::answer::with_body;
+use crate::body::Checker;
+use crate::body::Finding;
+use crate::body::Upload;
+use crate::sample::Verdict;
+use caraway_core::header;
+
+/// Time allowed for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which callers leave out an address that failed, as the health checks of a platform's load
+/// balancer do.
+const AVOID: Duration = Duration::from_secs(1);
+
+/// The addresses of a run, with the moments until which callers leave them out.
+#[derive(Debug)]
+pub struct Addresses {
+    started: Instant,
+    list: Vec<(SocketAddr, AtomicU64)>,
+    /// Connections that could not be opened.
+    pub connect_failures: AtomicU64,
+    /// Connections that were opened.
+    pub connections: AtomicU64,
+}
+
+impl Addresses {
+    /// Makes the list of a run that started at `started`.
+    pub fn new(started: Instant, addresses: &[SocketAddr]) -> Self {
+        Self {
+            started,
+            list: addresses.iter().map(|address| (*address, AtomicU64::new(0))).collect(),
+            connect_failures: AtomicU64::new(0),
+            connections: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the number of addresses.
+    pub fn len(&self) -> usize {
+        self.list.len()
+    }
+
+    /// Returns true if there are no addresses.
+    pub fn is_empty(&self) -> bool {
+        self.list.is_empty()
+    }
+
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn avoid(&self, index: usize) {
+        let until = self.now_ms() + u64::try_from(AVOID.as_millis()).unwrap_or(0);
+        if let Some((_, moment)) = self.list.get(index) {
+            moment.store(until, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the addresses in the order in which a caller tries them, starting at `first`.
+    fn order(&self, first: usize) -> Vec<(usize, SocketAddr)> {
+        let now = self.now_ms();
+        let count = self.list.len();
+        let rotated = (0..count).map(|offset| (first + offset) % count);
+        let (good, avoided): (Vec<_>, Vec<_>) = rotated
+            .filter_map(|index| Some((index, self.list.get(index)?)))
+            .partition(|(_, (_, until))| until.load(Ordering::Relaxed) <= now);
+        good.into_iter().chain(avoided).map(|(index, (address, _))| (index, *address)).collect()
+    }
+}
+
+/// What a submission gave.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    /// What the caller learned.
+    pub verdict: Verdict,
+    /// Index of the address.
+    pub entry: usize,
+    /// Target and incarnation that answered, as `target/incarnation`.
+    pub source: Option<String>,
+}
+
+/// A caller with at most one open connection.
+#[derive(Debug)]
+pub struct Client {
+    current: usize,
+    sender: Option<SendRequest<Upload>>,
+}
+
+impl Client {
+    /// Makes a caller that prefers the address of the given index.
+    pub fn new(current: usize) -> Self {
+        Self { current, sender: None }
+    }
+
+    /// Closes the connection and prefers another address from now on.
+    pub fn rotate(&mut self, addresses: &Addresses) {
+        self.sender = None;
+        self.current = (self.current + 1) % addresses.len().max(1);
+    }
+
+    /// Submits one request and reads the whole answer within `limit`.
+    ///
+    /// `ids` are the request ids whose answers are accepted, `expected` the size of an answer body.
+    pub async fn submit(
+        &mut self,
+        addresses: &Addresses,
+        request: Request<Upload>,
+        ids: &[String],
+        expected: Option<u64>,
+        direct: bool,
+        limit: Duration,
+    ) -> Exchange {
+        let Some(mut sender) = self.connect(addresses).await else {
+            return Exchange { verdict: Verdict::Unreachable, entry: self.current, source: None };
+        };
+        let exchange = exchange(&mut sender, request, ids, expected, direct);
+        let result = timeout(limit, exchange).await;
+        let (verdict, source) = result.unwrap_or((Verdict::TimedOut, None));
+        let entry = self.current;
+        match verdict {
+            Verdict::Answered(_) | Verdict::Refused(_) | Verdict::Unknown(_) => {
+                self.sender = Some(sender);
+            }
+            Verdict::TimedOut | Verdict::Lost | Verdict::Unreachable => {
+                addresses.avoid(entry);
+                self.rotate(addresses);
+            }
+            Verdict::Broken | Verdict::Truncated | Verdict::Wrong | Verdict::Malformed => {}
+        }
+        Exchange { verdict, entry, source }
+    }
+
+    /// Returns the open connection, or opens one at the first address that accepts it.
+    async fn connect(&mut self, addresses: &Addresses) -> Option<SendRequest<Upload>> {
+        if let Some(mut sender) = self.sender.take()
+            && sender.ready().await.is_ok()
+        {
+            return Some(sender);
+        }
+        for (index, address) in addresses.order(self.current) {
+            if let Some(sender) = open(address).await {
+                addresses.connections.fetch_add(1, Ordering::Relaxed);
+                self.current = index;
+                return Some(sender);
+            }
+            addresses.connect_failures.fetch_add(1, Ordering::Relaxed);
+            addresses.avoid(index);
+        }
+        None
+    }
+}
+
+/// Opens a connection and spawns the task that drives it.
+pub async fn open(address: SocketAddr) -> Option<SendRequest<Upload>> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::spawn(connection);
+    Some(sender)
+}
+
+async fn exchange(
+    sender: &mut SendRequest<Upload>,
+    request: Request<Upload>,
+    ids: &[String],
+    expected: Option<u64>,
+    direct: bool,
+) -> (Verdict, Option<String>) {
+    let response = match sender.send_request(request).await {
+        Ok(response) => response,
+        // The connection task ended before it took the request, so nothing was sent.
+        Err(error) if error.is_canceled() => return (Verdict::Unreachable, None),
+        Err(_) => return (Verdict::Lost, None),
+    };
+    let verdict = Head::new(response.status(), response.headers()).judge(ids, direct);
+    let source = source(&response);
+    let mut checkers: Vec<Checker> = ids.iter().map(|id| Checker::new(id, expected)).collect();
+    let mut body = response.into_body();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else { return (Verdict::Broken, source) };
+        if let Some(data) = frame.data_ref() {
+            checkers.iter_mut().for_each(|checker| checker.add(data));
+        }
+    }
+    let findings: Vec<Finding> = checkers.iter().map(Checker::finish).collect();
+    (with_body(verdict, &findings), source)
+}
+
+fn source(response: &Response<Incoming>) -> Option<String> {
+    let text = |name: &str| response.headers().get(name)?.to_str().ok();
+    Some(format!("{}/{}", text(header::TARGET)?, text(header::INCARNATION)?))
+}
