--- a/bins/load/tests/verdicts.rs
+++ b/bins/load/tests/verdicts.rs
@@ -83,6 +83,14 @@
                 (fake::answer(200, &seen.id, headers, SIZE, &body), false)
             }),
         ),
+        (
+            Verdict::Wrong,
+            Arc::new(|seen| {
+                let body = fake::body(&seen.id, SIZE);
+                let headers = "caraway-outcome: answered\r\n";
+                (fake::answer(200, "t-99", headers, body.len(), &body), true)
+            }),
+        ),
         (Verdict::Lost, Arc::new(|_| (Vec::new(), false))),
         (Verdict::TimedOut, Arc::new(|_| (Vec::new(), true))),
         (
