Add the demo environment, fault schedules and recovery measurement

Process tests and the demo need a whole environment whose processes are ended in every case.

caraway-demo starts platform, targets and entry instances on free ports of loopback, puts and promotes the document, waits for coordinators, runs load with a schedule of faults, compares the answers with the journals and reports takeovers and unavailable times. 'soak' runs random faults, 'recovery' measures unavailable times.

--- /dev/null
+++ b/bins/demo/src/child.rs
@@ -0,0 +1,161 @@
+//! One child process: start, signals, and an end in every case.
+
+use std::fs::File;
+use std::fs::OpenOptions;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+
+use crate::errors::Error;
+use crate::errors::Result;
+
+/// Interval at which the end of a process is checked.
+const POLL: Duration = Duration::from_millis(5);
+/// Lines of a log that an error shows.
+const LOG_LINES: usize = 15;
+
+/// A program with its arguments, and its process while it runs.
+///
+/// Dropping the value kills the process by its id and reaps it.
+#[derive(Debug)]
+pub struct Process {
+    name: String,
+    program: PathBuf,
+    arguments: Vec<String>,
+    log: PathBuf,
+    child: Option<Child>,
+    frozen: bool,
+}
+
+impl Process {
+    /// Describes a process. It is not started.
+    pub fn new(name: &str, program: &Path, arguments: Vec<String>, log: PathBuf) -> Self {
+        Self {
+            name: name.to_owned(),
+            program: program.to_owned(),
+            arguments,
+            log,
+            child: None,
+            frozen: false,
+        }
+    }
+
+    /// Starts the process. Its output is appended to the log file.
+    pub fn start(&mut self) -> Result<()> {
+        self.kill();
+        let open = || -> std::io::Result<(File, File)> {
+            let log = OpenOptions::new().create(true).append(true).open(&self.log)?;
+            Ok((log.try_clone()?, log))
+        };
+        let (out, err) = open().map_err(|error| Error::io(&self.log.to_string_lossy(), error))?;
+        let child = Command::new(&self.program)
+            .args(&self.arguments)
+            .stdin(Stdio::null())
+            .stdout(out)
+            .stderr(err)
+            .spawn()
+            .map_err(|error| Error::io(&self.program.to_string_lossy(), error))?;
+        self.child = Some(child);
+        self.frozen = false;
+        Ok(())
+    }
+
+    /// Returns the process id while the process runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Returns true if the process runs and is not frozen.
+    pub fn responsive(&self) -> bool {
+        self.child.is_some() && !self.frozen
+    }
+
+    /// Sends SIGSTOP.
+    pub fn freeze(&mut self) {
+        self.signal(Signal::STOP);
+        self.frozen = true;
+    }
+
+    /// Sends SIGCONT.
+    pub fn resume(&mut self) {
+        self.signal(Signal::CONT);
+        self.frozen = false;
+    }
+
+    /// Sends SIGTERM, which starts a planned stop.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Sends SIGKILL and reaps the process.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // Both calls fail only if the process has ended and was reaped.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Reaps the process if it has ended.
+    pub fn ended(&mut self) -> Option<ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        self.child = None;
+        Some(status)
+    }
+
+    /// Waits for the process to end by itself.
+    pub fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let deadline = Instant::now() + limit;
+        while Instant::now() < deadline {
+            if let Some(status) = self.ended() {
+                return Some(status);
+            }
+            std::thread::sleep(POLL);
+        }
+        None
+    }
+
+    /// Returns an error if the process has ended.
+    pub fn check(&mut self) -> Result<()> {
+        match self.ended() {
+            Some(status) => Err(Error::Ended {
+                name: self.name.clone(),
+                status: status.to_string(),
+                log: self.log_tail(),
+            }),
+            None => Ok(()),
+        }
+    }
+
+    /// Returns the last lines of the log.
+    pub fn log_tail(&self) -> String {
+        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let lines: Vec<&str> = text.lines().collect();
+        let skip = lines.len().saturating_sub(LOG_LINES);
+        lines.into_iter().skip(skip).collect::<Vec<_>>().join("\n")
+    }
+
+    /// Signals the child. The id cannot have been reused, because only this value reaps the child.
+    fn signal(&self, signal: Signal) {
+        let pid = self.id().and_then(|id| i32::try_from(id).ok()).and_then(Pid::from_raw);
+        if let Some(pid) = pid {
+            // Fails only if the process has ended, which its owner notices by `ended`.
+            let _ = kill_process(pid, signal);
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
--- /dev/null
+++ b/bins/demo/src/fault.rs
@@ -0,0 +1,97 @@
+//! Faults and how they are injected and undone.
+
+use std::fmt;
+use std::time::Duration;
+
+use serde_json::json;
+
+use crate::environment::Environment;
+use crate::errors::Result;
+
+/// One change of an environment.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Action {
+    /// Kills a process.
+    Kill(String),
+    /// Stops a process with SIGSTOP.
+    Freeze(String),
+    /// Lets a frozen process go on.
+    Resume(String),
+    /// Starts a killed process again.
+    Restart(String),
+    /// Starts a planned stop of an entry instance.
+    Stop(String),
+    /// Waits for the end of a planned stop and starts the process again.
+    Replace(String),
+    /// Tells a target to leave.
+    Drain(String),
+    /// Takes the store down or brings it back.
+    StoreDown(bool),
+    /// Delays every call to the store by some milliseconds.
+    StoreSlow(u64),
+    /// Lets the store apply some writes without an answer.
+    LoseAnswers(u64),
+    /// Promotes the same document again, as a new version.
+    Promote,
+}
+
+impl Action {
+    /// Applies the change.
+    pub fn apply(&self, environment: &mut Environment) -> Result<()> {
+        match self {
+            Self::Kill(name) => environment.kill(name),
+            Self::Freeze(name) => environment.freeze(name),
+            Self::Resume(name) => environment.resume(name),
+            Self::Restart(name) => environment.restart(name),
+            Self::Stop(name) => environment.terminate(name),
+            Self::Replace(name) => {
+                environment.wait_stopped(name)?;
+                environment.restart(name)
+            }
+            Self::Drain(name) => environment.drain(name),
+            Self::StoreDown(down) => environment.platform().fault(&json!({ "down": down })),
+            Self::StoreSlow(ms) => environment.platform().fault(&json!({ "delay_ms": ms })),
+            Self::LoseAnswers(count) => {
+                environment.platform().fault(&json!({ "lose_answers": count }))
+            }
+            Self::Promote => environment.promote_again(),
+        }
+    }
+
+    /// Returns the change that ends the fault and the time after which a schedule applies it.
+    pub fn undo(&self) -> Option<(Duration, Self)> {
+        let after = Duration::from_millis;
+        match self {
+            Self::Kill(name) => Some((after(1500), Self::Restart(name.clone()))),
+            Self::Freeze(name) => Some((after(1800), Self::Resume(name.clone()))),
+            Self::Stop(name) => Some((after(2000), Self::Replace(name.clone()))),
+            Self::Drain(name) => Some((after(2500), Self::Restart(name.clone()))),
+            Self::StoreDown(true) => Some((after(2500), Self::StoreDown(false))),
+            Self::StoreSlow(ms) if *ms > 0 => Some((after(2500), Self::StoreSlow(0))),
+            Self::LoseAnswers(count) if *count > 0 => Some((after(2500), Self::LoseAnswers(0))),
+            Self::Resume(_) | Self::Restart(_) | Self::Replace(_) => None,
+            Self::StoreDown(_) | Self::StoreSlow(_) | Self::LoseAnswers(_) | Self::Promote => None,
+        }
+    }
+}
+
+impl fmt::Display for Action {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Kill(name) => write!(f, "{name} killed"),
+            Self::Freeze(name) => write!(f, "{name} frozen"),
+            Self::Resume(name) => write!(f, "{name} resumed"),
+            Self::Restart(name) => write!(f, "{name} restarted"),
+            Self::Stop(name) => write!(f, "{name} planned stop"),
+            Self::Replace(name) => write!(f, "{name} stopped and started again"),
+            Self::Drain(name) => write!(f, "{name} told to leave"),
+            Self::StoreDown(true) => write!(f, "store down"),
+            Self::StoreDown(false) => write!(f, "store back"),
+            Self::StoreSlow(0) => write!(f, "store fast again"),
+            Self::StoreSlow(ms) => write!(f, "store slow, {ms} ms"),
+            Self::LoseAnswers(0) => write!(f, "store answers every write again"),
+            Self::LoseAnswers(count) => write!(f, "store loses {count} answers"),
+            Self::Promote => write!(f, "document promoted again"),
+        }
+    }
+}
--- /dev/null
+++ b/bins/demo/src/lib.rs
@@ -0,0 +1,21 @@
+//! Starts a whole environment on loopback: platform, targets and entry instances.
+//!
+//! [`environment::Environment`] owns the processes and injects faults; process tests use it directly.
+//! [`session`] adds load and a schedule of faults, [`recovery`] measures unavailable times.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod admin;
+pub mod builder;
+pub mod child;
+pub mod environment;
+pub mod errors;
+pub mod fault;
+pub mod platform;
+pub mod port;
+pub mod recovery;
+pub mod schedule;
+pub mod session;
+pub mod sketch;
+pub mod traffic;
