Add the platform stand-in

The control plane needs a store and an instance list whose faults can be controlled.

A port that another process takes between its choice and the start made earlier test runs fail; the tests now pick another port.

--- /dev/null
+++ b/standins/platform/tests/platform/common.rs
@@ -0,0 +1,142 @@
+//! Starts the built platform for a test and calls it.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::expect_used,
+    clippy::indexing_slicing,
+    reason = "a failure here fails the test"
+)]
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::TcpListener;
+use std::process::Child;
+use std::process::ChildStderr;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use serde_json::Value;
+use serde_json::json;
+use ureq::Agent;
+
+/// A running platform, killed when the test ends.
+pub struct Platform {
+    child: Child,
+    address: String,
+    agent: Agent,
+    /// Kept open, because the platform cannot write to a closed pipe.
+    _log: BufReader<ChildStderr>,
+}
+
+impl Platform {
+    pub fn start() -> Self {
+        let mut attempts = (0..20).map(|_| Self::try_start());
+        attempts.find_map(|platform| platform).expect("no free port in 20 attempts")
+    }
+
+    /// Starts the platform on a free port. Returns none if another process has taken the port
+    /// meanwhile.
+    fn try_start() -> Option<Self> {
+        let port = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap().port();
+        let address = format!("127.0.0.1:{port}");
+        let mut child = Command::new(env!("CARGO_BIN_EXE_caraway-platform"))
+            .args(["--address", &address])
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        log.read_line(&mut line).unwrap();
+        if !line.contains("listening") {
+            assert!(line.contains("in use"), "{line}");
+            child.wait().unwrap();
+            return None;
+        }
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(Duration::from_secs(20)))
+            .build();
+        Some(Self { child, address, agent: config.into(), _log: log })
+    }
+
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Sends a call from a failure domain. An error means that there was no answer.
+    pub fn call_from(
+        &self,
+        domain: &str,
+        method: &str,
+        path: &str,
+        body: &str,
+    ) -> Result<(u16, Value), ureq::Error> {
+        let request = ureq::http::Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path}", self.address))
+            .header("platform-domain", domain)
+            .body(body.to_owned())
+            .unwrap();
+        let mut response = self.agent.run(request)?;
+        let status = response.status().as_u16();
+        let text = response.body_mut().read_to_string()?;
+        Ok((status, serde_json::from_str(&text).unwrap_or(Value::Null)))
+    }
+
+    pub fn call(&self, method: &str, path: &str, body: &str) -> (u16, Value) {
+        self.call_from("med", method, path, body).unwrap()
+    }
+
+    pub fn get(&self, path: &str) -> (u16, Value) {
+        self.call("GET", path, "")
+    }
+
+    pub fn put(&self, key: &str, value: &str, expect: u64) -> (u16, Value) {
+        let body = json!({ "value": value, "expect": expect }).to_string();
+        self.call("PUT", &format!("/v1/kv/{key}"), &body)
+    }
+
+    pub fn fault(&self, fault: Value) {
+        assert_eq!(self.call("POST", "/v1/fault", &fault.to_string()).0, 200);
+    }
+
+    pub fn count(&self, kind: &str) -> u64 {
+        self.get("/v1/counts").1[kind].as_u64().unwrap_or(0)
+    }
+
+    /// Waits until a number of calls of a kind has arrived.
+    pub fn await_count(&self, kind: &str, count: u64) {
+        let end = Instant::now() + Duration::from_secs(10);
+        while self.count(kind) < count {
+            assert!(Instant::now() < end, "{count} calls of kind {kind} did not arrive");
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
+
+    /// Sends SIGTERM and returns the exit status, or fails after 5 s.
+    pub fn terminate(&mut self) -> ExitStatus {
+        kill_process(Pid::from_child(&self.child), Signal::TERM).unwrap();
+        let end = Instant::now() + Duration::from_secs(5);
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(Instant::now() < end, "the platform ignores SIGTERM");
+            thread::sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/standins/platform/tests/platform/faults.rs
@@ -0,0 +1,92 @@
+//! Fault controls and the planned stop.
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::json;
+
+use crate::common::Platform;
+
+/// Guards against a lost answer whose write did not take effect, or that is answered after all.
+#[test]
+fn a_lost_answer_has_taken_effect() {
+    let platform = Platform::start();
+    platform.put("k", "1", 0);
+    platform.fault(json!({ "lose_answers": 1 }));
+    assert_eq!(platform.put("k", "9", 0).0, 409, "a conflict is not a write that is lost");
+    let body = json!({ "value": "2", "expect": 1 }).to_string();
+    assert!(platform.call_from("med", "PUT", "/v1/kv/k", &body).is_err());
+    assert_eq!(platform.get("/v1/kv/k").1["value"], "2");
+    assert_eq!(platform.put("k", "3", 2).0, 200);
+}
+
+/// Guards against calls that succeed during an outage and against controls that fail in it.
+#[test]
+fn an_outage_fails_every_call() {
+    let platform = Platform::start();
+    platform.put("k", "1", 0);
+    platform.fault(json!({ "down": true }));
+    for (method, path) in [
+        ("GET", "/v1/kv/k"),
+        ("PUT", "/v1/kv/k"),
+        ("GET", "/v1/watch/k?wait_ms=0"),
+        ("GET", "/v1/instances"),
+    ] {
+        assert!(platform.call_from("med", method, path, "").is_err(), "{method} {path}");
+    }
+    platform.fault(json!({ "down": false }));
+    assert_eq!(platform.get("/v1/kv/k").0, 200);
+}
+
+/// Guards against a cut that spares waiting watches or that reaches other domains.
+#[test]
+fn a_cut_closes_the_connections_of_its_domain_only() {
+    let platform = Platform::start();
+    thread::scope(|scope| {
+        let watch = |domain: &'static str| {
+            let path = "/v1/watch/k?after=0&wait_ms=15000";
+            let platform = &platform;
+            scope.spawn(move || platform.call_from(domain, "GET", path, ""))
+        };
+        let cut = watch("bog");
+        let kept = watch("med");
+        platform.await_count("watch", 2);
+        platform.fault(json!({ "cut_domains": ["bog"] }));
+        assert!(cut.join().unwrap().is_err());
+        assert!(platform.call_from("bog", "GET", "/v1/kv/k", "").is_err());
+        assert_eq!(platform.put("k", "1", 0).0, 200);
+        assert_eq!(kept.join().unwrap().unwrap().0, 200);
+    });
+    platform.fault(json!({ "cut_domains": [] }));
+    assert_eq!(platform.call_from("bog", "GET", "/v1/kv/k", "").unwrap().0, 200);
+}
+
+/// Guards against a delay that blocks the workers, so that delays of concurrent calls add up.
+#[test]
+fn a_delay_applies_to_each_call() {
+    let platform = Platform::start();
+    platform.fault(json!({ "delay_ms": 300 }));
+    let start = Instant::now();
+    thread::scope(|scope| {
+        for _ in 0..24 {
+            scope.spawn(|| platform.get("/v1/kv/k"));
+        }
+    });
+    let elapsed = start.elapsed();
+    assert!(elapsed >= Duration::from_millis(300), "{elapsed:?}");
+    assert!(elapsed < Duration::from_millis(3 * 300), "{elapsed:?}");
+}
+
+/// Guards against a stop that hangs on a waiting watch or ends with a failure.
+#[test]
+fn sigterm_ends_the_process_while_a_watch_waits() {
+    let mut platform = Platform::start();
+    let address = platform.address().to_owned();
+    let watch = thread::spawn(move || {
+        ureq::get(format!("http://{address}/v1/watch/k?wait_ms=15000")).call().is_err()
+    });
+    platform.await_count("watch", 1);
+    assert_eq!(platform.terminate().code(), Some(0));
+    assert!(watch.join().unwrap());
+}
--- /dev/null
+++ b/standins/platform/tests/platform/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the built platform.
+
+mod common;
+mod faults;
+mod store;
