--- a/bins/entry/src/message.rs
+++ b/bins/entry/src/message.rs
@@ -2,11 +2,12 @@
 
 use std::sync::mpsc::Sender;
 
+use tokio::sync::oneshot;
+
 use caraway_core::name;
 use caraway_relay::replication;
 use caraway_relay::report;
 use caraway_wire::peer;
-use tokio::sync::oneshot;
 
 use crate::peers;
 use crate::storage;
--- a/bins/entry/src/settings.rs
+++ b/bins/entry/src/settings.rs
@@ -4,9 +4,10 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-use caraway_core::finding::Report;
 use serde::Deserialize;
 
+use caraway_core::finding::Report;
+
 use crate::errors::Error;
 use crate::errors::Result;
 
