Add an explicit placement of shards to services

Shards are divided in proportion to the number of targets, so one target more in one domain moved shards between groups, which the checks refuse: a live service could not grow. A service can now state the ranges of its groups; the checks report gaps, overlaps, unknown and repeated groups, and `caraway-ctl placement` writes out what is in force. The diff also refuses a target that would change its group, because the terms of two groups are not comparable, and the data path selects no pooled group without shards, whose coordinator would refuse the request.

--- a/bins/ctl/src/command.rs
+++ b/bins/ctl/src/command.rs
@@ -35,6 +35,7 @@
         None => Err(Error::Usage("no command; see --help".into())),
         Some(Command::Check { document }) => document::check(document),
         Some(Command::Diff { old, new }) => document::diff(old, new),
+        Some(Command::Placement { document }) => document::placement(document),
         Some(Command::Schema) => Ok(schema()),
         Some(Command::Put { store, stage, document }) => {
             document::put(&store.store, *stage, document)
--- a/bins/ctl/src/document.rs
+++ b/bins/ctl/src/document.rs
@@ -58,6 +58,23 @@
     Output { text, json: json!({ "valid": false, "findings": report }), complete: false }
 }
 
+/// Writes out the placement in force of every service of a file.
+///
+/// # Errors
+///
+/// The file cannot be read or is not a valid document.
+pub fn placement(path: &Path) -> Result<Output> {
+    let mut document = load(path)?;
+    let plan = Plan::try_new(&document, 0)
+        .map_err(|source| Error::Document { name: path.display().to_string(), source })?;
+    for service in &mut document.services {
+        service.placement = Some(plan.placement(&service.name));
+    }
+    let json = json!(document);
+    let text = serde_json::to_string_pretty(&document).unwrap_or_else(|_| json.to_string());
+    Ok(Output { text: format!("{text}\n"), json, complete: true })
+}
+
 /// Compares two files.
 ///
 /// # Errors
--- a/bins/ctl/src/flag.rs
+++ b/bins/ctl/src/flag.rs
@@ -46,6 +46,15 @@
         /// File with the new document.
         new: PathBuf,
     },
+    /// Print a document with the placement in force of every service written out.
+    ///
+    /// Put the printed document in force before targets are added to or removed from one failure domain: with a
+    /// stated placement, such a change moves no shards between groups.
+    #[command(after_help = EXIT_CODES)]
+    Placement {
+        /// File with the document.
+        document: PathBuf,
+    },
     /// Print the JSON Schema of the document.
     Schema,
     /// Check a document and store it in the trial stage.
--- a/bins/ctl/tests/ctl/document.rs
+++ b/bins/ctl/tests/ctl/document.rs
@@ -82,3 +82,17 @@
         serde_json::from_str(include_str!("../../../../docs/environment.schema.json")).unwrap();
     assert_eq!(ctl(&["schema"]).json(), published);
 }
+
+/// Guards against a written placement that cannot be put in force as it is.
+#[test]
+fn a_placement_is_written_out() {
+    let run = ctl(&["placement", &environment("andina")]);
+    assert_eq!(run.code, 0, "{}", run.err);
+    let document = run.json();
+    let row = serde_json::json!({"group": "lectura/bog/0", "first": 64, "last": 127});
+    assert_eq!(document["services"][0]["placement"][1], row);
+    let path = file("placement", &document);
+    let run = ctl(&["diff", &environment("andina"), &path]);
+    assert_eq!(run.code, 0, "{}", run.out);
+    assert_eq!(run.out.lines().count(), 4, "{}", run.out);
+}
--- a/crates/document/src/check.rs
+++ b/crates/document/src/check.rs
@@ -100,6 +100,7 @@
 fn scalar(rule: &Rule, found: &Value) -> bool {
     match (rule, found) {
         (Rule::Name, Value::String(text)) => is_name(text),
+        (Rule::Group, Value::String(text)) => is_group(text),
         (Rule::Prefix, Value::String(text)) => is_prefix(text),
         (Rule::Address, Value::String(text)) => is_address(text),
         (Rule::Choice(texts), Value::String(text)) => texts.contains(&text.as_str()),
@@ -118,6 +119,21 @@
         && text.chars().all(allowed)
 }
 
+/// Returns whether a text has the form of a group name.
+pub(crate) fn is_group(text: &str) -> bool {
+    let mut parts = text.split('/');
+    let (service, domain, number) = (parts.next(), parts.next(), parts.next());
+    let number_is_valid = |text: &str| {
+        (1..=rule::GROUP_DIGITS).contains(&text.len())
+            && text.chars().all(|c| c.is_ascii_digit())
+            && (text == "0" || !text.starts_with('0'))
+    };
+    parts.next().is_none()
+        && service.is_some_and(is_name)
+        && domain.is_some_and(is_name)
+        && number.is_some_and(number_is_valid)
+}
+
 fn is_prefix(text: &str) -> bool {
     let allowed = |c: char| c.is_ascii_alphanumeric() || "._~-/".contains(c);
     text.len() <= rule::PREFIX_BYTES
--- a/crates/document/src/diff.rs
+++ b/crates/document/src/diff.rs
@@ -109,6 +109,10 @@
     pub findings: Report,
 }
 
+/// What a service without a placement may change to.
+const UNPLACED: &str = "the placement in force written out (caraway-ctl placement), targets in the \
+                        same proportion for each group, or a service of a new name";
+
 /// Compares two documents.
 ///
 /// # Errors
@@ -152,15 +156,49 @@
                 "shards {} to {} of {} would move from group {} to group {}",
                 step.first, step.last, step.service, step.from, step.to
             );
-            let allowed =
-                "targets in the same proportion for each group, or a service of a new name";
-            diff.findings.add(&format!("{place}/targets"), &problem, allowed);
+            let (field, allowed) = match service.placement {
+                Some(_) => ("placement", "the placement in force, or a service of a new name"),
+                None => ("targets", UNPLACED),
+            };
+            diff.findings.add(&format!("{place}/{field}"), &problem, allowed);
         }
         diff.moves.extend(moves);
     }
+    transfers(&old_plan, &new_plan, new, &mut diff.findings);
     Ok(diff)
 }
 
+/// Reports targets that would change their group.
+///
+/// A target compares the tokens of all its senders. The terms of two groups have nothing to do with each other, so
+/// the grants of the new group could look stale to it for ever.
+fn transfers(old: &Plan, new: &Plan, document: &Document, findings: &mut Report) {
+    let before = group_names(old);
+    let after = group_names(new);
+    for (position, service) in document.services.iter().enumerate() {
+        for (index, target) in service.targets.iter().enumerate() {
+            let (Some(from), Some(to)) = (before.get(&target.name), after.get(&target.name)) else {
+                continue;
+            };
+            if from != to {
+                let problem =
+                    format!("target {} would move from group {from} to {to}", target.name);
+                let place = format!("/services/{position}/targets/{index}");
+                findings.add(&place, &problem, "the same group, or a target of a new name");
+            }
+        }
+    }
+}
+
+/// Returns the group of each target.
+fn group_names(plan: &Plan) -> HashMap<&name::Target, &name::Group> {
+    let mut names = HashMap::new();
+    for group in &plan.groups {
+        names.extend(group.targets.iter().map(|target| (&target.name, &group.name)));
+    }
+    names
+}
+
 /// Things of one kind with their names, in document order.
 type Things = Vec<(String, Value)>;
 
@@ -261,6 +299,7 @@
             }
         }
     }
+    moves.sort_by_key(|step| step.first);
     moves
 }
 
--- a/crates/document/src/index.rs
+++ b/crates/document/src/index.rs
@@ -19,8 +19,8 @@
 /// Lookup tables of a plan. Positions refer to the plan's lists.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Index {
-    /// Positions of the groups of a service; the groups are in the order of their shards.
-    services: HashMap<name::Service, Range<usize>>,
+    /// Positions of the groups of a service that have shards, in the order of their shards.
+    services: HashMap<name::Service, Vec<usize>>,
     /// Position of a group.
     groups: HashMap<name::Group, usize>,
     /// Position of a route, by method and prefix.
@@ -35,9 +35,12 @@
         let mut index = Self::default();
         for (position, group) in groups.iter().enumerate() {
             index.groups.insert(group.name.clone(), position);
-            let range =
-                index.services.entry(group.service.name.clone()).or_insert(position..position);
-            range.end = position + 1;
+            if !group.shards.is_empty() {
+                index.services.entry(group.service.name.clone()).or_default().push(position);
+            }
+        }
+        for positions in index.services.values_mut() {
+            positions.sort_by_key(|at| groups.get(*at).map(|group| group.shards.start));
         }
         for (position, route) in routes.iter().enumerate() {
             let prefixes = index.routes.entry(route.method.clone()).or_default();
@@ -59,11 +62,11 @@
         service: &name::Service,
         shard: Shard,
     ) -> Option<usize> {
-        let range = self.services.get(service)?.clone();
-        let of_service = groups.get(range.clone())?;
-        let offset = of_service.partition_point(|group| group.shards.end <= shard.0);
-        let group = of_service.get(offset)?;
-        group.shards.contains(&shard.0).then_some(range.start + offset)
+        let positions = self.services.get(service)?;
+        let ends_before =
+            |at: &usize| groups.get(*at).is_some_and(|group| group.shards.end <= shard.0);
+        let position = *positions.get(positions.partition_point(ends_before))?;
+        groups.get(position)?.shards.contains(&shard.0).then_some(position)
     }
 
     /// Returns the position of the route with the longest matching prefix after which a key follows,
@@ -88,12 +91,14 @@
 }
 
 /// Forms the groups of a service: the targets of each domain in document order, at most
-/// [`GROUP_TARGETS`] in a group, with shards in proportion to the number of targets.
+/// [`GROUP_TARGETS`] in a group. A group has the shards of the stated placement, none if it is not listed
+/// there; without a placement, shards are divided in proportion to the number of targets.
 pub fn form(
     service: &Arc<Service>,
-    targets: &[schema::Target],
+    source: &schema::Service,
     domains: &[name::Domain],
 ) -> Vec<Arc<Group>> {
+    let targets = &source.targets;
     let all = targets.len();
     let mut groups = Vec::new();
     let mut before = 0;
@@ -105,10 +110,13 @@
             .collect();
         for (number, part) in of_domain.chunks(GROUP_TARGETS).enumerate() {
             let after = before + part.len();
-            let shards =
-                boundary(service.shards, before, all)..boundary(service.shards, after, all);
+            let name = name::Group::new(&format!("{}/{domain}/{number}", service.name));
+            let shards = match &source.placement {
+                Some(placement) => placed(placement, &name),
+                None => boundary(service.shards, before, all)..boundary(service.shards, after, all),
+            };
             groups.push(Arc::new(Group {
-                name: name::Group::new(&format!("{}/{domain}/{number}", service.name)),
+                name,
                 service: Arc::clone(service),
                 domain: domain.clone(),
                 shards,
@@ -120,6 +128,12 @@
     groups
 }
 
+/// Returns the shards of a group in a stated placement.
+fn placed(placement: &[schema::Placement], group: &name::Group) -> Range<u32> {
+    let row = placement.iter().find(|row| row.group == *group);
+    row.map_or(0..0, |row| row.first..row.last.saturating_add(1))
+}
+
 /// Returns the first shard after the share of `targets` of `all` targets.
 fn boundary(shards: u32, targets: usize, all: usize) -> u32 {
     let targets = u64::try_from(targets).unwrap_or(u64::MAX);
--- a/crates/document/src/lib.rs
+++ b/crates/document/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod envelope;
 pub mod errors;
 mod index;
+mod placement;
 pub mod plan;
 mod relation;
 pub mod rule;
--- a/crates/document/src/plan.rs
+++ b/crates/document/src/plan.rs
@@ -57,7 +57,7 @@
     pub service: Arc<Service>,
     /// Failure domain of the group's targets and of its coordinator.
     pub domain: name::Domain,
-    /// Shards of the group, a contiguous range.
+    /// Shards of the group, a contiguous range; empty if a stated placement does not list the group.
     pub shards: Range<u32>,
     /// Targets in document order.
     pub targets: Vec<Target>,
@@ -160,9 +160,7 @@
         let groups: Vec<_> = services
             .iter()
             .zip(&document.services)
-            .flat_map(|(service, source)| {
-                index::form(service, &source.targets, &document.failure_domains)
-            })
+            .flat_map(|(service, source)| index::form(service, source, &document.failure_domains))
             .collect();
         let routes = routes(document, &services, &classes);
         let index = Index::new(&groups, &routes);
@@ -195,6 +193,21 @@
         self.groups.get(position)
     }
 
+    /// Returns the placement in force of a service: the groups that have shards, in their order.
+    pub fn placement(&self, service: &name::Service) -> Vec<schema::Placement> {
+        let groups = self.groups.iter().filter(|group| group.service.name == *service);
+        let mut rows: Vec<_> = groups
+            .filter(|group| !group.shards.is_empty())
+            .map(|group| schema::Placement {
+                group: group.name.clone(),
+                first: group.shards.start,
+                last: group.shards.end - 1,
+            })
+            .collect();
+        rows.sort_by_key(|row| row.first);
+        rows
+    }
+
     /// Returns the group of a name.
     pub fn group(&self, name: &name::Group) -> Option<&Arc<Group>> {
         self.groups.get(self.index.group(name)?)
--- a/crates/document/src/relation.rs
+++ b/crates/document/src/relation.rs
@@ -12,6 +12,7 @@
 use caraway_core::finding::Report;
 
 use crate::index::GROUP_TARGETS;
+use crate::placement;
 use crate::schema::POOLED_SHARDS;
 
 /// Checks all relations.
@@ -25,33 +26,35 @@
         attempts(class, &format!("/classes/{index}"), report);
     }
     for (index, service) in list(document, "services") {
-        proportions(service, &format!("/services/{index}"), report);
+        let place = format!("/services/{index}");
+        proportions(service, &place, report);
+        placement::check(service, &format!("{place}/placement"), report);
     }
     routes(document, report);
     bodies(document, report);
 }
 
-fn list<'a>(value: &'a Value, name: &str) -> impl Iterator<Item = (usize, &'a Value)> {
+pub(crate) fn list<'a>(value: &'a Value, name: &str) -> impl Iterator<Item = (usize, &'a Value)> {
     value.get(name).and_then(Value::as_array).into_iter().flatten().enumerate()
 }
 
-fn text<'a>(value: &'a Value, name: &str) -> Option<&'a str> {
+pub(crate) fn text<'a>(value: &'a Value, name: &str) -> Option<&'a str> {
     value.get(name).and_then(Value::as_str)
 }
 
-fn number(value: &Value, name: &str) -> Option<u64> {
+pub(crate) fn number(value: &Value, name: &str) -> Option<u64> {
     value.get(name).and_then(Value::as_u64)
 }
 
 /// Places of the values seen so far, by value.
-struct Seen(HashMap<String, String>);
+pub(crate) struct Seen(HashMap<String, String>);
 
 impl Seen {
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         Self(HashMap::new())
     }
 
-    fn add(&mut self, value: &str, place: &str, report: &mut Report) {
+    pub(crate) fn add(&mut self, value: &str, place: &str, report: &mut Report) {
         match self.0.get(value) {
             Some(first) => {
                 report.add(place, &format!("{value:?} is also at {first}"), "a unique value");
@@ -137,13 +140,7 @@
         report.add(place, "no field shards", "a number of shards for a keyed service");
         return;
     }
-    let shards = match stated {
-        None => u64::from(POOLED_SHARDS),
-        Some(stated) => match stated.as_u64() {
-            Some(shards) => shards,
-            None => return,
-        },
-    };
+    let Some(shards) = shards(service) else { return };
     let (needed, unit) = if keyed { (target_count(service), "target") } else { groups(service) };
     if shards < needed {
         let place = if stated.is_some() { format!("{place}/shards") } else { place.to_owned() };
@@ -152,19 +149,32 @@
     }
 }
 
+/// Returns the number of shards, stated or default; none if the stated one is not valid.
+pub(crate) fn shards(service: &Value) -> Option<u64> {
+    match service.get("shards") {
+        None => Some(u64::from(POOLED_SHARDS)),
+        Some(stated) => stated.as_u64(),
+    }
+}
+
 fn target_count(service: &Value) -> u64 {
     u64::try_from(list(service, "targets").count()).unwrap_or(u64::MAX)
 }
 
-/// Returns the number of groups of a service.
-fn groups(service: &Value) -> (u64, &'static str) {
+/// Returns the number of groups of a service in each failure domain.
+pub(crate) fn group_counts(service: &Value) -> HashMap<&str, usize> {
     let mut sizes: HashMap<&str, usize> = HashMap::new();
     for (_, target) in list(service, "targets") {
         if let Some(domain) = text(target, "failure_domain") {
             *sizes.entry(domain).or_default() += 1;
         }
     }
-    let groups: usize = sizes.values().map(|size| size.div_ceil(GROUP_TARGETS)).sum();
+    sizes.into_iter().map(|(domain, size)| (domain, size.div_ceil(GROUP_TARGETS))).collect()
+}
+
+/// Returns the number of groups of a service.
+fn groups(service: &Value) -> (u64, &'static str) {
+    let groups: usize = group_counts(service).values().sum();
     (u64::try_from(groups).unwrap_or(u64::MAX), "group")
 }
 
--- a/crates/document/src/rule.rs
+++ b/crates/document/src/rule.rs
@@ -11,8 +11,12 @@
 pub const NAME_BYTES: usize = 63;
 /// Longest path prefix in bytes. It bounds the work of a route lookup.
 pub const PREFIX_BYTES: usize = 256;
+/// Most digits of the number of a group: a service has at most 4096 targets.
+pub const GROUP_DIGITS: usize = 4;
 /// Pattern of a name, for the JSON Schema.
 const NAME_PATTERN: &str = "^[a-z0-9][a-z0-9-]{0,62}$";
+/// Pattern of a group name, for the JSON Schema.
+const GROUP_PATTERN: &str = "^[a-z0-9][a-z0-9-]{0,62}/[a-z0-9][a-z0-9-]{0,62}/(0|[1-9][0-9]{0,3})$";
 /// Pattern of a path prefix, for the JSON Schema.
 const PREFIX_PATTERN: &str = "^/([A-Za-z0-9._~-]+/)*$";
 /// Pattern of an address, for the JSON Schema. It is wider than the check, which parses the address.
@@ -23,6 +27,8 @@
 pub enum Rule {
     /// A lower-case name.
     Name,
+    /// A group name of the form `service/domain/n`.
+    Group,
     /// A path prefix.
     Prefix,
     /// An IP address with a port other than 0.
@@ -85,6 +91,16 @@
     field("address", Rule::Address, "Address of the HTTP listener, unique in the document."),
 ]);
 
+const PLACEMENT: Rule = Rule::Object(&[
+    field("group", Rule::Group, "Group with targets of the service, at most once in the list."),
+    field("first", Rule::Integer(0, 65_535), "First shard of the group."),
+    field(
+        "last",
+        Rule::Integer(0, 65_535),
+        "Last shard of the group, at least first and less than shards.",
+    ),
+]);
+
 const SERVICE: Rule = Rule::Object(&[
     field("name", Rule::Name, "Name of the service, unique."),
     field(
@@ -121,6 +137,13 @@
         "Time in milliseconds over which a cold target ramps up.",
     ),
     field("targets", Rule::List(&TARGET, 1, 4096), "Targets of the service."),
+    Field {
+        name: "placement",
+        required: false,
+        meaning: "Shards of each group. If it is absent, the shards are divided in proportion to the \
+                  number of targets.",
+        rule: Rule::List(&PLACEMENT, 1, 4096),
+    },
 ]);
 
 const ROUTE: Rule = Rule::Object(&[
@@ -176,6 +199,7 @@
             Self::Name => {
                 format!("a-z, 0-9 and -, not starting with -, 1 to {NAME_BYTES} characters")
             }
+            Self::Group => "a group name of the form service/domain/n, with n from 0".into(),
             Self::Prefix => format!(
                 "a path of / and segments of A-Z, a-z, 0-9, ., _, ~ and -, starting and ending \
                  with /, at most {PREFIX_BYTES} bytes"
@@ -194,6 +218,7 @@
     pub fn json_schema(&self) -> Value {
         match self {
             Self::Name => json!({ "type": "string", "pattern": NAME_PATTERN }),
+            Self::Group => json!({ "type": "string", "pattern": GROUP_PATTERN }),
             Self::Prefix => {
                 json!({ "type": "string", "pattern": PREFIX_PATTERN, "maxLength": PREFIX_BYTES })
             }
--- a/crates/document/src/schema.rs
+++ b/crates/document/src/schema.rs
@@ -78,6 +78,9 @@
     pub warmup_ms: u64,
     /// Targets of the service.
     pub targets: Vec<Target>,
+    /// Shards of each group; if absent, they are divided in proportion to the number of targets.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub placement: Option<Vec<Placement>>,
 }
 
 impl Service {
@@ -87,6 +90,18 @@
     }
 }
 
+/// The shards of a group.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Placement {
+    /// Name of the group.
+    pub group: name::Group,
+    /// First shard.
+    pub first: u32,
+    /// Last shard.
+    pub last: u32,
+}
+
 /// A target of a service.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/document/tests/check.rs
+++ b/crates/document/tests/check.rs
@@ -86,6 +86,34 @@
     assert!(places.iter().any(|place| place == finding), "{places:?}");
 }
 
+/// Guards against a placement that leaves a shard without a group, gives it two, or names a group that
+/// no instance coordinates.
+#[yare::parameterized(
+    gap = { json!([["med/0", 0, 99], ["bog/0", 101, 255]]), "", "no range has shards 100 to 100" },
+    gap_at_the_ends = { json!([["med/0", 1, 254]]), "", "no range has shards 0 to 0, 255 to 255" },
+    overlap = { json!([["med/0", 0, 99], ["bog/0", 90, 255]]), "/1/first", "shards 90 to 99 are placed twice" },
+    inside = { json!([["med/0", 0, 255], ["bog/0", 5, 9]]), "/1/first", "shards 5 to 9 are placed twice" },
+    beyond = { json!([["med/0", 0, 256]]), "/0/last", "256" },
+    reversed = { json!([["med/0", 0, 255], ["bog/0", 9, 5]]), "/1/last", "5" },
+    huge = { json!([["med/0", 0, u64::MAX]]), "/0/last", "18446744073709551615" },
+    group_twice = { json!([["med/0", 0, 99], ["med/0", 100, 255]]), "/1/group", "\"lectura/med/0\" is also at /services/0/placement/0/group" },
+    no_such_number = { json!([["med/1", 0, 255]]), "/0/group", "no group \"lectura/med/1\": no targets of the service form it" },
+    no_such_domain = { json!([["lim/0", 0, 255]]), "/0/group", "no group \"lectura/lim/0\": no targets of the service form it" },
+    not_a_group = { json!([["med", 0, 255]]), "/0/group", "\"lectura/med\"" },
+    leading_zero = { json!([["med/00", 0, 255]]), "/0/group", "\"lectura/med/00\"" },
+    empty = { json!([]), "", "a list of 0 items" },
+)]
+fn a_wrong_placement_is_found_at_its_place(rows: Value, place: &str, problem: &str) {
+    let row = |row: &Value| json!({"group": format!("lectura/{}", row[0].as_str().unwrap()), "first": row[1], "last": row[2]});
+    let rows: Vec<_> = rows.as_array().unwrap().iter().map(row).collect();
+    let mut document = andina();
+    document["services"][0]["placement"] = json!(rows);
+    let report = check::value(&document);
+    let found: Vec<_> =
+        report.findings().iter().map(|found| (&*found.place, &*found.problem)).collect();
+    assert_eq!(found, [(&*format!("/services/0/placement{place}"), problem)]);
+}
+
 /// Guards against a check that stops at the first finding or skips relations after a wrong shape.
 #[test]
 fn findings_of_both_kinds_are_reported_together() {
@@ -150,6 +178,7 @@
             }
         }
         Rule::Name
+        | Rule::Group
         | Rule::Prefix
         | Rule::Address
         | Rule::Integer(..)
@@ -213,6 +242,10 @@
     #[test]
     fn a_mutated_document_never_panics(changes in vec((any::<Index>(), any_json()), 1..4)) {
         let mut document = andina();
+        document["services"][0]["placement"] = json!([
+            {"group": "lectura/med/0", "first": 0, "last": 63},
+            {"group": "lectura/man/0", "first": 64, "last": 255},
+        ]);
         for (index, value) in changes {
             let mut all = Vec::new();
             pointers(&document, "", &mut all);
--- a/crates/document/tests/plan.rs
+++ b/crates/document/tests/plan.rs
@@ -262,3 +262,74 @@
     assert!(diff.findings.is_empty(), "{}", diff.findings);
     assert_eq!(diff.changes.len(), 6);
 }
+
+/// Returns a placement of `lectura` in the Andina document.
+fn placement(ranges: &[(&str, u32, u32)]) -> Value {
+    let row = |(domain, first, last): &(&str, u32, u32)| json!({"group": format!("lectura/{domain}/0"), "first": first, "last": last});
+    ranges.iter().map(row).collect()
+}
+
+fn target(name: &str, domain: &str, port: u16) -> Value {
+    json!({"name": name, "failure_domain": domain, "address": format!("127.0.0.1:{port}")})
+}
+
+/// Guards against a lookup that relies on ranges in document order, and against a group outside the
+/// placement that hides the group of a shard.
+#[test]
+fn a_stated_placement_is_used() {
+    let mut document = andina();
+    document["services"][0]["placement"] =
+        placement(&[("med", 0, 99), ("man", 100, 199), ("cal", 200, 255)]);
+    let plan = Plan::try_new(&read(&document), 1).unwrap();
+    let service = name::Service::new("lectura");
+    for (shard, group) in
+        [(0, "med"), (99, "med"), (100, "man"), (199, "man"), (200, "cal"), (255, "cal")]
+    {
+        let found = plan.group_of(&service, Shard(shard)).unwrap();
+        assert_eq!(found.name.as_str(), format!("lectura/{group}/0"), "{shard}");
+    }
+    assert!(plan.group_of(&service, Shard(256)).is_none());
+    let unlisted = plan.group(&name::Group::new("lectura/bog/0")).unwrap();
+    assert!(unlisted.shards.is_empty() && unlisted.targets.len() == 4);
+}
+
+/// Guards against a written placement that differs from the division in force, and against a service
+/// that cannot grow or shrink in one domain.
+#[test]
+fn a_service_with_a_written_placement_grows_in_one_domain() {
+    let old = read(&andina());
+    let plan = Plan::try_new(&old, 1).unwrap();
+    let mut fixed = old.clone();
+    for service in &mut fixed.services {
+        service.placement = Some(plan.placement(&service.name));
+    }
+    let diff = diff::compare(&old, &fixed).unwrap();
+    assert!(diff.moves.is_empty() && diff.findings.is_empty(), "{}", diff.findings);
+    let mut grown = serde_json::to_value(&fixed).unwrap();
+    let targets = grown["services"][0]["targets"].as_array_mut().unwrap();
+    targets.push(target("lectura-17", "med", 21_917));
+    targets.remove(15);
+    for before in [&old, &fixed] {
+        let diff = diff::compare(before, &read(&grown)).unwrap();
+        assert!(diff.moves.is_empty() && diff.findings.is_empty(), "{}", diff.findings);
+    }
+    grown["services"][0]["placement"][0]["last"] = json!(62);
+    grown["services"][0]["placement"][1]["first"] = json!(63);
+    let diff = diff::compare(&fixed, &read(&grown)).unwrap();
+    let step = &diff.moves[0];
+    assert_eq!((step.first, step.last, diff.moves.len()), (63, 63, 1));
+    assert_eq!(diff.findings.findings()[0].place, "/services/0/placement");
+}
+
+/// Guards against a target that gets grants of two groups, whose terms are not comparable.
+#[test]
+fn a_target_that_would_change_its_group_is_a_finding() {
+    let mut old = with_counts(&[17, 1], 64);
+    old["services"][0]["placement"] = json!([{"group": "lectura/d0/0", "first": 0, "last": 31},
+        {"group": "lectura/d1/0", "first": 32, "last": 63}]);
+    let mut new = old.clone();
+    new["services"][0]["targets"].as_array_mut().unwrap().remove(3);
+    let diff = diff::compare(&read(&old), &read(&new)).unwrap();
+    let findings = diff.findings.findings();
+    assert_eq!((findings.len(), &*findings[0].place), (1, "/services/0/targets/15"));
+}
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -238,7 +238,9 @@
         call.shard = shard::of_key(text.as_bytes(), service.shards);
         return groups.iter().find(|group| group.shards.contains(&call.shard.0)).cloned();
     }
-    let group = groups.iter().min_by_key(|group| preference(domain, snapshot, group))?;
+    // A coordinator refuses a shard that its group does not have, so a group without shards is not selected.
+    let placed = groups.iter().filter(|group| !group.shards.is_empty());
+    let group = placed.min_by_key(|group| preference(domain, snapshot, group))?;
     call.shard = Shard(group.shards.start);
     Some(group.clone())
 }
