Use one compare-and-swap with a write ID in the store client and the tool

caraway-store and caraway-ctl each had a store client and code for lost responses, with different results: only the tool sent a dropped write again and told a lost race from a replaced write. The tool's code is now caraway_store::swap; write::change uses it, and the tool's own client is gone. A refused connection is an error of its own (NotSent) and costs no read-back; a status of 500 and more counts as no answer, because a write may have taken effect. The public functions of caraway_store::write keep their signatures. write::change gives up at the first failed read, so a claim waits no longer for a store that is down than before.

--- a/bins/ctl/src/admin.rs
+++ b/bins/ctl/src/admin.rs
@@ -11,7 +11,6 @@
 use crate::errors::Result;
 use crate::http;
 use crate::http::Answer;
-use crate::http::Failure;
 
 /// Instances that are asked at the same time.
 const PARALLEL: usize = 16;
@@ -91,9 +90,7 @@
 ) -> std::result::Result<(Value, T), Problem> {
     let url = format!("{}{path}", http::base(address));
     match http::get(&http::agent(), &url) {
-        Err(Failure::NotSent(problem) | Failure::NoAnswer(problem)) => {
-            Err(Problem::Failed(format!("GET {url}: {problem}")))
-        }
+        Err(problem) => Err(Problem::Failed(format!("GET {url}: {problem}"))),
         Ok(Answer { status: 404, .. }) => Err(Problem::Unknown),
         Ok(Answer { status: 200, body }) => match T::deserialize(&body) {
             Ok(answer) => Ok((body, answer)),
--- a/bins/ctl/src/document.rs
+++ b/bins/ctl/src/document.rs
@@ -11,14 +11,14 @@
 use caraway_document::envelope::Envelope;
 use caraway_document::plan::Plan;
 use caraway_document::schema::Document;
+use caraway_store::client::Client;
+use caraway_store::swap;
 
 use crate::command::Output;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::flag::Stage;
 use crate::store;
-use crate::store::Client;
-use crate::swap;
 use crate::table;
 
 /// Checks a file.
@@ -126,11 +126,11 @@
         return Err(Error::Usage(problem.into()));
     }
     let document = load(path)?;
-    let client = Client::new(address);
+    let client = store::client(address);
     let key = store::key(&document.environment, stage);
-    let expect = client.get(&key)?.map_or(0, |stored| stored.revision);
+    let expect = store::get(&client, &key)?.map_or(0, |stored| stored.revision);
     let envelope = Envelope { write_id: swap::write_id(), document };
-    let version = swap::write(&client, &key, &envelope, expect)?;
+    let version = store::write(&client, &key, &envelope, expect)?;
     let text = format!(
         "stored {} under {key} as version {version}, write ID {}\n",
         path.display(),
@@ -150,7 +150,7 @@
     if from == to {
         return Err(Error::Usage(format!("--from and --to are both {from}")));
     }
-    let client = Client::new(address);
+    let client = store::client(address);
     let (source, target) = (store::key(environment, from), store::key(environment, to));
     let (_, document) = stored(&client, &source)?.ok_or_else(|| Error::Absent(source.clone()))?;
     if document.environment != environment {
@@ -173,13 +173,13 @@
         difference = Some(found);
     }
     let envelope = Envelope { write_id: swap::write_id(), document };
-    let version = swap::write(&client, &target, &envelope, expect)?;
+    let version = store::write(&client, &target, &envelope, expect)?;
     Ok(promoted(&target, version, &envelope.write_id, difference.as_ref()))
 }
 
 /// Reads the revision and the document of a key.
 fn stored(client: &Client, key: &str) -> Result<Option<(u64, Document)>> {
-    let Some(found) = client.get(key)? else { return Ok(None) };
+    let Some(found) = store::get(client, key)? else { return Ok(None) };
     let envelope = Envelope::parse(&found.text)
         .map_err(|source| Error::Document { name: format!("the value of {key}"), source })?;
     Ok(Some((found.revision, envelope.document)))
--- a/bins/ctl/src/http.rs
+++ b/bins/ctl/src/http.rs
@@ -1,4 +1,4 @@
-//! HTTP calls with time limits.
+//! HTTP calls to admin interfaces, with time limits.
 
 use std::time::Duration;
 
@@ -9,30 +9,12 @@
 
 /// Longest time for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Longest time for a whole call. The store's values have at most 1 MB and the admin interfaces
-/// answer from memory, so a longer call means that the other side is stuck.
+/// Longest time for a whole call. The admin interfaces answer from memory, so a longer call means that the
+/// instance is stuck.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Longest answer in bytes that is read.
 const ANSWER_BYTES: u64 = 64 << 20;
 
-/// Why a call has no answer.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Failure {
-    /// The request was not sent.
-    NotSent(String),
-    /// The request may have been received.
-    NoAnswer(String),
-}
-
-impl Failure {
-    /// Returns what happened.
-    pub fn problem(&self) -> &str {
-        match self {
-            Self::NotSent(problem) | Self::NoAnswer(problem) => problem,
-        }
-    }
-}
-
 /// Status and body of an answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Answer {
@@ -58,38 +40,21 @@
 }
 
 /// Sends a GET request.
-pub fn get(agent: &Agent, url: &str) -> Result<Answer, Failure> {
-    agent.get(url).call().map_err(failure).and_then(read)
-}
-
-/// Sends a PUT request with a JSON body.
-pub fn put(agent: &Agent, url: &str, body: &Value) -> Result<Answer, Failure> {
-    let request = agent.put(url).header("content-type", "application/json");
-    request.send(body.to_string()).map_err(failure).and_then(read)
+///
+/// # Errors
+///
+/// There is no answer; the text says what happened.
+pub fn get(agent: &Agent, url: &str) -> Result<Answer, String> {
+    agent.get(url).call().map_err(|error| describe(&error)).and_then(read)
 }
 
-fn read(mut response: ureq::http::Response<ureq::Body>) -> Result<Answer, Failure> {
+fn read(mut response: ureq::http::Response<ureq::Body>) -> Result<Answer, String> {
     let status = response.status().as_u16();
     let body = response.body_mut().with_config().limit(ANSWER_BYTES).read_to_vec();
-    let body = body.map_err(|error| Failure::NoAnswer(describe(&error)))?;
+    let body = body.map_err(|error| describe(&error))?;
     Ok(Answer { status, body: serde_json::from_slice(&body).unwrap_or(Value::Null) })
 }
 
-fn failure(error: Error) -> Failure {
-    let problem = describe(&error);
-    let refused =
-        matches!(&error, Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused);
-    let not_connected = matches!(
-        error,
-        Error::Http(_)
-            | Error::BadUri(_)
-            | Error::HostNotFound
-            | Error::ConnectionFailed
-            | Error::Timeout(Timeout::Connect | Timeout::Resolve)
-    );
-    if refused || not_connected { Failure::NotSent(problem) } else { Failure::NoAnswer(problem) }
-}
-
 fn describe(error: &Error) -> String {
     match error {
         Error::Timeout(Timeout::Connect) => {
--- a/bins/ctl/src/main.rs
+++ b/bins/ctl/src/main.rs
@@ -24,7 +24,6 @@
 mod http;
 mod status;
 mod store;
-mod swap;
 mod table;
 
 fn main() -> ExitCode {
--- a/bins/ctl/src/store.rs
+++ b/bins/ctl/src/store.rs
@@ -1,14 +1,24 @@
-//! Calls to the platform's store.
+//! Calls to the platform's store, with the tool's errors.
 
-use serde_json::Value;
-use serde_json::json;
-use ureq::Agent;
+use std::time::Duration;
+
+use caraway_document::envelope::Envelope;
+use caraway_store::client::Client;
+use caraway_store::client::Options;
+use caraway_store::errors::Error as StoreError;
+use caraway_store::swap;
+use caraway_store::swap::Limits;
+use caraway_store::swap::Swap;
+use caraway_store::swap::Write;
 
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::flag::Stage;
 use crate::http;
-use crate::http::Failure;
+
+/// Longest time for a whole call. The store's values have at most 1 MB, so a longer call means that the
+/// store is stuck.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A stored value.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -19,83 +29,75 @@
     pub revision: u64,
 }
 
-/// How the store answered a compare-and-swap.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Swap {
-    /// The value was accepted.
-    Accepted(u64),
-    /// The key has another revision.
-    Conflict,
-    /// The value is not acceptable.
-    Refused(String),
-    /// The write was not sent.
-    NotSent(String),
-    /// The write may have taken effect.
-    Ambiguous(String),
+/// Makes a client for an address.
+pub fn client(address: &str) -> Client {
+    let domain = String::new();
+    Client::new(Options { base: http::base(address), domain, timeout: CALL_TIMEOUT })
 }
 
-/// Client of the store.
-#[derive(Debug)]
-pub struct Client {
-    agent: Agent,
-    base: String,
+/// Returns the key of an environment's stage.
+pub fn key(environment: &str, stage: Stage) -> String {
+    format!("environments/{}/{stage}", http::segment(environment))
 }
 
-impl Client {
-    /// Makes a client.
-    pub fn new(address: &str) -> Self {
-        Self { agent: http::agent(), base: http::base(address) }
-    }
+/// Reads a key.
+///
+/// # Errors
+///
+/// The store does not answer or not as described in section 3.5 of the design.
+pub fn get(client: &Client, key: &str) -> Result<Option<Stored>> {
+    let found = client.get(key).map_err(|error| failed("GET", &client.url(key), &error))?;
+    let stored = found.and_then(|found| Some((found.value?, found.revision)));
+    Ok(stored.map(|(text, revision)| Stored { text, revision }))
+}
 
-    /// Reads a key.
-    ///
-    /// # Errors
-    ///
-    /// The store does not answer or not as described in section 3.5 of the design.
-    pub fn get(&self, key: &str) -> Result<Option<Stored>> {
-        let url = self.url(key);
-        let fail = |problem: String| Error::Store { tried: format!("GET {url}"), problem };
-        let answer =
-            http::get(&self.agent, &url).map_err(|failure| fail(failure.problem().to_owned()))?;
-        if answer.status == 404 {
-            return Ok(None);
+/// Stores an envelope if the key has the expected revision, and returns the new one.
+///
+/// # Errors
+///
+/// Another write was accepted, the store refuses the value or does not respond, or it is not known
+/// whether the write was accepted.
+pub fn write(client: &Client, key: &str, envelope: &Envelope, expect: u64) -> Result<u64> {
+    let text = envelope.to_text();
+    let write = Write { key, text: &text, write_id: &envelope.write_id, expect };
+    let result = swap::write(client, &write, Limits::default());
+    let key = key.to_owned();
+    match result.map_err(|error| refused(client, &key, &error))? {
+        Swap::Written(revision) => Ok(revision),
+        Swap::Lost(found) => Err(Error::Lost { key, winner: found.to_string() }),
+        Swap::Replaced(found) => {
+            let write_id = envelope.write_id.clone();
+            Err(Error::Replaced { key, winner: found.to_string(), write_id })
         }
-        let text = answer.body.get("value").and_then(Value::as_str);
-        let revision = answer.body.get("revision").and_then(Value::as_u64);
-        match (answer.status, text, revision) {
-            (200, Some(text), Some(revision)) => {
-                Ok(Some(Stored { text: text.to_owned(), revision }))
-            }
-            (status, _, _) => Err(fail(format!("unexpected answer with status {status}"))),
+        Swap::Unknown(problem) => {
+            Err(Error::Unknown { key, write_id: envelope.write_id.clone(), problem })
         }
     }
+}
 
-    /// Writes a key if it has the expected revision, 0 if it must be absent.
-    pub fn swap(&self, key: &str, text: &str, expect: u64) -> Swap {
-        let body = json!({ "value": text, "expect": expect });
-        match http::put(&self.agent, &self.url(key), &body) {
-            Err(Failure::NotSent(problem)) => Swap::NotSent(problem),
-            Err(Failure::NoAnswer(problem)) => Swap::Ambiguous(problem),
-            Ok(answer) => {
-                match (answer.status, answer.body.get("revision").and_then(Value::as_u64)) {
-                    (200, Some(revision)) => Swap::Accepted(revision),
-                    (409, _) => Swap::Conflict,
-                    (413, _) => Swap::Refused("it is larger than 1 MB".into()),
-                    (status @ 400..500, _) => Swap::Refused(format!("status {status}")),
-                    (status, _) => {
-                        Swap::Ambiguous(format!("unexpected answer with status {status}"))
-                    }
-                }
-            }
+/// Converts the error of a write that had no effect.
+fn refused(client: &Client, key: &str, error: &StoreError) -> Error {
+    match error {
+        StoreError::Status(status) => {
+            let problem = match status {
+                413 => "it is larger than 1 MB".to_owned(),
+                status => format!("status {status}"),
+            };
+            Error::Value { key: key.to_owned(), problem }
+        }
+        StoreError::NotSent(_) | StoreError::NoAnswer(_) | StoreError::Invalid(_) => {
+            failed("PUT", &client.url(key), error)
         }
-    }
-
-    fn url(&self, key: &str) -> String {
-        format!("{}/v1/kv/{key}", self.base)
     }
 }
 
-/// Returns the key of an environment's stage.
-pub fn key(environment: &str, stage: Stage) -> String {
-    format!("environments/{}/{stage}", http::segment(environment))
+/// Converts the error of a call.
+pub fn failed(method: &str, url: &str, error: &StoreError) -> Error {
+    let problem = match error {
+        StoreError::NotSent(problem)
+        | StoreError::NoAnswer(problem)
+        | StoreError::Invalid(problem) => problem.clone(),
+        StoreError::Status(status) => format!("unexpected answer with status {status}"),
+    };
+    Error::Store { tried: format!("{method} {url}"), problem }
 }
--- a/bins/entry/src/storage.rs
+++ b/bins/entry/src/storage.rs
@@ -252,7 +252,7 @@
             Ok(Outcome::Lost) => Done::ChangeFailed { unavailable: false },
             Err(error) => {
                 log::debug!("change of the domain record failed: {error}");
-                Done::ChangeFailed { unavailable: matches!(error, Error::NoAnswer(_)) }
+                Done::ChangeFailed { unavailable: error.is_silence() }
             }
         }
     }
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,11 +1,13 @@
 //! Calls to the platform.
 
+use std::io::ErrorKind;
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
 use ureq::Agent;
+use ureq::Timeout;
 
 use crate::errors::Error;
 use crate::errors::Result;
@@ -21,7 +23,7 @@
 pub struct Options {
     /// Base URL of the platform.
     pub base: String,
-    /// Failure domain of the caller.
+    /// Failure domain of the caller; empty for a caller outside of all of them.
     pub domain: String,
     /// Longest time for a call, and for the wait beyond it in the case of a watch.
     pub timeout: Duration,
@@ -86,12 +88,19 @@
         let config = Agent::config_builder()
             .http_status_as_error(false)
             .max_redirects(0)
+            .max_redirects_will_error(false)
             .max_idle_connections(0)
+            .proxy(None)
             .timeout_connect(Some(options.timeout))
             .build();
         Self { agent: config.into(), options }
     }
 
+    /// Returns the URL of a key.
+    pub fn url(&self, key: &str) -> String {
+        format!("{}/v1/kv/{key}", self.options.base)
+    }
+
     /// Reads a value.
     ///
     /// # Errors
@@ -110,19 +119,23 @@
     ///
     /// # Errors
     ///
-    /// After [`Error::NoAnswer`] the write may or may not have taken effect.
+    /// After [`Error::NoAnswer`] the write may or may not have taken effect; after the other errors it has not.
     pub fn put(&self, key: &str, value: &str, expect: u64) -> Result<Put> {
-        let url = format!("{}/v1/kv/{key}", self.options.base);
         let body = json!({ "value": value, "expect": expect }).to_string();
-        let request = self.agent.put(&url).header(DOMAIN, &self.options.domain);
-        let request = request.header("content-type", "application/json");
+        let mut request = self.agent.put(self.url(key)).header("content-type", "application/json");
+        if !self.options.domain.is_empty() {
+            request = request.header(DOMAIN, &self.options.domain);
+        }
         let request = request.config().timeout_global(Some(self.options.timeout)).build();
-        let mut response = request.send(body).map_err(no_answer)?;
-        let text = response.body_mut().read_to_string().map_err(no_answer)?;
-        match response.status().as_u16() {
-            200 => parse::<Revision>(&text).map(|answer| Put::Written(answer.revision)),
-            409 => parse::<Revision>(&text).map(|answer| Put::Conflict(answer.revision)),
-            status => Err(Error::Status(status)),
+        let mut response = request.send(body).map_err(|error| self.failure(error))?;
+        let body = response.body_mut().read_to_string();
+        let text = body.map_err(|error| Error::NoAnswer(self.describe(error)))?;
+        let revision = parse::<Revision>(&text).map(|answer| answer.revision);
+        match (response.status().as_u16(), revision) {
+            (200, Ok(revision)) => Ok(Put::Written(revision)),
+            (409, Ok(revision)) => Ok(Put::Conflict(revision)),
+            (status @ 400..500, _) if status != 409 => Err(Error::Status(status)),
+            (status, _) => Err(Error::NoAnswer(format!("unexpected answer with status {status}"))),
         }
     }
 
@@ -149,18 +162,42 @@
 
     fn read(&self, path: &str, wait: Duration) -> Result<(u16, String)> {
         let url = format!("{}{path}", self.options.base);
-        let request = self.agent.get(&url).header(DOMAIN, &self.options.domain);
+        let mut request = self.agent.get(&url);
+        if !self.options.domain.is_empty() {
+            request = request.header(DOMAIN, &self.options.domain);
+        }
         let limit = self.options.timeout + wait;
         let request = request.config().timeout_global(Some(limit)).build();
-        let mut response = request.call().map_err(no_answer)?;
-        let body = response.body_mut().with_config().limit(ANSWER_BYTES);
-        let text = body.read_to_string().map_err(no_answer)?;
+        let mut response = request.call().map_err(|error| self.failure(error))?;
+        let body = response.body_mut().with_config().limit(ANSWER_BYTES).read_to_string();
+        let text = body.map_err(|error| Error::NoAnswer(self.describe(error)))?;
         Ok((response.status().as_u16(), text))
     }
-}
 
-fn no_answer(error: ureq::Error) -> Error {
-    Error::NoAnswer(error.to_string())
+    /// Converts an error that came instead of an answer.
+    fn failure(&self, error: ureq::Error) -> Error {
+        let refused = matches!(&error, ureq::Error::Io(error) if error.kind() == ErrorKind::ConnectionRefused);
+        let not_connected = matches!(
+            error,
+            ureq::Error::Http(_)
+                | ureq::Error::BadUri(_)
+                | ureq::Error::HostNotFound
+                | ureq::Error::ConnectionFailed
+                | ureq::Error::Timeout(Timeout::Connect | Timeout::Resolve)
+        );
+        let problem = self.describe(error);
+        if refused || not_connected { Error::NotSent(problem) } else { Error::NoAnswer(problem) }
+    }
+
+    fn describe(&self, error: ureq::Error) -> String {
+        let limit = self.options.timeout.as_secs_f64();
+        match error {
+            ureq::Error::Timeout(Timeout::Connect) => format!("no connection within {limit} s"),
+            ureq::Error::Timeout(_) => format!("no answer within {limit} s"),
+            ureq::Error::Io(error) => error.to_string(),
+            other => other.to_string(),
+        }
+    }
 }
 
 fn parse<T: DeserializeOwned>(text: &str) -> Result<T> {
--- a/crates/store/src/errors.rs
+++ b/crates/store/src/errors.rs
@@ -6,7 +6,10 @@
 /// Why a call to the platform failed.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
 pub enum Error {
-    /// The call had no answer. A write may have taken effect.
+    /// No connection was opened; the call had no effect.
+    #[error("no connection to the store: {0}")]
+    NotSent(String),
+    /// The call had no answer, or one that does not tell what became of it. A write may have taken effect.
     #[error("no answer from the store: {0}")]
     NoAnswer(String),
     /// The store answered with an unexpected status; the call had no effect.
@@ -16,3 +19,13 @@
     #[error("the answer of the store is not valid: {0}")]
     Invalid(String),
 }
+
+impl Error {
+    /// Returns whether the store did not answer.
+    pub fn is_silence(&self) -> bool {
+        match self {
+            Self::NotSent(_) | Self::NoAnswer(_) => true,
+            Self::Status(_) | Self::Invalid(_) => false,
+        }
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod client;
 pub mod errors;
 pub mod record;
+pub mod swap;
 pub mod write;
--- a/crates/store/src/write.rs
+++ b/crates/store/src/write.rs
@@ -1,51 +1,68 @@
-//! Changes of the failure domain's record by compare-and-swap.
+//! Changes of stored records by compare-and-swap.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use crate::client::Client;
-use crate::client::Put;
+use crate::client::Value;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::record;
+use crate::swap;
+use crate::swap::Limits;
+use crate::swap::Swap;
+use crate::swap::Write;
 
 /// Conflicts after which a change is given up; its caller decides anew on the current record.
 const ATTEMPTS: usize = 8;
 
+/// A record with the identity of the write that stored it.
+pub trait Record: Default + Serialize + DeserializeOwned {
+    /// Sets the identity of the write.
+    fn set_write_id(&mut self, write_id: String);
+}
+
+impl Record for record::Domain {
+    fn set_write_id(&mut self, write_id: String) {
+        self.write_id = write_id;
+    }
+}
+
 /// Result of a change.
 #[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Outcome {
+pub enum Outcome<T = record::Domain> {
     /// The record was written.
     Written {
         /// Its revision.
         revision: u64,
         /// The record.
-        record: record::Domain,
+        record: T,
     },
     /// Nothing was written: the change does not apply to the current record.
     Unchanged {
         /// Revision of the current record, zero if there is none.
         revision: u64,
         /// The current record.
-        record: record::Domain,
+        record: T,
     },
     /// Others won every attempt, or wrote after an attempt without an answer.
     Lost,
 }
 
-/// Reads a record; an absent one is empty and has revision zero.
+/// Reads a domain record; an absent one is empty and has revision zero.
 ///
 /// # Errors
 ///
 /// Fails if the store does not answer or the record is not valid.
 pub fn read(client: &Client, key: &str) -> Result<(u64, record::Domain)> {
-    let Some(value) = client.get(key)? else { return Ok((0, record::Domain::default())) };
-    let text = value.value.unwrap_or_default();
-    let record = serde_json::from_str(&text).map_err(|error| Error::Invalid(error.to_string()))?;
-    Ok((value.revision, record))
+    read_record(client, key)
 }
 
-/// Changes a record. `change` returns false if nothing is to be written.
+/// Changes a domain record. `change` returns false if nothing is to be written.
 ///
 /// A write without an answer is read back, and its identity in the record decides whether it took effect. Until
-/// then the caller must not act on it.
+/// then the caller must not act on it. A read without an answer ends the change, because a claim that is late by
+/// several calls is of no use.
 ///
 /// # Errors
 ///
@@ -57,29 +74,47 @@
     write_id: &mut dyn FnMut() -> String,
     change: &mut dyn FnMut(&mut record::Domain) -> bool,
 ) -> Result<Outcome> {
+    let limits = Limits { failed_reads: 1, ..Limits::default() };
+    change_record(client, key, limits, write_id, change)
+}
+
+/// Reads a record of any kind, as [`read`] does.
+pub(crate) fn read_record<T: Record>(client: &Client, key: &str) -> Result<(u64, T)> {
+    decode(client.get(key)?.as_ref())
+}
+
+/// Changes a record of any kind, as [`change`] does.
+pub(crate) fn change_record<T: Record>(
+    client: &Client,
+    key: &str,
+    limits: Limits,
+    write_id: &mut dyn FnMut() -> String,
+    change: &mut dyn FnMut(&mut T) -> bool,
+) -> Result<Outcome<T>> {
+    let mut found = client.get(key)?;
     for _ in 0..ATTEMPTS {
-        let (revision, mut record) = read(client, key)?;
+        let (revision, mut record) = decode::<T>(found.as_ref())?;
         if !change(&mut record) {
             return Ok(Outcome::Unchanged { revision, record });
         }
-        record.write_id = write_id();
+        let write_id = write_id();
+        record.set_write_id(write_id.clone());
         let text =
             serde_json::to_string(&record).map_err(|error| Error::Invalid(error.to_string()))?;
-        match client.put(key, &text, revision) {
-            Ok(Put::Written(revision)) => return Ok(Outcome::Written { revision, record }),
-            Ok(Put::Conflict(_)) => {}
-            Err(Error::NoAnswer(_)) => return resolve(client, key, record),
-            Err(error) => return Err(error),
+        let write = Write { key, text: &text, write_id: &write_id, expect: revision };
+        match swap::write(client, &write, limits)? {
+            Swap::Written(revision) => return Ok(Outcome::Written { revision, record }),
+            Swap::Lost(winner) => found = winner.0,
+            Swap::Replaced(_) => return Ok(Outcome::Lost),
+            Swap::Unknown(problem) => return Err(Error::NoAnswer(problem)),
         }
     }
     Ok(Outcome::Lost)
 }
 
-/// Finds out whether a write without an answer took effect.
-fn resolve(client: &Client, key: &str, written: record::Domain) -> Result<Outcome> {
-    let (revision, current) = read(client, key)?;
-    if current.write_id == written.write_id {
-        return Ok(Outcome::Written { revision, record: current });
-    }
-    Ok(Outcome::Lost)
+fn decode<T: Record>(found: Option<&Value>) -> Result<(u64, T)> {
+    let Some(value) = found else { return Ok((0, T::default())) };
+    let text = value.value.as_deref().unwrap_or_default();
+    let record = serde_json::from_str(text).map_err(|error| Error::Invalid(error.to_string()))?;
+    Ok((value.revision, record))
 }
--- /dev/null
+++ b/crates/store/tests/swap/main.rs
@@ -0,0 +1,111 @@
+//! Tests of compare-and-swap when writes are lost, raced and refused.
+
+// The lint settings allow these in test functions; this extends them to the helpers beside them.
+#![allow(clippy::indexing_slicing, clippy::unwrap_used)]
+
+mod fake;
+
+use caraway_store::errors::Error;
+use caraway_store::record::Domain;
+use caraway_store::swap;
+use caraway_store::swap::Limits;
+use caraway_store::swap::Swap;
+use caraway_store::swap::Write;
+use caraway_store::write;
+use caraway_store::write::Outcome;
+
+use crate::fake::Fake;
+use crate::fake::Fault;
+
+fn send(fake: &Fake) -> Result<Swap, Error> {
+    let write = Write { key: "k", text: "{\"write_id\":\"mine\"}", write_id: "mine", expect: 0 };
+    swap::write(&fake.client(), &write, Limits::default())
+}
+
+/// Guards against a result that is claimed without knowing it: each fault of the response ends in what the
+/// store holds, and in as few calls as that takes.
+#[yare::parameterized(
+    plain = { &[], "written 11", (0, 1) },
+    lost_response = { &[Fault::Lose], "written 11", (1, 1) },
+    dropped = { &[Fault::Drop, Fault::Drop], "written 11", (2, 3) },
+    conflict = { &[Fault::Race], "lost to version 11 with write ID other", (1, 1) },
+    dropped_then_raced = { &[Fault::Drop, Fault::Race], "replaced by version 11 with write ID other", (2, 2) },
+    replaced = { &[Fault::LoseThenRace], "replaced by version 12 with write ID other", (1, 1) },
+    never_applied = { &[Fault::Drop; 3], "unknown", (3, 3) },
+    server_error = { &[Fault::Status(500)], "written 11", (1, 2) },
+    conflict_without_revision = { &[Fault::Status(409)], "written 11", (1, 2) },
+    too_large = { &[Fault::Status(413)], "error the store answered with status 413", (0, 1) },
+)]
+fn a_write_has_a_known_result(faults: &[Fault], expected: &str, calls: (usize, usize)) {
+    let fake = Fake::start(faults);
+    let result = match send(&fake) {
+        Ok(Swap::Written(revision)) => format!("written {revision}"),
+        Ok(Swap::Lost(found)) => format!("lost to {found}"),
+        Ok(Swap::Replaced(found)) => format!("replaced by {found}"),
+        Ok(Swap::Unknown(_)) => "unknown".to_owned(),
+        Err(error) => format!("error {error}"),
+    };
+    assert_eq!((result.as_str(), fake.calls()), (expected, calls));
+}
+
+/// Guards against a refused connection that counts as a write with an unknown result.
+#[test]
+fn a_refused_connection_has_no_effect() {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap().to_string();
+    drop(listener);
+    let write = Write { key: "k", text: "{}", write_id: "mine", expect: 0 };
+    let result = swap::write(&fake::client(&address), &write, Limits::default());
+    assert!(matches!(&result, Err(error @ Error::NotSent(_)) if error.is_silence()), "{result:?}");
+}
+
+fn change(fake: &Fake) -> Result<Outcome, Error> {
+    let mut number = 0;
+    let mut write_id = || {
+        number += 1;
+        format!("mine-{number}")
+    };
+    write::change(&fake.client(), "k", &mut write_id, &mut |record: &mut Domain| {
+        record.groups.is_empty()
+    })
+}
+
+/// Guards against a change that is decided on an old record, or reported with a wrong result.
+#[yare::parameterized(
+    plain = { &[], "written mine-1", (1, 1) },
+    lost_response = { &[Fault::Lose], "written mine-1", (2, 1) },
+    dropped = { &[Fault::Drop], "written mine-1", (2, 2) },
+    raced = { &[Fault::Race], "written mine-2", (2, 2) },
+    raced_always = { &[Fault::Race; 8], "lost", (9, 8) },
+    replaced = { &[Fault::LoseThenRace], "lost", (2, 1) },
+    refused = { &[Fault::Status(400)], "refused", (1, 1) },
+    store_goes_down = { &[Fault::Down], "unknown", (2, 1) },
+)]
+fn a_change_has_a_known_result(faults: &[Fault], expected: &str, calls: (usize, usize)) {
+    let fake = Fake::start(faults);
+    let result = match change(&fake) {
+        Ok(Outcome::Written { record, .. }) => format!("written {}", record.write_id),
+        Ok(Outcome::Unchanged { .. }) => "unchanged".to_owned(),
+        Ok(Outcome::Lost) => "lost".to_owned(),
+        Err(Error::NoAnswer(_)) => "unknown".to_owned(),
+        Err(_) => "refused".to_owned(),
+    };
+    assert_eq!((result.as_str(), fake.calls()), (expected, calls));
+}
+
+/// Guards against a write for a change that no longer applies.
+#[test]
+fn a_change_that_does_not_apply_is_not_written() {
+    let fake = Fake::start(&[]);
+    let outcome =
+        write::change(&fake.client(), "k", &mut || "mine".to_owned(), &mut |_| false).unwrap();
+    assert_eq!(outcome, Outcome::Unchanged { revision: 0, record: Domain::default() });
+    assert_eq!(fake.calls(), (1, 0));
+}
+
+/// Guards against a write ID that two writers have.
+#[test]
+fn write_ids_differ() {
+    let ids: std::collections::BTreeSet<_> = (0..1000).map(|_| swap::write_id()).collect();
+    assert!(ids.len() == 1000 && ids.iter().all(|id| id.len() == 32));
+}
