Add operators' declarations that a process is gone

Shards and groups that wait for proof (events 310, 314) could wait for ever when the platform's list does not report a stopped machine; the design names an operator's declaration as proof, but there was no way to make one. `caraway-ctl declare gone|withdraw|list` stores declarations by compare-and-swap under `declarations/<environment>/<domain>`; the flag --i-have-stopped-it is required. The instances that watch the store read them once a second with the platform's list, one call more, and pass the names on with the list's `gone`.

--- a/bins/ctl/src/command.rs
+++ b/bins/ctl/src/command.rs
@@ -4,11 +4,13 @@
 
 use caraway_document::rule;
 
+use crate::declare;
 use crate::document;
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::explain;
 use crate::flag::Command;
+use crate::flag::Declaration;
 use crate::flag::Flags;
 use crate::flag::Subject;
 use crate::status;
@@ -43,6 +45,13 @@
         Some(Command::Promote { store, environment, from, to }) => {
             document::promote(&store.store, environment, *from, *to)
         }
+        Some(Command::Declare { declaration }) => match declaration {
+            Declaration::Gone { name, domain, reason, source, .. } => {
+                declare::gone(domain, name, reason, source.as_deref())
+            }
+            Declaration::Withdraw { name, domain } => declare::withdraw(domain, name),
+            Declaration::List { store, environment } => declare::list(&store.store, environment),
+        },
         Some(Command::Status { entries }) => status::run(&entries.entry),
         Some(Command::Explain { subject }) => match subject {
             Subject::Key { entries, service, key } => explain::key(&entries.entry, service, key),
--- a/bins/ctl/src/errors.rs
+++ b/bins/ctl/src/errors.rs
@@ -75,6 +75,11 @@
         /// ID of this tool's write.
         write_id: String,
     },
+    /// Other writers were faster every time.
+    #[error(
+        "{0} was changed by others at the same time; nothing is known to be written. List it and try again"
+    )]
+    Contended(String),
     /// It is not known whether a write was accepted.
     #[error(
         "it is not known whether write {write_id} to {key} was accepted: {problem}. \
@@ -110,6 +115,7 @@
             | Self::Value { .. }
             | Self::Lost { .. }
             | Self::Replaced { .. }
+            | Self::Contended(_)
             | Self::Unknown { .. }
             | Self::Instances { .. } => 1,
         }
--- a/bins/ctl/src/flag.rs
+++ b/bins/ctl/src/flag.rs
@@ -14,6 +14,15 @@
     1  failure at run time: a document with findings, a lost race, a store or an instance that did not respond\n  \
     2  bad usage: wrong flags or a file that cannot be read";
 
+const DECLARATIONS: &str = "\
+A declaration is about a name and stays until it is withdrawn: withdraw it before a process of this name is started \
+again. Instances read declarations from the store, so they have no effect while the store is down.
+
+Exit codes:
+  0  success
+  1  failure at run time: no declaration to withdraw, contention, or a store that did not respond
+  2  bad usage: wrong flags";
+
 /// Checks and promotes environment documents and asks entry instances what they know.
 #[derive(Debug, Parser)]
 #[command(name = "caraway-ctl", version, after_help = EXIT_CODES, arg_required_else_help = true)]
@@ -83,6 +92,12 @@
         #[arg(long, default_value = "production")]
         to: Stage,
     },
+    /// Declare that instances or targets do not run any more.
+    #[command(after_help = DECLARATIONS)]
+    Declare {
+        #[command(subcommand)]
+        declaration: Declaration,
+    },
     /// Show the state of entry instances.
     #[command(after_help = EXIT_CODES)]
     Status {
@@ -97,6 +112,62 @@
     },
 }
 
+/// Declarations.
+#[derive(Debug, Subcommand)]
+pub enum Declaration {
+    /// Declare an instance or a target gone.
+    ///
+    /// WARNING: instances then give its groups or shards to others without further proof. If the process still runs,
+    /// or runs again, two servers can own one key at the same time. Declare only what you have stopped yourself or
+    /// know to be without power.
+    #[command(after_help = DECLARATIONS)]
+    Gone {
+        /// Name of the instance or target.
+        name: String,
+        #[command(flatten)]
+        domain: DomainFlags,
+        /// Why it is known not to run.
+        #[arg(long)]
+        reason: String,
+        /// Who declares it; the user name if absent.
+        #[arg(long)]
+        source: Option<String>,
+        /// Confirms that the process does not run and cannot start by itself.
+        #[arg(long, required = true)]
+        i_have_stopped_it: bool,
+    },
+    /// Withdraw a declaration. What instances have concluded from it stays.
+    #[command(after_help = DECLARATIONS)]
+    Withdraw {
+        /// Name of the instance or target.
+        name: String,
+        #[command(flatten)]
+        domain: DomainFlags,
+    },
+    /// List the declarations of an environment.
+    #[command(after_help = EXIT_CODES)]
+    List {
+        #[command(flatten)]
+        store: StoreFlags,
+        /// Name of the environment.
+        #[arg(long)]
+        environment: String,
+    },
+}
+
+/// Which failure domain a declaration is about.
+#[derive(Args, Debug)]
+pub struct DomainFlags {
+    #[command(flatten)]
+    pub store: StoreFlags,
+    /// Name of the environment.
+    #[arg(long)]
+    pub environment: String,
+    /// Failure domain of the instance or target.
+    #[arg(long)]
+    pub failure_domain: String,
+}
+
 /// Subjects of `explain`.
 #[derive(Debug, Subcommand)]
 pub enum Subject {
--- a/bins/ctl/src/main.rs
+++ b/bins/ctl/src/main.rs
@@ -17,6 +17,7 @@
 
 mod admin;
 mod command;
+mod declare;
 mod document;
 mod errors;
 mod explain;
--- a/bins/ctl/tests/ctl/fake.rs
+++ b/bins/ctl/tests/ctl/fake.rs
@@ -128,6 +128,15 @@
 
 impl State {
     fn handle(&mut self, mut request: Request) {
+        if let Some(prefix) = request.url().strip_prefix("/v1/watch/") {
+            let prefix = prefix.split('?').next().unwrap().to_owned();
+            let found = self.values.iter().filter(|(key, _)| key.starts_with(&prefix));
+            let changes: Vec<_> = found
+                .map(|(key, (value, revision))| json!({"key": key, "value": value, "revision": revision}))
+                .collect();
+            respond(request, 200, &json!({"revision": self.revision, "changes": changes}));
+            return;
+        }
         let key = request.url().strip_prefix("/v1/kv/").unwrap().to_owned();
         if *request.method() == Method::Get {
             match self.values.get(&key) {
--- a/bins/ctl/tests/ctl/main.rs
+++ b/bins/ctl/tests/ctl/main.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::indexing_slicing, clippy::unwrap_used)]
 
 mod admin;
+mod declaration;
 mod document;
 mod fake;
 mod promotion;
--- a/bins/entry/src/main.rs
+++ b/bins/entry/src/main.rs
@@ -5,6 +5,7 @@
 mod admin;
 mod control;
 mod coordination;
+mod declaration;
 mod directory;
 mod domain;
 mod errors;
--- a/bins/entry/src/storage.rs
+++ b/bins/entry/src/storage.rs
@@ -14,11 +14,15 @@
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
 use caraway_store::client::Client;
+use caraway_store::declaration;
 use caraway_store::errors::Error;
 use caraway_store::record;
 use caraway_store::write;
 use caraway_store::write::Outcome;
+use caraway_telemetry::event;
+use caraway_telemetry::event::Event;
 
+use crate::declaration::Known;
 use crate::directory::Member;
 use crate::domain;
 use crate::domain::Change;
@@ -32,7 +36,7 @@
 /// Pause after a failed call, and between looks at whether this instance watches.
 const PAUSE: Duration = Duration::from_millis(200);
 
-/// Time between two reads of the platform's instance list.
+/// Time between two reads of the platform's instance list and of the operators' declarations.
 const LIST_PERIOD: Duration = Duration::from_secs(1);
 
 /// What came of a call.
@@ -72,11 +76,11 @@
         /// Its text.
         text: String,
     },
-    /// The platform's instance list was read.
+    /// The platform's instance list and the operators' declarations were read.
     Instances {
         /// Names that are leaving.
         leaving: Vec<String>,
-        /// Names that are gone.
+        /// Names that are gone: those of the list and those that are declared gone.
         gone: Vec<String>,
     },
     /// The store answered and there was nothing to tell.
@@ -109,6 +113,10 @@
     fn domain(&self, domain: &name::Domain) -> String {
         format!("domains/{}/{domain}", self.environment)
     }
+
+    fn declarations(&self, domain: &name::Domain) -> String {
+        declaration::key(&self.environment, domain.as_str())
+    }
 }
 
 /// Handle to the threads.
@@ -310,20 +318,43 @@
     }
 
     fn watch_list(&self) {
+        let mut declared = Known::new();
         while !self.stop.load(Ordering::Acquire) {
             if self.watching.load(Ordering::Acquire) {
-                let done = match self.client.instances() {
-                    Ok(list) => Done::Instances {
-                        leaving: named(&list, &self.me.domain, "leaving"),
-                        gone: named(&list, &self.me.domain, "gone"),
-                    },
-                    Err(error) => failed(&error),
-                };
+                let done = self.read_list(&mut declared);
                 self.outbox.send(Message::Store(done));
             }
             std::thread::sleep(LIST_PERIOD);
         }
     }
+
+    /// Reads the declarations and the list. Each counts without the other: an operator may declare an instance gone
+    /// because the list does not work.
+    fn read_list(&self, declared: &mut Known) -> Done {
+        let key = self.keys.declarations(&self.me.domain);
+        let read = declaration::read(&self.client, &key);
+        let answered = read.is_ok();
+        match read {
+            Ok((_, read)) => {
+                for gone in declared.take(read) {
+                    let source = format!("{} ({})", gone.source, gone.reason);
+                    event::emit(Event::DeclaredGone { what: gone.name, source });
+                }
+            }
+            Err(error) => log::debug!("read of the declarations failed: {error}"),
+        }
+        let list = match self.client.instances() {
+            Ok(list) => list,
+            Err(error) if answered => {
+                log::debug!("read of the platform's list failed: {error}");
+                Vec::new()
+            }
+            Err(error) => return failed(&error),
+        };
+        let mut gone = named(&list, &self.me.domain, "gone");
+        gone.extend(declared.names().cloned());
+        Done::Instances { leaving: named(&list, &self.me.domain, "leaving"), gone }
+    }
 }
 
 fn named(
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(missing_docs)]
 
 pub mod client;
+pub mod declaration;
 pub mod errors;
 pub mod record;
 pub mod swap;
