Test the pure parts of the entry instance

The record changes, the directory, the timer and the settings had no tests, because a binary cannot be reached from tests/.

--- /dev/null
+++ b/bins/entry/src/lib.rs
@@ -0,0 +1,12 @@
+//! The parts of the entry instance that neither call others nor keep threads: settings, timer, directory, and the
+//! changes of the failure domain's record.
+
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod declaration;
+pub mod directory;
+pub mod domain;
+pub mod errors;
+pub mod settings;
+pub mod timer;
--- a/bins/entry/src/main.rs
+++ b/bins/entry/src/main.rs
@@ -5,19 +5,13 @@
 mod admin;
 mod control;
 mod coordination;
-mod declaration;
-mod directory;
-mod domain;
-mod errors;
 mod ledgers;
 mod message;
 mod peers;
 mod process;
-mod settings;
 mod signal;
 mod storage;
 mod target;
-mod timer;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -27,6 +21,12 @@
 use clap_complete::Shell;
 use log::LevelFilter;
 
+use caraway_entry::declaration;
+use caraway_entry::directory;
+use caraway_entry::domain;
+use caraway_entry::errors;
+use caraway_entry::settings;
+use caraway_entry::timer;
 use caraway_telemetry::logger;
 
 use crate::errors::Error;
--- a/bins/entry/src/settings.rs
+++ b/bins/entry/src/settings.rs
@@ -108,7 +108,8 @@
         choose(&mut report, "/log/format", &self.log.format, &["text", "json"]);
         let levels = ["error", "warn", "info", "debug", "trace"];
         choose(&mut report, "/log/level", &self.log.level, &levels);
-        if !self.store.starts_with("http://") {
+        let store = self.store.strip_prefix("http://").and_then(listener);
+        if store.is_none() {
             report.add("/store", &format!("{:?}", self.store), "a URL of the form http://ip:port");
         }
         let client = address(&mut report, "/client_address", &self.client_address);
@@ -138,11 +139,14 @@
 }
 
 fn address(report: &mut Report, place: &str, value: &str) -> Option<SocketAddr> {
-    match value.parse::<SocketAddr>() {
-        Ok(address) if address.port() != 0 => Some(address),
-        _ => {
-            report.add(place, &format!("{value:?}"), "an IP address and a port other than 0");
-            None
-        }
+    let address = listener(value);
+    if address.is_none() {
+        report.add(place, &format!("{value:?}"), "an IP address and a port other than 0");
     }
+    address
+}
+
+/// Reads an address that a process can listen on.
+fn listener(text: &str) -> Option<SocketAddr> {
+    text.parse::<SocketAddr>().ok().filter(|address| address.port() != 0)
 }
