Tell a handover from a vacancy in the roster

The mark now only says that the coordinator before gave up. A group that the record names this process for without a handover counts the coordinator before as possibly alive.

--- a/bins/entry/src/control/groups.rs
+++ b/bins/entry/src/control/groups.rs
@@ -193,6 +193,7 @@
     }
 
     pub(super) fn update_metrics(&mut self, _now: Stamp) {
+        event::flush();
         for (group, row) in &self.coordinated {
             let waiting = usize::try_from(row.lane.queue_percent()).unwrap_or(0);
             self.parts.metrics.set_queue_depth(group, waiting);
--- a/bins/entry/src/process.rs
+++ b/bins/entry/src/process.rs
@@ -143,6 +143,7 @@
     admin.join();
     signals.join();
     event::emit(LogEvent::ProcessStopped { stop_ms });
+    event::flush();
     runtime.shutdown_timeout(Duration::from_secs(1));
     Ok(())
 }
--- a/crates/ownership/src/roster.rs
+++ b/crates/ownership/src/roster.rs
@@ -78,6 +78,14 @@
     pub successor: Option<name::Instance>,
 }
 
+impl Former {
+    /// Makes the entry of a coordinator that is not known, so that nothing proves its end.
+    fn unknown() -> Self {
+        let holder = Process { instance: name::Instance::new(""), incarnation: 0 };
+        Self { holder, released: false, successor: None }
+    }
+}
+
 /// Something that the control plane should do now.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Intent {
@@ -146,6 +154,8 @@
     rows: BTreeMap<Process, Row>,
     members: BTreeMap<name::Instance, u64>,
     holdings: BTreeMap<name::Group, Holding>,
+    /// Who may act under an earlier term, for groups that the record has come to name this process for.
+    previous: BTreeMap<name::Group, Former>,
     words: BTreeMap<name::Group, (u64, Process)>,
     namings: BTreeMap<name::Group, Naming>,
     vacant: BTreeMap<name::Group, Stamp>,
@@ -167,6 +177,7 @@
             rows: BTreeMap::new(),
             members: BTreeMap::new(),
             holdings: BTreeMap::new(),
+            previous: BTreeMap::new(),
             words: BTreeMap::new(),
             namings: BTreeMap::new(),
             vacant: BTreeMap::new(),
@@ -225,6 +236,17 @@
                 self.row(&holding.holder, now);
             }
         }
+        for (group, holding) in &holdings {
+            let before = self.holdings.get(group).filter(|before| before.holder != self.me);
+            if let Some(before) = before.filter(|_| holding.holder == self.me) {
+                let former = Former {
+                    holder: before.holder.clone(),
+                    released: false,
+                    successor: before.successor.clone(),
+                };
+                self.previous.insert(group.clone(), former);
+            }
+        }
         self.holdings = holdings;
         self.forget_gone();
     }
@@ -401,14 +423,20 @@
         }
     }
 
+    /// Returns who may act for a group under an earlier term if this instance takes it now.
     fn former(&self, group: &name::Group) -> Option<Former> {
         let (process, term) = self.coordinator(group)?;
         let holding = self.holdings.get(group).filter(|holding| holding.term == term);
-        Some(Former {
-            holder: process.clone(),
-            released: holding.is_some_and(|holding| holding.released),
-            successor: holding.and_then(|holding| holding.successor.clone()),
-        })
+        if *process != self.me {
+            let successor = holding.and_then(|holding| holding.successor.clone());
+            return Some(Former { holder: process.clone(), released: false, successor });
+        }
+        // The record names this process, which does not coordinate the group: it was handed over, or a
+        // write took effect whose answer was lost. In the second case the coordinator before counts.
+        if holding.is_some_and(|holding| holding.released) {
+            return Some(Former { holder: process.clone(), released: true, successor: None });
+        }
+        Some(self.previous.get(group).cloned().unwrap_or_else(Former::unknown))
     }
 
     fn decide_succession(&self, group: &name::Group, intents: &mut Vec<Intent>) {
@@ -529,7 +557,7 @@
 
     /// Returns the holder of a group, as an input of [`claim::judge`].
     fn holder(&self, group: &name::Group) -> Option<(Holder, Option<Process>)> {
-        let Some((process, term)) = self.coordinator(group) else {
+        let Some((process, _)) = self.coordinator(group) else {
             return Some((Holder::Nobody, None));
         };
         if *process == self.me {
@@ -540,10 +568,6 @@
             // This process listens on the address of its former incarnation.
             return Some((Holder::Released, Some(process.clone())));
         }
-        if self.holdings.get(group).is_some_and(|holding| holding.released && holding.term == term)
-        {
-            return Some((Holder::Released, Some(process.clone())));
-        }
         let row = self.rows.get(process)?;
         Some((Holder::Peer(row.peer.clone()), Some(process.clone())))
     }
@@ -561,11 +585,13 @@
         let members = &self.members;
         let holdings = &self.holdings;
         let namings = &self.namings;
+        let previous = &self.previous;
         self.rows.retain(|process, row| {
             row.peer.gone.is_none()
                 || members.get(&process.instance) == Some(&process.incarnation)
                 || holdings.values().any(|holding| holding.holder == *process)
                 || namings.values().any(|naming| naming.holder == *process)
+                || previous.values().any(|former| former.holder == *process)
         });
     }
 }
