--- /dev/null
+++ b/standins/target/tests/target/main.rs
@@ -0,0 +1,6 @@
+//! Tests of the built target.
+
+mod common;
+mod execution;
+mod grant;
+mod load;
