Serve Andina end to end

Cause of the first failure (no request answered): the target stand-in refused grants with an incarnation, which coordinators send so that a restarted process does not take a grant of its predecessor. The stand-in now checks it.

--- a/standins/target/src/control.rs
+++ b/standins/target/src/control.rs
@@ -47,7 +47,9 @@
 
 fn grant(server: &Server, offer: Offer) -> Result<(u16, Value)> {
     offer.check()?;
-    let accepted = server.state().grant.apply(offer);
+    // A grant for a former process of this target must not give its shards to this one.
+    let addressed = offer.incarnation.is_none_or(|wanted| wanted == server.incarnation);
+    let accepted = addressed && server.state().grant.apply(offer);
     Ok((if accepted { 200 } else { 409 }, status(server, accepted)))
 }
 
--- a/standins/target/src/grant.rs
+++ b/standins/target/src/grant.rs
@@ -24,6 +24,8 @@
     pub term: u64,
     /// Sequence within the term.
     pub seq: u64,
+    /// Process that may take the grant, or none for any.
+    pub incarnation: Option<u64>,
     /// End of the grant on the clock of this target.
     pub valid_until_ms: u64,
     /// Inclusive ranges of shards, or none to keep the shards.
