--- a/bins/entry/src/message.rs
+++ b/bins/entry/src/message.rs
@@ -2,15 +2,15 @@
 
 use std::sync::mpsc::Sender;
 
-use caraway_core::name;
-use caraway_relay::replication;
-use caraway_relay::report;
-use caraway_wire::peer;
 use tokio::sync::oneshot;
 
 use crate::peers;
 use crate::storage;
 use crate::target;
+use caraway_core::name;
+use caraway_relay::replication;
+use caraway_relay::report;
+use caraway_wire::peer;
 
 /// Something that the control thread has to handle.
 #[derive(Debug)]
--- a/bins/entry/src/settings.rs
+++ b/bins/entry/src/settings.rs
@@ -4,11 +4,11 @@
 use std::path::Path;
 use std::path::PathBuf;
 
-use caraway_core::finding::Report;
 use serde::Deserialize;
 
 use crate::errors::Error;
 use crate::errors::Result;
+use caraway_core::finding::Report;
 
 /// Settings after the file and the flags have been joined.
 #[derive(Clone, Debug, Default, Deserialize)]
--- a/bins/entry/src/target.rs
+++ b/bins/entry/src/target.rs
@@ -9,10 +9,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use caraway_core::name;
-use caraway_core::time::Clock;
-use caraway_core::time::Stamp;
-use caraway_core::token::Token;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
@@ -25,13 +21,16 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::message::Message;
+use crate::message::Outbox;
+use caraway_core::name;
+use caraway_core::time::Clock;
+use caraway_core::time::Stamp;
+use caraway_core::token::Token;
 use caraway_ownership::grant::Reply;
 use caraway_ownership::grant::State;
 use caraway_ownership::grant::from_ranges;
 
-use crate::message::Message;
-use crate::message::Outbox;
-
 /// Longest time for one call. A target that answers later is treated as silent.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
--- a/crates/ownership/tests/history/main.rs
+++ b/crates/ownership/tests/history/main.rs
@@ -3,6 +3,8 @@
 //! Guards against two targets that believe to own the same shard, whatever is lost, delayed,
 //! repeated, reordered, frozen, restarted or taken over.
 
+#![allow(clippy::unwrap_used, clippy::indexing_slicing)]
+
 mod world;
 
 use proptest::collection::vec;
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 
-use caraway_core::name;
 use serde::Deserialize;
 use serde::Serialize;
 
+use caraway_core::name;
+
 /// Version of the record's form.
 pub const FORMAT: u32 = 1;
 
