Test the logic of a call and order ledger attempts over all terms

The property test of the ledger found two faults: an answer of an earlier attempt replaced the intent of a later one, and a coordinator without history numbered its attempts from 1 again, so that a late "did not run" of its predecessor matched a new attempt. A later attempt now always wins, and attempts of a term are numbered above those of earlier terms. Entries that are too old are removed before an import looks for room.

The relay closes a connection whose answer came before the request body was sent, ends answers at the deadline while a caller reads slowly, and does not count a deadline as a crash. Retries of requests that were not taken cost no budget.

--- a/crates/call/src/ledger.rs
+++ b/crates/call/src/ledger.rs
@@ -14,6 +14,9 @@
 /// index and the record.
 const ENTRY_BYTES: usize = 256;
 
+/// Numbers that a term has for its attempts.
+const ATTEMPTS_PER_TERM: u64 = 1 << 32;
+
 /// Settings of a ledger.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -67,7 +70,8 @@
     pub key: Arc<str>,
     /// Digest of the request.
     pub digest: u64,
-    /// Number of the attempt, increasing within a group. It orders the entries of one key.
+    /// Number of the attempt, increasing within a group over all terms. It orders the entries of one
+    /// key.
     pub attempt: u64,
     /// Time since the last change.
     pub age: Duration,
@@ -141,15 +145,18 @@
 }
 
 impl Ledger {
-    /// Makes an empty ledger.
-    pub fn new(options: Options) -> Self {
+    /// Makes the empty ledger of a coordinator, or of another instance that holds its entries.
+    ///
+    /// The attempts of a term get numbers above those of all earlier terms. Without that, a late
+    /// message of an earlier coordinator could be taken for one about a new attempt.
+    pub fn new(options: Options, term: u64) -> Self {
         Self {
             options,
             records: HashMap::new(),
             kept: BTreeSet::new(),
             abandoned: BTreeSet::new(),
             bytes: 0,
-            attempt: 0,
+            attempt: term.saturating_mul(ATTEMPTS_PER_TERM),
             incomplete_until: Stamp::default(),
         }
     }
@@ -205,7 +212,7 @@
         let body = answer.body.as_ref().map_or(0, |body| body.len());
         let needed = ENTRY_BYTES + key.len() + answer.content_type.len() + body;
         if body > self.options.body || !self.make_room(needed) {
-            answer.body = None;
+            answer = Answer { body: None, content_type: Arc::from(""), ..answer };
         }
         let state = State::Answered(answer);
         self.insert(key, Record { changed: now, running: false, state, ..record });
@@ -227,7 +234,7 @@
         Some(entry(key, record, now))
     }
 
-    /// Returns all entries.
+    /// Returns all entries. Whoever passes them on passes [`Ledger::incomplete_until`] on too.
     pub fn export(&self, now: Stamp) -> Vec<Entry> {
         self.records.iter().map(|(key, record)| entry(key, record, now)).collect()
     }
@@ -238,6 +245,7 @@
     /// "did not run", which counts more than "not known". A request that runs here is not changed.
     /// If an entry has no room, the record counts as incomplete for the retention time.
     pub fn import(&mut self, entry: Entry, now: Stamp) {
+        self.expire(now);
         self.attempt = self.attempt.max(entry.attempt);
         if entry.age >= self.options.retention || !self.supersedes(&entry) {
             return;
@@ -293,14 +301,17 @@
 
     fn supersedes(&self, entry: &Entry) -> bool {
         let Some(record) = self.records.get(&entry.key) else { return true };
-        if record.running || matches!(record.state, State::Answered(_)) {
+        if record.running {
             return false;
         }
-        match &entry.state {
-            State::Answered(_) => true,
-            State::Abandoned => entry.attempt >= record.attempt,
-            State::Open => entry.attempt > record.attempt,
-        }
+        // An answer of an earlier attempt counts less than a later intent: the key ran again after the
+        // retention time, and the answer would expire before the record of that run.
+        let rank = |attempt, state: &State| match state {
+            State::Open => (attempt, 0),
+            State::Abandoned => (attempt, 1),
+            State::Answered(_) => (attempt, 2),
+        };
+        rank(entry.attempt, &entry.state) > rank(record.attempt, &record.state)
     }
 
     fn settle(&mut self, key: &Arc<str>, state: State, now: Stamp) {
--- a/crates/call/src/quarantine.rs
+++ b/crates/call/src/quarantine.rs
@@ -146,12 +146,14 @@
         self.probes.remove(&fingerprint);
     }
 
-    /// Records that a request ran to its end. A suspect of one crash is cleared.
-    pub fn completed(&mut self, fingerprint: Fingerprint) {
+    /// Records that a request ran to its end. A suspect of one crash is cleared; returns true then.
+    pub fn completed(&mut self, fingerprint: Fingerprint) -> bool {
         let one = |suspect: &Suspect| suspect.crashes.len() < CRASHES;
-        if self.suspects.get(&fingerprint).is_some_and(one) {
+        let cleared = self.suspects.get(&fingerprint).is_some_and(one);
+        if cleared {
             self.suspects.remove(&fingerprint);
         }
+        cleared
     }
 
     /// Records that a target crashed, or is believed to have crashed, with a request in flight.
--- /dev/null
+++ b/crates/call/tests/call.rs
@@ -0,0 +1,131 @@
+//! Tests of time limits, retry budget and attempts.
+
+use std::time::Duration;
+
+use proptest::prelude::any;
+use proptest::prelude::prop;
+use proptest::prop_assert;
+use proptest::proptest;
+
+use caraway_call::attempt::Call;
+use caraway_call::attempt::Event;
+use caraway_call::attempt::Trail;
+use caraway_call::attempt::Verdict;
+use caraway_call::budget::Budget;
+use caraway_call::patience;
+use caraway_core::outcome::Outcome;
+use caraway_core::outcome::Reason;
+use caraway_core::time::Stamp;
+
+const READING: Call = Call { repeatable: true, buffered: true, attempts: 3 };
+const ORDER: Call = Call { repeatable: false, buffered: true, attempts: 1 };
+const UPLOAD: Call = Call { repeatable: true, buffered: false, attempts: 3 };
+
+const RETRY: Verdict = Verdict::Retry;
+
+fn refused(reason: Reason) -> Verdict {
+    Verdict::End(Outcome::Refused(reason))
+}
+
+fn unknown(reason: Reason) -> Verdict {
+    Verdict::End(Outcome::Unknown(reason))
+}
+
+#[yare::parameterized(
+    reading_connect = { Event::ConnectFailed, READING, RETRY },
+    order_connect = { Event::ConnectFailed, ORDER, RETRY },
+    upload_connect = { Event::ConnectFailed, UPLOAD, refused(Reason::ConnectFailed) },
+    order_unsent = { Event::Unsent, ORDER, RETRY },
+    order_refused = { Event::Refused(Reason::TargetRefused), ORDER, RETRY },
+    upload_refused = { Event::Refused(Reason::TargetRefused), UPLOAD, refused(Reason::TargetRefused) },
+    reading_lost = { Event::Lost, READING, RETRY },
+    order_lost = { Event::Lost, ORDER, unknown(Reason::ConnectionLost) },
+    upload_lost = { Event::Lost, UPLOAD, unknown(Reason::ConnectionLost) },
+    reading_bad_answer = { Event::BadAnswer, READING, RETRY },
+    order_bad_answer = { Event::BadAnswer, ORDER, unknown(Reason::BadAnswer) },
+    order_body_lost = { Event::BodyLost, ORDER, unknown(Reason::ConnectionLost) },
+    late_unsent = { Event::TimedOut { written: false }, ORDER, refused(Reason::DeadlineBeforeDispatch) },
+    late_sent = { Event::TimedOut { written: true }, READING, unknown(Reason::DeadlineAfterDispatch) },
+)]
+fn first_attempt(event: Event, call: Call, verdict: Verdict) {
+    assert_eq!(Trail::new().record(event, call), verdict);
+}
+
+proptest! {
+    /// Guards against "did not run" about a request that an earlier attempt may have run, and against
+    /// more runs than the class allows.
+    #[test]
+    fn trail_never_forgets_a_run(events in prop::collection::vec(0..7usize, 1..10), attempts in 1..5u32) {
+        let call = Call { attempts, ..READING };
+        let all = [
+            Event::ConnectFailed,
+            Event::Unsent,
+            Event::Refused(Reason::TargetRefused),
+            Event::Lost,
+            Event::BadAnswer,
+            Event::TimedOut { written: false },
+            Event::TimedOut { written: true },
+        ];
+        let mut trail = Trail::new();
+        let mut runs = 0;
+        for index in events {
+            let event = all[index];
+            runs += u32::from(event.may_have_run());
+            let verdict = trail.record(event, call);
+            let honest = !matches!(verdict, Verdict::End(Outcome::Refused(_))) || runs == 0;
+            prop_assert!(honest, "{verdict:?} after {runs} possible runs");
+            if verdict != RETRY {
+                break;
+            }
+            prop_assert!(runs < attempts || !event.may_have_run());
+        }
+    }
+
+    /// Guards against a hop that is given more time than is left.
+    #[test]
+    fn time_only_shrinks(start in any::<u32>(), class in any::<u32>(), asked in any::<Option<u32>>(), passed in any::<u32>()) {
+        let arrived = Stamp::from_micros(u64::from(start));
+        let class = Duration::from_micros(u64::from(class));
+        let asked = asked.map(|asked| Duration::from_micros(u64::from(asked)));
+        let deadline = patience::deadline(arrived, class, asked);
+        prop_assert!(deadline <= arrived + class);
+        let now = arrived + Duration::from_micros(u64::from(passed));
+        let left = patience::remaining(deadline, now);
+        let given = patience::for_hop(deadline, now);
+        prop_assert!(given.unwrap_or_default() <= left.unwrap_or_default());
+        prop_assert!(given != Some(Duration::ZERO));
+    }
+
+    /// Guards against retries that multiply an overload: never more than 20% of the requests of 10 s
+    /// plus 10.
+    #[test]
+    fn retries_stay_within_the_budget(steps in prop::collection::vec((0..3000u64, 0..20u64), 1..60)) {
+        let mut budget = Budget::new();
+        let mut now = 5_000_000;
+        let (mut requests, mut retries) = (Vec::new(), Vec::new());
+        for (wait, count) in steps {
+            now += wait;
+            for _ in 0..count {
+                budget.request(Stamp::from_millis(now));
+                requests.push(now);
+                if !budget.retry(Stamp::from_millis(now)) {
+                    continue;
+                }
+                retries.push(now);
+                // Buckets are whole seconds, so the window is between 9 s and 10 s.
+                let recent = |times: &[u64], window| times.iter().filter(|t| now - **t < window).count();
+                prop_assert!(recent(&retries, 9000) <= recent(&requests, 10_000) / 5 + 10);
+            }
+        }
+    }
+}
+
+/// Guards against a budget that stays exhausted.
+#[test]
+fn budget_recovers() {
+    let mut budget = Budget::new();
+    let first = Stamp::from_millis(60_000);
+    assert_eq!((0..100).filter(|_| budget.retry(first)).count(), 10);
+    assert!(!budget.retry(Stamp::from_millis(69_000)));
+    assert!(budget.retry(Stamp::from_millis(70_000)));
+}
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -15,8 +15,9 @@
 use hyper::body::SizeHint;
 use hyper::header;
 use hyper::header::HeaderValue;
+use tokio::time::Instant;
 use tokio::time::Sleep;
-use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use caraway_call::ledger;
 use caraway_core::header as names;
@@ -25,6 +26,7 @@
 
 use crate::body;
 use crate::body::Body;
+use crate::body::Progress;
 use crate::errors::Error;
 use crate::fields;
 use crate::observe::End;
@@ -89,8 +91,9 @@
     /// The body has been passed on completely.
     fn complete(self: Box<Self>);
 
-    /// The body was cut off by the sender. A tail that is dropped was cut off by the caller.
-    fn truncated(self: Box<Self>);
+    /// The body was cut off: because the connection failed, if `lost` is true, otherwise because the
+    /// time of the call ended. A tail that is dropped was cut off by the caller.
+    fn truncated(self: Box<Self>, lost: bool);
 }
 
 /// The parts of a tail that every answer has.
@@ -104,12 +107,18 @@
     pub outcome: Outcome,
     /// Measurement.
     pub meter: Option<Meter>,
+    /// Progress of a streamed request body.
+    pub upload: Option<Arc<Progress>>,
 }
 
 impl Base {
     /// Returns the connection to the pool and ends the measurement.
+    ///
+    /// If the answer came before the request body had been sent, the connection is closed instead.
     pub fn complete(self) {
-        self.router.pool.give_back(self.lease);
+        if self.upload.is_none_or(|upload| upload.ended()) {
+            self.router.pool.give_back(self.lease);
+        }
         if let Some(meter) = self.meter {
             meter.end(End::Outcome(self.outcome));
         }
@@ -128,7 +137,7 @@
 struct Relayed {
     inner: Incoming,
     tail: Option<Box<dyn Tail>>,
-    left: std::time::Duration,
+    ends: Instant,
     timer: Option<Pin<Box<Sleep>>>,
 }
 
@@ -138,8 +147,8 @@
         tail.complete();
         return inner.map_err(Error::Http).boxed_unsync();
     }
-    let left = deadline.since(now);
-    Relayed { inner, tail: Some(tail), left, timer: None }.boxed_unsync()
+    let ends = Instant::now() + deadline.since(now);
+    Relayed { inner, tail: Some(tail), ends, timer: None }.boxed_unsync()
 }
 
 impl Relayed {
@@ -151,16 +160,16 @@
 
     fn fail(&mut self, error: Error) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         if let Some(tail) = self.tail.take() {
-            tail.truncated();
+            tail.truncated(matches!(error, Error::Http(_)));
         }
         Poll::Ready(Some(Err(error)))
     }
 
     /// Starts the timer when the first wait begins; short answers need none.
-    fn timed_out(&mut self, cx: &mut Context<'_>) -> bool {
-        let left = self.left;
-        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(left)));
-        timer.as_mut().poll(cx).is_ready()
+    fn wait(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let ends = self.ends;
+        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep_until(ends)));
+        timer.as_mut().poll(cx)
     }
 }
 
@@ -172,10 +181,12 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
+        // A caller that reads slowly keeps data ready, so the timer alone would never be asked.
+        if self.tail.is_some() && Instant::now() >= self.ends {
+            return self.fail(Error::Deadline);
+        }
         match Pin::new(&mut self.inner).poll_frame(cx) {
-            Poll::Pending if self.tail.is_some() && self.timed_out(cx) => {
-                self.fail(Error::Deadline)
-            }
+            Poll::Pending if self.wait(cx).is_ready() => self.fail(Error::Deadline),
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Err(error))) => self.fail(Error::Http(error)),
             Poll::Ready(None) => {
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -38,7 +38,14 @@
     /// The whole body; it can be sent any number of times.
     Buffered(Bytes, Option<OwnedSemaphorePermit>),
     /// A body that is passed on while it arrives; it can be sent once.
-    Streamed(Option<Upload>, Option<u64>),
+    Streamed {
+        /// The body, until it is sent.
+        upload: Option<Upload>,
+        /// Its length, if it is known.
+        length: Option<u64>,
+        /// How far it has been passed on.
+        progress: Arc<Progress>,
+    },
 }
 
 impl Payload {
@@ -46,7 +53,7 @@
     pub fn buffered(&self) -> bool {
         match self {
             Self::Buffered(..) => true,
-            Self::Streamed(upload, _) => upload.is_some(),
+            Self::Streamed { upload, .. } => upload.is_some(),
         }
     }
 
@@ -54,7 +61,7 @@
     pub fn bytes(&self) -> Option<&Bytes> {
         match self {
             Self::Buffered(bytes, _) => Some(bytes),
-            Self::Streamed(..) => None,
+            Self::Streamed { .. } => None,
         }
     }
 
@@ -62,7 +69,7 @@
     pub fn length(&self) -> Option<u64> {
         match self {
             Self::Buffered(bytes, _) => u64::try_from(bytes.len()).ok(),
-            Self::Streamed(_, length) => *length,
+            Self::Streamed { length, .. } => *length,
         }
     }
 
@@ -70,7 +77,15 @@
     pub fn take(&mut self) -> Option<Body> {
         match self {
             Self::Buffered(bytes, _) => Some(full(bytes.clone())),
-            Self::Streamed(upload, _) => upload.take().map(BodyExt::boxed_unsync),
+            Self::Streamed { upload, .. } => upload.take().map(BodyExt::boxed_unsync),
+        }
+    }
+
+    /// Returns the progress of a streamed body.
+    pub fn progress(&self) -> Option<Arc<Progress>> {
+        match self {
+            Self::Buffered(..) => None,
+            Self::Streamed { progress, .. } => Some(progress.clone()),
         }
     }
 }
@@ -107,7 +122,9 @@
         return Err(Reason::BodyTooLarge);
     }
     let Some(permit) = length.and_then(|length| reserve(length, limits, memory)) else {
-        return Ok(Payload::Streamed(Some(Upload::new(body, limits.body)), length));
+        let upload = Upload::new(body, limits.body);
+        let progress = upload.progress.clone();
+        return Ok(Payload::Streamed { upload: Some(upload), length, progress });
     };
     match timeout(limits.time, body.collect()).await {
         Ok(Ok(collected)) => Ok(Payload::Buffered(collected.to_bytes(), Some(permit))),
@@ -129,22 +146,29 @@
     inner: Incoming,
     limit: u64,
     left: u64,
-    failed: Arc<AtomicBool>,
+    progress: Arc<Progress>,
 }
 
-impl Upload {
-    fn new(inner: Incoming, limit: u64) -> Self {
-        Self { inner, limit, left: limit, failed: Arc::default() }
+/// Whether a streamed body has been passed on completely.
+#[derive(Debug, Default)]
+pub struct Progress(AtomicBool);
+
+impl Progress {
+    /// Returns true if the body has ended as it should.
+    pub fn ended(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
     }
+}
 
-    /// Returns a flag that is set when the body ends early or is too long.
-    pub fn failed(&self) -> Arc<AtomicBool> {
-        self.failed.clone()
+impl Upload {
+    fn new(inner: Incoming, limit: u64) -> Self {
+        Self { inner, limit, left: limit, progress: Arc::default() }
     }
 
-    fn fail(&self, error: Error) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
-        self.failed.store(true, Ordering::SeqCst);
-        Poll::Ready(Some(Err(error)))
+    fn note_end(&self) {
+        if self.inner.is_end_stream() {
+            self.progress.0.store(true, Ordering::SeqCst);
+        }
     }
 }
 
@@ -158,17 +182,21 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         let frame = match Pin::new(&mut self.inner).poll_frame(cx) {
             Poll::Pending => return Poll::Pending,
-            Poll::Ready(None) => return Poll::Ready(None),
-            Poll::Ready(Some(Err(error))) => return self.fail(Error::Http(error)),
+            Poll::Ready(None) => {
+                self.note_end();
+                return Poll::Ready(None);
+            }
+            Poll::Ready(Some(Err(error))) => return Poll::Ready(Some(Err(Error::Http(error)))),
             Poll::Ready(Some(Ok(frame))) => frame,
         };
         let length = frame.data_ref().map_or(0, Bytes::len);
         match self.left.checked_sub(u64::try_from(length).unwrap_or(u64::MAX)) {
             Some(left) => {
                 self.left = left;
+                self.note_end();
                 Poll::Ready(Some(Ok(frame)))
             }
-            None => self.fail(Error::BodyTooLarge(self.limit)),
+            None => Poll::Ready(Some(Err(Error::BodyTooLarge(self.limit)))),
         }
     }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -54,6 +54,8 @@
     pub idempotency: Option<Arc<str>>,
     /// Moment at which the call ends.
     pub deadline: Stamp,
+    /// Group that did not take the call when it was last offered.
+    pub declined: Option<name::Group>,
     /// Attempts so far.
     pub trail: attempt::Trail,
     /// Steps for the operator.
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -29,7 +29,6 @@
 use crate::body::Body;
 use crate::call::Call;
 use crate::call::Stop;
-use crate::directory::Remote;
 use crate::directory::Row;
 use crate::directory::Snapshot;
 use crate::dispatch;
@@ -44,6 +43,9 @@
 /// directory changes first. A takeover takes about 0.2 s.
 const REOFFER_PAUSE: Duration = Duration::from_millis(25);
 
+/// Width of the fill levels that count as equal when a group is selected.
+const LEVEL_PERCENT: u32 = 10;
+
 /// Tenant of a request that names none.
 const ANONYMOUS: &str = "anonymous";
 
@@ -125,6 +127,7 @@
         class: route.class.clone(),
         idempotency,
         deadline,
+        declined: None,
         trail: Trail::new(),
         steps: steps.clone(),
         meter: None,
@@ -200,27 +203,18 @@
     let Some(group) = select(&router.options.domain, snapshot, call) else {
         return (Err(call.reroute(Reason::NoCoordinator)), None);
     };
+    call.declined = Some(group.name.clone());
     match snapshot.row(&group.name) {
         Row::Local(local) => (dispatch::run(router, local, &group, call).await, None),
         Row::Remote(remote) => {
             let version = snapshot.plan().version;
-            let sent = send(router, remote, &group, version, call).await;
+            let sent = forward::run(router, remote, &group.name, version, call).await;
             (sent, Some(REOFFER_PAUSE))
         }
         Row::Unknown => (Err(call.reroute(Reason::NoCoordinator)), None),
     }
 }
 
-async fn send(
-    router: &Arc<Router>,
-    remote: &Remote,
-    group: &Group,
-    version: u64,
-    call: &mut Call,
-) -> Result<Response<Body>, Stop> {
-    forward::run(router, remote, &group.name, version, call).await
-}
-
 /// Selects the group of a call and sets its shard.
 ///
 /// A keyed service goes by the key, a pooled one by the idempotency key if the request is not
@@ -238,19 +232,25 @@
         call.shard = shard::of_key(text.as_bytes(), service.shards);
         return groups.iter().find(|group| group.shards.contains(&call.shard.0)).cloned();
     }
-    let group = groups.iter().min_by_key(|group| preference(domain, snapshot, group))?;
+    let group = groups.iter().min_by_key(|group| preference(domain, snapshot, call, group))?;
     call.shard = Shard(group.shards.start);
     Some(group.clone())
 }
 
-/// Orders the groups that may run a request: the lowest value is the best.
+/// Orders the groups that may run a request: the lowest value is the best. A group that has just
+/// declined the request comes after all others that have a coordinator.
 fn preference(
     domain: &name::Domain,
     snapshot: &Snapshot,
+    call: &Call,
     group: &Group,
-) -> (bool, bool, bool, u32) {
+) -> (bool, bool, bool, bool, u32, u64) {
     let percent = snapshot.row(&group.name).queue_percent();
+    let declined = call.declined.as_ref() == Some(&group.name);
     let foreign = group.domain != *domain;
     let full = percent.is_some_and(|percent| percent >= 100);
-    (percent.is_none(), full, foreign, percent.unwrap_or(0))
+    // Fill levels are some time old, so small differences mean nothing; the hash spreads the requests.
+    let level = percent.unwrap_or(0) / LEVEL_PERCENT;
+    let spread = shard::hash(call.id.as_bytes()) ^ shard::hash(group.name.as_str().as_bytes());
+    (percent.is_none(), declined, full, foreign, level, shard::hash(&spread.to_be_bytes()))
 }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -96,7 +96,8 @@
             return Err(Stop::End(outcome));
         }
         let left = patience::remaining(call.deadline, now).unwrap_or_default();
-        if left <= pause || !router.budget().retry(now) {
+        let allowed = !costs_budget(event) || router.budget().retry(now);
+        if left <= pause || !allowed {
             return Err(call.refuse(event.reason()));
         }
         sleep(pause).await;
@@ -105,6 +106,13 @@
     }
 }
 
+/// Returns true if a retry counts against the budget: if the attempt may have cost a target work, or
+/// the target is overloaded. While ownership moves, many requests are not taken without any work
+/// done; the pause between their retries is enough.
+fn costs_budget(event: Event) -> bool {
+    event.may_have_run() || event == Event::Refused(Reason::Overloaded)
+}
+
 enum Begun {
     Run(Option<Ticket>),
     Replay(Box<Response<Body>>),
@@ -272,7 +280,7 @@
     let refused = fields::text(headers, names::REFUSED);
     // Some refusals are given before the target has read the request's identity.
     let matches = id == Some(&*call.id) || (id.is_none() && refused.is_some());
-    if !matches {
+    if !matches || response.status().is_informational() {
         return Some(Event::BadAnswer);
     }
     if let Some(incarnation) = fields::text(headers, names::INCARNATION) {
@@ -372,15 +380,19 @@
             let body = kept.map(Arc::from);
             ticket.finish(ledger::Answer { status, content_type, body });
         }
-        base.router.quarantine().completed(fingerprint);
+        if base.router.quarantine().completed(fingerprint) {
+            base.router.settled.notify_waiters();
+        }
         drop(held.clearance);
         held.permit.finish(Finish::Answered);
         base.complete();
     }
 
-    fn truncated(self: Box<Self>) {
+    fn truncated(self: Box<Self>, lost: bool) {
         let Self { base, held, group, fingerprint, .. } = *self;
-        suspect(&base.router, &group, &held.permit.target, fingerprint);
+        if lost {
+            suspect(&base.router, &group, &held.permit.target, fingerprint);
+        }
         base.truncated();
     }
 }
@@ -413,6 +425,7 @@
             lease,
             outcome: Outcome::Answered,
             meter: call.meter.take(),
+            upload: call.payload.progress(),
         },
     };
     let body = answer::relay(body, Box::new(tail), call.deadline, now);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -39,7 +39,7 @@
         self.0.complete();
     }
 
-    fn truncated(self: Box<Self>) {
+    fn truncated(self: Box<Self>, _lost: bool) {
         self.0.truncated();
     }
 }
@@ -165,7 +165,13 @@
     call.steps.add(now, format!("answer {} begins: {outcome:?}", parts.status));
     fields::remove_hop_by_hop(&mut parts.headers);
     fields::remove_between_instances(&mut parts.headers);
-    let base = Base { router: router.clone(), lease, outcome, meter: call.meter.take() };
+    let base = Base {
+        router: router.clone(),
+        lease,
+        outcome,
+        meter: call.meter.take(),
+        upload: call.payload.progress(),
+    };
     let body = answer::relay(body, Box::new(Passed(base)), call.deadline, now);
     let mut response = Response::from_parts(parts, body);
     answer::mark(&mut response, outcome, &call.id);
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -101,6 +101,7 @@
         class,
         idempotency,
         deadline,
+        declined: None,
         trail: Trail::new(),
         steps,
         meter: None,
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -20,6 +20,7 @@
 use caraway_core::time::Stamp;
 
 use crate::directory::Directory;
+use crate::directory::Row;
 use crate::explain;
 use crate::observe::Observer;
 use crate::pool;
@@ -133,6 +134,32 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Merges a report of another instance about a crash.
+    pub fn merge_crash(&self, report: quarantine::Report) {
+        self.quarantine().merge(report, self.clock.now());
+    }
+
+    /// Withdraws the suspicion that an incarnation of a target crashed; it turned out to be alive.
+    pub fn absolve(&self, alive: &quarantine::Crash) {
+        self.quarantine().absolve(alive);
+        self.settled.notify_waiters();
+    }
+
+    /// Closes idle connections and forgets what is too old. Called by the control plane once a second
+    /// or so.
+    pub fn tick(&self) {
+        self.pool.sweep();
+        let now = self.clock.now();
+        self.quarantine().expire(now);
+        let Some(snapshot) = self.directory.current() else { return };
+        for row in snapshot.rows().values() {
+            match row {
+                Row::Local(local) => local.ledger().expire(now),
+                Row::Remote(_) | Row::Unknown => {}
+            }
+        }
+    }
+
     /// Records the incarnation of a target, as it is seen in an answer or in a grant.
     pub fn learn_incarnation(&self, target: &name::Target, incarnation: u64) {
         let mut known = self.incarnations.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/relay/tests/path.rs
+++ b/crates/relay/tests/path.rs
@@ -2,10 +2,26 @@
 
 mod support;
 
+use std::time::Duration;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use caraway_core::time::Clock;
+use caraway_relay::gate;
+use caraway_relay::pool::Failure;
+use caraway_relay::pool::Pool;
+
 use support::Act;
 use support::Entry;
 use support::Target;
+use support::eventually;
+use support::fetch;
 use support::ok;
+use support::raw;
+use support::request;
 
 /// Guards against a request that does not reach its owner with the fields that the target checks.
 #[tokio::test]
@@ -25,3 +41,172 @@
     let left: u128 = seen.field("caraway-deadline-ms").unwrap().parse().unwrap();
     assert!(left < support::PATIENCE.as_millis() && left > 1000, "{left}");
 }
+
+#[yare::parameterized(
+    no_route = { "GET", "/nothing/k", &[], 404, "no-route" },
+    no_key = { "GET", "/lectura/", &[], 404, "no-route" },
+    key_required = { "POST", "/ordenes/a", &[], 400, "idempotency-key-required" },
+    upgrade = { "GET", "/lectura/k", &[("connection", "upgrade"), ("upgrade", "h2c")], 400, "bad-request" },
+    bad_patience = { "GET", "/lectura/k", &[("caraway-patience-ms", "soon")], 400, "bad-request" },
+    bad_id = { "GET", "/lectura/k", &[("caraway-request-id", "a b")], 400, "bad-request" },
+    two_keys = { "POST", "/ordenes/a", &[("idempotency-key", "1"), ("idempotency-key", "2")], 400, "bad-request" },
+    too_long = { "PUT", "/lectura/k", &[("content-length", "134217729")], 413, "body-too-large" },
+)]
+#[test_macro(tokio::test)]
+async fn bad_request_is_refused(
+    method: &str,
+    path: &str,
+    fields: &[(&str, &str)],
+    status: u16,
+    reason: &str,
+) {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, ""))).await;
+    let entry = Entry::with(&[&target]).await;
+    let answer = fetch(entry.caller, request(method, path, fields, "")).await.unwrap();
+    assert_eq!((answer.status, answer.outcome()), (status, ("refused", reason)));
+    assert_eq!(target.count(), 0);
+}
+
+/// Guards against request smuggling. The HTTP library takes a chunked body with a content-length as
+/// chunked, drops the length and ends the connection after the request (RFC 9112, section 6.3).
+#[yare::parameterized(
+    length_first = { "content-length: 3\r\ntransfer-encoding: chunked", 1 },
+    chunked_first = { "transfer-encoding: chunked\r\ncontent-length: 3", 1 },
+    two_lengths = { "content-length: 3\r\ncontent-length: 4", 0 },
+    not_chunked = { "transfer-encoding: gzip", 0 },
+)]
+#[test_macro(tokio::test)]
+async fn contradictory_framing_smuggles_nothing(framing: &str, requests: usize) {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, ""))).await;
+    let entry = Entry::with(&[&target]).await;
+    let smuggled = "GET /lectura/k2 HTTP/1.1\r\nhost: e\r\n\r\n";
+    let text =
+        format!("PUT /lectura/k HTTP/1.1\r\nhost: e\r\n{framing}\r\n\r\n0\r\n\r\n{smuggled}");
+    let answer = raw(entry.caller, &text).await;
+    assert_eq!(answer.matches("HTTP/1.1 ").count(), 1, "{answer}");
+    assert_eq!(target.count(), requests, "{answer}");
+    let seen = target.seen.lock().unwrap().first().cloned();
+    assert!(seen.is_none_or(|seen| seen.field("content-length").is_none()));
+}
+
+/// Guards against an answer without a body that makes the caller or the relay wait for one.
+#[yare::parameterized(
+    head = { "HEAD", "200 OK\r\ncontent-length: 5" },
+    no_content = { "GET", "204 No Content" },
+    not_modified = { "GET", "304 Not Modified\r\ncontent-length: 5" },
+)]
+#[test_macro(tokio::test)]
+async fn answers_without_body(method: &str, head: &str) {
+    let head = head.to_owned();
+    let status: u16 = head[..3].parse().unwrap();
+    let target = Target::start(move |seen, _| {
+        let id = seen.id();
+        Act::Write(format!("HTTP/1.1 {head}\r\ncaraway-request-id: {id}\r\n\r\n").into())
+    })
+    .await;
+    let entry = Entry::with(&[&target]).await;
+    for _ in 0..2 {
+        let answer = fetch(entry.caller, request(method, "/lectura/k", &[], "")).await.unwrap();
+        assert_eq!((answer.status, answer.text()), (status, ""));
+        assert_eq!(answer.outcome(), ("answered", ""));
+    }
+    let connections: Vec<_> = target.seen.lock().unwrap().iter().map(|s| s.connection).collect();
+    assert_eq!(connections, [0, 0], "the connection is used again");
+}
+
+/// Guards against a caller that waits for permission to send its body.
+#[tokio::test]
+async fn expect_continue_is_answered() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "stored"))).await;
+    let entry = Entry::with(&[&target]).await;
+    let mut stream = TcpStream::connect(entry.caller).await.unwrap();
+    let head =
+        "PUT /lectura/k HTTP/1.1\r\nhost: e\r\nexpect: 100-continue\r\ncontent-length: 3\r\n\r\n";
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut bytes = [0; 25];
+    timeout(Duration::from_secs(1), stream.read_exact(&mut bytes)).await.unwrap().unwrap();
+    assert_eq!(&bytes, b"HTTP/1.1 100 Continue\r\n\r\n");
+    stream.write_all(b"abc").await.unwrap();
+    let mut answer = [0; 15];
+    timeout(Duration::from_secs(1), stream.read_exact(&mut answer)).await.unwrap().unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 200 OK");
+    let seen = target.seen.lock().unwrap()[0].clone();
+    assert_eq!((seen.body, seen.field("expect")), (3, None));
+}
+
+/// Guards against a caller that is not told why its request ended, and against steps that are lost.
+#[tokio::test]
+async fn request_can_be_explained() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, ""))).await;
+    let entry = Entry::with(&[&target]).await;
+    entry.get("/lectura/k", &[("caraway-request-id", "r-9")]).await;
+    let steps = entry.router.explain.find("r-9").unwrap().steps();
+    let text: Vec<_> = steps.iter().map(|step| &*step.text).collect();
+    assert_eq!(text[0], "arrived: GET /lectura/k");
+    assert_eq!(text[1], "sent to target-0 with token 2.1");
+    assert!(steps.windows(2).all(|pair| pair[0].at <= pair[1].at));
+}
+
+/// Guards against a planned stop that cuts off a request in flight.
+#[tokio::test]
+async fn stop_finishes_what_is_in_flight() {
+    let wait = Duration::from_millis(300);
+    let target = Target::start(move |seen, _| Act::Late(wait, ok(seen, "whole"))).await;
+    let mut entry = Entry::with(&[&target]).await;
+    let stop = async {
+        eventually("arrival", || target.count() == 1).await;
+        entry.stop.send(true).unwrap();
+    };
+    let (answer, ()) = tokio::join!(entry.get("/lectura/k", &[]), stop);
+    assert_eq!(answer.text(), "whole");
+    for server in entry.servers.split_off(1) {
+        timeout(Duration::from_secs(2), server).await.expect("the listeners end").unwrap();
+    }
+    assert!(TcpStream::connect(entry.caller).await.is_err());
+}
+
+/// Guards against a target that gets more connections than its service allows.
+#[tokio::test]
+async fn connections_to_a_target_are_limited() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let clock = Clock;
+    let pool = Pool::new(Default::default(), clock);
+    let lease = |limit| pool.lease(address, limit, clock.now() + Duration::from_millis(50), false);
+    let first = lease(2).await.unwrap();
+    let second = lease(2).await.unwrap();
+    assert_eq!(lease(2).await.unwrap_err(), Failure::Full);
+    assert_eq!(pool.open_connections(address), 2);
+    drop(first);
+    drop(lease(2).await.unwrap());
+    pool.give_back(second);
+    assert!(lease(1).await.unwrap().used);
+    assert_eq!(pool.open_connections(address), 0);
+}
+
+/// Guards against a byte that is written after the permission to write has ended, and against a gate
+/// that says "nothing written" although something was.
+#[tokio::test]
+async fn gate_decides_at_the_socket() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let stream = TcpStream::connect(listener.local_addr().unwrap()).await.unwrap();
+    let (mut peer, _) = listener.accept().await.unwrap();
+    let mut stream = gate::Stream::new(stream);
+    let gate = stream.gate();
+    assert!(stream.write_all(b"x").await.is_err(), "the gate of a new connection is shut");
+    gate.arm(Clock.now());
+    assert!(stream.write_all(b"x").await.is_err(), "the time has passed");
+    assert!(!gate.shut());
+    gate.arm(Clock.now() + Duration::from_millis(500));
+    assert!(!gate.shut());
+    assert!(stream.write_all(b"x").await.is_err(), "shut before the first byte");
+    gate.arm(Clock.now() + Duration::from_millis(100));
+    stream.write_all(b"a").await.unwrap();
+    tokio::time::sleep(Duration::from_millis(150)).await;
+    stream.write_all(b"b").await.unwrap();
+    assert!(gate.shut());
+    drop(stream);
+    let mut read = Vec::new();
+    peer.read_to_end(&mut read).await.unwrap();
+    assert_eq!(read, b"ab");
+}
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -23,6 +23,7 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use caraway_admission::lane::Lane;
 use caraway_admission::lane::Options as LaneOptions;
@@ -173,6 +174,15 @@
     let head = String::from_utf8_lossy(&buffer[..end]).into_owned();
     buffer.drain(..end);
     let mut seen = Seen { connection, head, body: 0 };
+    if seen.field("transfer-encoding") == Some("chunked") {
+        while !buffer.ends_with(b"0\r\n\r\n") {
+            if stream.read_buf(buffer).await.ok()? == 0 {
+                return None;
+            }
+        }
+        seen.body = buffer.len();
+        buffer.clear();
+    }
     let length: usize = seen.field("content-length").map_or(0, |text| text.parse().unwrap());
     while seen.body < length {
         if buffer.is_empty() && stream.read_buf(buffer).await.ok()? == 0 {
@@ -229,6 +239,15 @@
     Some(Answer { status: parts.status.as_u16(), headers: parts.headers, body })
 }
 
+/// Sends bytes and returns what comes back within a second or until the connection ends.
+pub async fn raw(address: SocketAddr, text: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.unwrap();
+    stream.write_all(text.as_bytes()).await.unwrap();
+    let mut bytes = Vec::new();
+    let _ = timeout(Duration::from_secs(1), stream.read_to_end(&mut bytes)).await;
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 /// Makes a request.
 pub fn request(
     method: &str,
@@ -383,7 +402,7 @@
         if !pooled {
             (0..16).for_each(|shard| lane.assign(Shard(shard), &target_name(0), token));
         }
-        let ledger = Arc::new(Mutex::new(Ledger::new(Default::default())));
+        let ledger = Arc::new(Mutex::new(Ledger::new(Default::default(), 2)));
         (group, Row::Local(Local { lane, term: 2, ledger }))
     }
 
