Test the relay against failing targets, callers and instances

A streamed body that is too long or ends early was reported as a lost target ("no-owner" or "connection-lost", with a crash report); the body's own failure now decides.

--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -2,7 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
@@ -149,14 +149,34 @@
     progress: Arc<Progress>,
 }
 
-/// Whether a streamed body has been passed on completely.
+/// The body has been passed on completely.
+const ENDED: u8 = 1;
+/// The body is longer than allowed.
+const TOO_LARGE: u8 = 2;
+/// The caller stopped sending.
+const INCOMPLETE: u8 = 3;
+
+/// How far a streamed body has been passed on.
 #[derive(Debug, Default)]
-pub struct Progress(AtomicBool);
+pub struct Progress(AtomicU8);
 
 impl Progress {
     /// Returns true if the body has ended as it should.
     pub fn ended(&self) -> bool {
-        self.0.load(Ordering::SeqCst)
+        self.0.load(Ordering::SeqCst) == ENDED
+    }
+
+    /// Returns what is wrong with the body, if it failed.
+    pub fn failure(&self) -> Option<Reason> {
+        match self.0.load(Ordering::SeqCst) {
+            TOO_LARGE => Some(Reason::BodyTooLarge),
+            INCOMPLETE => Some(Reason::BodyIncomplete),
+            _ => None,
+        }
+    }
+
+    fn set(&self, state: u8) {
+        self.0.store(state, Ordering::SeqCst);
     }
 }
 
@@ -167,7 +187,7 @@
 
     fn note_end(&self) {
         if self.inner.is_end_stream() {
-            self.progress.0.store(true, Ordering::SeqCst);
+            self.progress.set(ENDED);
         }
     }
 }
@@ -186,7 +206,10 @@
                 self.note_end();
                 return Poll::Ready(None);
             }
-            Poll::Ready(Some(Err(error))) => return Poll::Ready(Some(Err(Error::Http(error)))),
+            Poll::Ready(Some(Err(error))) => {
+                self.progress.set(INCOMPLETE);
+                return Poll::Ready(Some(Err(Error::Http(error))));
+            }
             Poll::Ready(Some(Ok(frame))) => frame,
         };
         let length = frame.data_ref().map_or(0, Bytes::len);
@@ -196,7 +219,10 @@
                 self.note_end();
                 Poll::Ready(Some(Ok(frame)))
             }
-            None => Poll::Ready(Some(Err(Error::BodyTooLarge(self.limit)))),
+            None => {
+                self.progress.set(TOO_LARGE);
+                Poll::Ready(Some(Err(Error::BodyTooLarge(self.limit))))
+            }
         }
     }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -10,6 +10,7 @@
 use hyper::http::uri::PathAndQuery;
 
 use caraway_call::attempt;
+use caraway_call::attempt::Event;
 use caraway_call::ledger;
 use caraway_call::quarantine::Fingerprint;
 use caraway_core::header as names;
@@ -93,6 +94,17 @@
         if self.payload.buffered() { Stop::Reroute(reason) } else { self.refuse(reason) }
     }
 
+    /// Returns what the end of an exchange means, given how far the body was passed on: a body that
+    /// failed explains the end, and the target is not to blame.
+    pub fn judge(&self, event: Event) -> Event {
+        let failure = self.payload.progress().and_then(|progress| progress.failure());
+        match (event, failure) {
+            (Event::Unsent, Some(reason)) => Event::Refused(reason),
+            (Event::Lost, Some(_)) => Event::BodyLost,
+            (event, _) => event,
+        }
+    }
+
     /// Returns the digest of the request for the ledger.
     pub fn digest(&self) -> u64 {
         let length = self.payload.length().unwrap_or(u64::MAX).to_be_bytes();
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -196,9 +196,9 @@
             Some(event) => refused(run, event, permit, response, lease).await,
         },
         Err(failure) => {
-            let refused = failure.refused;
-            failed(run, &target, failure.event, refused);
-            failure.event
+            let event = call.judge(failure.event);
+            failed(run, &target, event, failure.refused);
+            event
         }
     };
     if !event.may_have_run() {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -85,7 +85,7 @@
             Ok(outcome) => return Ok(pass(router, call, response, lease, outcome)),
             Err(event) => event,
         },
-        Err(failure) => failed(router, remote, failure),
+        Err(failure) => call.judge(failed(router, remote, failure)),
     };
     call.steps.add(router.clock.now(), format!("{}: {event:?}", remote.instance));
     let permits = caraway_call::attempt::Call { buffered: call.payload.buffered(), ..permits };
--- /dev/null
+++ b/crates/relay/tests/instances.rs
@@ -0,0 +1,219 @@
+//! Tests of requests that pass two instances.
+
+mod support;
+
+use std::time::Duration;
+
+use tokio::net::TcpListener;
+use tokio::time::sleep;
+
+use caraway_core::name;
+use caraway_core::outcome::Reason;
+use caraway_relay::directory::Remote;
+use caraway_relay::directory::Row;
+use caraway_relay::report::Event;
+
+use crate::support::Act;
+use crate::support::Entry;
+use crate::support::KEYED;
+use crate::support::POOLED;
+use crate::support::Target;
+use crate::support::eventually;
+use crate::support::fetch;
+use crate::support::ok;
+use crate::support::refusal;
+use crate::support::request;
+
+fn remote(group: &str, peer_address: std::net::SocketAddr, term: u64) -> (name::Group, Row) {
+    let instance = "entry-1".into();
+    (group.into(), Row::Remote(Remote { instance, peer_address, term, queue_percent: 0 }))
+}
+
+/// Starts a coordinator of both groups and an instance that forwards to it.
+async fn pair(target: &Target) -> (Entry, Entry) {
+    let coordinator = Entry::with(&[target]).await;
+    let entry = Entry::start("entry-2").await;
+    let rows = [KEYED, POOLED].map(|group| remote(group, coordinator.peer, 2));
+    entry.replace(rows.into());
+    (coordinator, entry)
+}
+
+/// Guards against an outcome, an identity or a time limit that is lost on the way through two
+/// instances.
+#[tokio::test]
+async fn request_passes_through_its_coordinator() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "hello"))).await;
+    let (coordinator, entry) = pair(&target).await;
+    let answer = entry.get("/lectura/k1", &[("caraway-request-id", "r-1")]).await;
+    assert_eq!((answer.status, answer.text()), (200, "hello"));
+    assert_eq!((answer.outcome(), answer.field("caraway-request-id")), (("answered", ""), "r-1"));
+    let seen = target.seen.lock().unwrap()[0].clone();
+    assert_eq!(seen.field("caraway-key"), Some("k1"));
+    for name in ["caraway-group", "caraway-term", "caraway-hops", "caraway-class", "caraway-config"]
+    {
+        assert_eq!(seen.field(name), None, "{name} is not for targets");
+    }
+    let left: u128 = seen.field("caraway-deadline-ms").unwrap().parse().unwrap();
+    assert!(left <= support::PATIENCE.as_millis() - 10, "{left} after two hops");
+    assert!(coordinator.router.explain.find("r-1").is_some());
+    let first = entry.post("/ordenes/a", "key-1", "x").await;
+    let again = coordinator.post("/ordenes/a", "key-1", "x").await;
+    assert_eq!((first.text(), again.text()), ("hello", "hello"));
+    assert_eq!(target.count(), 2, "one order ran");
+}
+
+/// Guards against a refusal or an unknown outcome of the coordinator that changes on the way.
+#[tokio::test]
+async fn outcomes_of_the_coordinator_are_passed_on() {
+    let target = Target::start(|seen, _| match seen.head.contains("crash") {
+        true => Act::Crash,
+        false => Act::Write(refusal(seen, 409, "not-owner")),
+    })
+    .await;
+    let (_coordinator, entry) = pair(&target).await;
+    let lost = entry.post("/lectura/crash", "key-1", "x").await;
+    assert_eq!((lost.status, lost.outcome()), (502, ("unknown", "connection-lost")));
+    let refused = entry.post("/lectura/k", "key-2", "x").await;
+    assert_eq!((refused.status, refused.outcome()), (503, ("refused", "target-refused")));
+}
+
+/// Guards against an error for callers while a group changes its coordinator: an instance that does
+/// not hold the group says so, and the request follows the directory.
+#[tokio::test]
+async fn misdirected_request_follows_the_directory() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "done"))).await;
+    let (coordinator, mut entry) = pair(&target).await;
+    let former = Entry::start("entry-3").await;
+    former.replace([].into());
+    entry.replace([remote(KEYED, former.peer, 2)].into());
+    let change = async {
+        sleep(Duration::from_millis(150)).await;
+        entry.replace([remote(KEYED, coordinator.peer, 2)].into());
+    };
+    let (answer, ()) = tokio::join!(entry.post("/lectura/k", "key-1", "x"), change);
+    assert_eq!(answer.text(), "done");
+    assert_eq!(target.count(), 1);
+    assert!(matches!(entry.reports.recv().await, Some(Event::Misdirected { .. })));
+}
+
+/// Guards against a coordinator that serves a group under an older term than its sender knows.
+#[tokio::test]
+async fn older_term_is_refused() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "done"))).await;
+    let (coordinator, entry) = pair(&target).await;
+    entry.replace([remote(KEYED, coordinator.peer, 4)].into());
+    let answer = entry.get("/lectura/k", &[("caraway-patience-ms", "200")]).await;
+    assert_eq!((answer.status, answer.outcome()), (421, ("refused", "misdirected")));
+    assert_eq!(target.count(), 0);
+}
+
+/// Guards against an error for callers during the short time in which no coordinator is known, and
+/// against a wait beyond their patience.
+#[tokio::test]
+async fn request_waits_for_a_coordinator() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "done"))).await;
+    let (coordinator, entry) = pair(&target).await;
+    entry.replace([].into());
+    let start = std::time::Instant::now();
+    let refused = entry.get("/lectura/k", &[("caraway-patience-ms", "200")]).await;
+    assert_eq!((refused.status, refused.outcome()), (503, ("refused", "no-coordinator")));
+    assert!(start.elapsed() < Duration::from_millis(400));
+    let change = async {
+        sleep(Duration::from_millis(200)).await;
+        entry.replace([remote(KEYED, coordinator.peer, 2)].into());
+    };
+    let (answer, ()) = tokio::join!(entry.get("/lectura/k", &[]), change);
+    assert_eq!(answer.text(), "done");
+}
+
+/// Guards against a lane that closes with requests in its queue: they follow the group.
+#[tokio::test]
+async fn queued_request_follows_the_group() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "done"))).await;
+    let (coordinator, entry) = pair(&target).await;
+    let idle = Entry::start("entry-3").await;
+    let (name, row) = idle.local(KEYED, &[&target]);
+    let Row::Local(local) = row.clone() else { panic!("the row is local") };
+    (0..16).for_each(|shard| local.lane.pause(caraway_core::shard::Shard(shard)));
+    idle.replace([(name, row)].into());
+    let change = async {
+        sleep(Duration::from_millis(100)).await;
+        local.lane.close(Reason::NoCoordinator);
+        idle.replace([remote(KEYED, coordinator.peer, 2)].into());
+    };
+    let (answer, ()) = tokio::join!(idle.post("/lectura/k", "key-1", "x"), change);
+    assert_eq!(answer.text(), "done");
+    drop(entry);
+}
+
+/// Guards against "did not run" about a request that a lost coordinator may have sent to a target,
+/// and against a second run of it.
+#[tokio::test]
+async fn lost_coordinator_leaves_the_outcome_unknown() {
+    let peer = Target::start(|_, _| Act::Crash).await;
+    let entry = Entry::start("entry-2").await;
+    let nobody = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    entry.replace([remote(KEYED, peer.address, 2)].into());
+    let order = entry.post("/lectura/k", "key-1", "x").await;
+    assert_eq!((order.status, order.outcome()), (502, ("unknown", "connection-lost")));
+    assert_eq!(peer.count(), 1);
+    // A repeatable request is sent again, and stays unknown if that attempt does not run.
+    let change = async {
+        eventually("second request", || peer.count() >= 2).await;
+        entry.replace([remote(KEYED, nobody, 4)].into());
+    };
+    let (reading, ()) =
+        tokio::join!(entry.get("/lectura/k", &[("caraway-patience-ms", "300")]), change);
+    assert_eq!(reading.outcome().0, "unknown");
+}
+
+/// Guards against a coordinator whose death is noticed only by heartbeats.
+#[tokio::test]
+async fn refused_connection_to_a_coordinator_is_reported() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "done"))).await;
+    let (coordinator, mut entry) = pair(&target).await;
+    let nobody = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    entry.replace([remote(KEYED, nobody, 2)].into());
+    let change = async {
+        let report = entry.reports.recv().await;
+        assert!(matches!(report, Some(Event::PeerUnreachable { refused: true, .. })), "{report:?}");
+        let rows = [remote(KEYED, coordinator.peer, 2)].into();
+        let snapshot = caraway_relay::directory::Snapshot::new(entry.plan.clone(), rows);
+        entry.router.directory.replace(snapshot.into());
+    };
+    let sent = fetch(entry.caller, request("POST", "/lectura/k", &[("idempotency-key", "k")], "x"));
+    let (answer, ()) = tokio::join!(sent, change);
+    assert_eq!(answer.unwrap().text(), "done");
+}
+
+/// Guards against a target that works on for a caller that is two instances away and has gone.
+#[tokio::test]
+async fn cancellation_passes_through_the_coordinator() {
+    let target = Target::start(|_, _| Act::Hang).await;
+    let (_coordinator, entry) = pair(&target).await;
+    let (caller, fields) = (entry.caller, [("caraway-request-id", "r")]);
+    let sent = tokio::spawn(fetch(caller, request("GET", "/lectura/k", &fields, "")));
+    eventually("arrival", || target.count() == 1).await;
+    sent.abort();
+    let cancelled = || target.cancelled.load(std::sync::atomic::Ordering::SeqCst) == 1;
+    eventually("cancellation", cancelled).await;
+}
+
+/// Guards against fields between instances that a caller sets to reach a group or to forge a token.
+#[tokio::test]
+async fn fields_of_callers_are_removed() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "done"))).await;
+    let (_coordinator, entry) = pair(&target).await;
+    let fields = [
+        ("caraway-group", POOLED),
+        ("caraway-shard", "99"),
+        ("caraway-token", "9.9"),
+        ("caraway-deadline-ms", "99999"),
+        ("caraway-key", "other"),
+    ];
+    assert_eq!(entry.get("/lectura/k", &fields).await.text(), "done");
+    let seen = target.seen.lock().unwrap()[0].clone();
+    assert_eq!((seen.field("caraway-token"), seen.field("caraway-key")), (Some("2.1"), Some("k")));
+    assert_ne!(seen.field("caraway-shard"), Some("99"));
+    assert!(seen.field("caraway-deadline-ms").is_some_and(|left| left.len() <= 4));
+}
--- a/crates/relay/tests/path.rs
+++ b/crates/relay/tests/path.rs
@@ -14,14 +14,14 @@
 use caraway_relay::pool::Failure;
 use caraway_relay::pool::Pool;
 
-use support::Act;
-use support::Entry;
-use support::Target;
-use support::eventually;
-use support::fetch;
-use support::ok;
-use support::raw;
-use support::request;
+use crate::support::Act;
+use crate::support::Entry;
+use crate::support::Target;
+use crate::support::eventually;
+use crate::support::fetch;
+use crate::support::ok;
+use crate::support::raw;
+use crate::support::request;
 
 /// Guards against a request that does not reach its owner with the fields that the target checks.
 #[tokio::test]
