--- /dev/null
+++ b/crates/balance/src/baseline.rs
@@ -0,0 +1,117 @@
+//! Policies that the rule is compared with.
+
+use caraway_core::name;
+use caraway_core::shard;
+use caraway_core::time::Stamp;
+
+use crate::load::Loads;
+use crate::load::Unit;
+use crate::load::gain;
+use crate::window::Action;
+use crate::window::Piece;
+use crate::window::Policy;
+use crate::window::Window;
+
+/// Static placement: shards stay where they were dealt at the start, and only the hash of the keys
+/// spreads the load.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Hash;
+
+impl Policy for Hash {
+    fn decide(&mut self, _window: &Window, _now: Stamp) -> Vec<Action> {
+        Vec::new()
+    }
+}
+
+/// Greedy rebalancing: every window, shards move from the busiest to the least busy target as long as
+/// that lowers the maximum. It has no threshold, no memory and no splits.
+#[derive(Clone, Copy, Debug)]
+pub struct Greedy {
+    /// Most moves in one window.
+    pub per_window: usize,
+}
+
+impl Policy for Greedy {
+    fn decide(&mut self, window: &Window, _now: Stamp) -> Vec<Action> {
+        let mut pieces: Vec<Piece> = window.shards.clone();
+        let mut loads = Loads::new(window, |_, rate| rate);
+        let mut actions = Vec::new();
+        while actions.len() < self.per_window {
+            let Some(action) = move_best(&mut pieces, &mut loads) else { break };
+            actions.push(action);
+        }
+        actions
+    }
+}
+
+fn move_best(pieces: &mut [Piece], loads: &mut Loads) -> Option<Action> {
+    let (from, to) = (loads.busiest()?.clone(), loads.idlest()?.clone());
+    let owned = pieces.iter_mut().filter(|piece| piece.owner == from.name);
+    let valued = owned.map(|piece| (gain(&from, &to, piece.rate), piece));
+    let best = valued.filter(|(gain, _)| *gain > 0.0).max_by(|a, b| a.0.total_cmp(&b.0));
+    let (_, piece) = best?;
+    loads.shift(&from.name, &to.name, piece.rate);
+    piece.owner = to.name.clone();
+    Some(Action::Move(piece.shard, to.name))
+}
+
+/// Consistent hashing with bounded loads (Mirrokni, Thorup and Zadimoghaddam, "Consistent Hashing with
+/// Bounded Loads", SODA 2018), with shards weighted by their rate.
+///
+/// Every window, each shard goes to the first target of its rendezvous order that stays within
+/// `factor` times the mean. The order of the shards is fixed by their hash, so that a small change of
+/// the rates moves few shards.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounded {
+    /// Highest level of a target as a multiple of the mean. Above one.
+    pub factor: f64,
+}
+
+impl Policy for Bounded {
+    fn decide(&mut self, window: &Window, _now: Stamp) -> Vec<Action> {
+        let empty = Window { shards: Vec::new(), ..window.clone() };
+        let mean = Loads::new(window, |_, rate| rate).mean();
+        let mut loads = Loads::new(&empty, |_, rate| rate);
+        let mut pieces: Vec<&Piece> = window.shards.iter().collect();
+        pieces.sort_by_key(|piece| shard::hash(&piece.shard.0.to_le_bytes()));
+        let mut actions = Vec::new();
+        for piece in pieces {
+            let Some(owner) = place(window, &loads, piece, self.factor * mean) else { continue };
+            loads.add(&owner, piece.rate);
+            if owner != piece.owner {
+                actions.push(Action::Move(piece.shard, owner));
+            }
+        }
+        actions
+    }
+}
+
+/// Returns the first target in the shard's order that has room, or else the first one at all.
+fn place(window: &Window, loads: &Loads, piece: &Piece, bound: f64) -> Option<name::Target> {
+    let mut order: Vec<&name::Target> = Vec::new();
+    order.extend(window.targets.iter().filter(|target| target.open).map(|target| &target.name));
+    order.sort_by_key(|target| score(piece, target));
+    let fits = |target: &&&name::Target| {
+        loads.get(target).is_some_and(|share| (share.rate + piece.rate) / share.capacity <= bound)
+    };
+    let chosen = order.iter().find(fits).or_else(|| order.first());
+    chosen.map(|target| (*target).clone())
+}
+
+fn score(piece: &Piece, target: &name::Target) -> u64 {
+    shard::hash(format!("{}/{target}", piece.shard).as_bytes())
+}
+
+/// Returns the shares of perfect balance inside a group: no policy without moves between groups can
+/// do better.
+pub fn perfect(window: &Window) -> f64 {
+    let heaviest = heaviest_key(window);
+    Loads::new(window, |_: &Unit, rate| rate).mean().max(heaviest)
+}
+
+fn heaviest_key(window: &Window) -> f64 {
+    let heavy = window.shards.iter().flat_map(|piece| piece.heavy.iter().map(|key| key.rate));
+    let split = window.splits.iter().map(|split| split.rate);
+    let capacity = window.targets.iter().map(|target| target.capacity).fold(1.0, f64::max);
+    heavy.chain(split).fold(0.0, f64::max) / capacity
+}
