--- a/bins/entry/src/control/terms.rs
+++ b/bins/entry/src/control/terms.rs
@@ -266,7 +266,18 @@
             holder_incarnation: to.incarnation,
             entries,
         };
-        if let Some(member) = self.directory.member(&to.instance) {
+        if let Some(member) = self.directory.member(&to.instance).cloned() {
+            // The data path forwards to the receiver from now on; it does not wait for its heartbeat.
+            let row = peer::Row {
+                group: request.group.clone(),
+                term: request.term,
+                holder: request.holder.clone(),
+                holder_incarnation: request.holder_incarnation,
+                peer_address: member.peer.to_string(),
+                admin_address: member.admin.to_string(),
+                ..peer::Row::default()
+            };
+            self.directory.take(&row, now);
             self.parts.caller.hand_over(member.control, request);
         }
         let (group, to) = (group.clone(), to.instance.clone());
--- a/bins/entry/src/ledgers.rs
+++ b/bins/entry/src/ledgers.rs
@@ -26,7 +26,7 @@
 
 impl Default for Table {
     fn default() -> Self {
-        Self { term: 0, ledger: Ledger::new(Options::default()) }
+        Self { term: 0, ledger: Ledger::new(Options::default(), 0) }
     }
 }
 
@@ -42,9 +42,10 @@
         Self::default()
     }
 
-    /// Stores entries of a group, unless a higher term of the group is known.
+    /// Stores entries of a group.
     ///
-    /// Returns whether they were stored, and the highest term known.
+    /// Of a coordinator whose term has ended, only outcomes are stored: what it says about requests that it finished
+    /// stays true, but it may start no request. Returns whether all were stored, and the highest term known.
     pub fn record(
         &self,
         group: &name::Group,
@@ -54,12 +55,13 @@
     ) -> (bool, u64) {
         let mut tables = self.lock();
         let table = tables.entry(group.clone()).or_default();
-        if term < table.term {
-            return (false, table.term);
-        }
-        table.term = term;
-        for entry in entries {
-            table.ledger.import(from_wire(entry), now);
+        let ended = term < table.term;
+        table.term = table.term.max(term);
+        for entry in entries.into_iter().map(from_wire) {
+            if ended && entry.state == State::Open {
+                return (false, table.term);
+            }
+            table.ledger.import(entry, now);
         }
         // A ledger that had no room for an entry counts itself as incomplete.
         (now >= table.ledger.incomplete_until(), table.term)
--- a/bins/entry/src/message.rs
+++ b/bins/entry/src/message.rs
@@ -4,14 +4,15 @@
 
 use tokio::sync::oneshot;
 
-use crate::peers;
-use crate::storage;
-use crate::target;
 use caraway_core::name;
 use caraway_relay::replication;
 use caraway_relay::report;
 use caraway_wire::peer;
 
+use crate::peers;
+use crate::storage;
+use crate::target;
+
 /// Something that the control thread has to handle.
 #[derive(Debug)]
 pub enum Message {
@@ -46,6 +47,13 @@
         /// True if it holds them now.
         stored: bool,
     },
+    /// A former coordinator tells the outcomes of requests that it finished.
+    Outcomes {
+        /// The group.
+        group: name::Group,
+        /// The outcomes.
+        entries: Vec<peer::Entry>,
+    },
     /// Another instance hands a group over.
     Handover {
         /// The request.
--- a/bins/entry/src/peers.rs
+++ b/bins/entry/src/peers.rs
@@ -272,8 +272,13 @@
     ) -> Result<Response<peer::RecordReply>, Status> {
         let peer::RecordRequest { group, term, entries } = request.into_inner();
         let group = name::Group::new(&group);
-        let (accepted, term) = self.copies.record(&group, term, entries, Clock.now());
-        Ok(Response::new(peer::RecordReply { accepted, term }))
+        let outcomes: Vec<peer::Entry> =
+            entries.iter().filter(|entry| entry.state() != peer::State::Open).cloned().collect();
+        let (accepted, known) = self.copies.record(&group, term, entries, Clock.now());
+        if term < known && !outcomes.is_empty() {
+            self.outbox.send(Message::Outcomes { group, entries: outcomes });
+        }
+        Ok(Response::new(peer::RecordReply { accepted, term: known }))
     }
 
     async fn history(
--- a/bins/entry/src/settings.rs
+++ b/bins/entry/src/settings.rs
@@ -6,9 +6,10 @@
 
 use serde::Deserialize;
 
+use caraway_core::finding::Report;
+
 use crate::errors::Error;
 use crate::errors::Result;
-use caraway_core::finding::Report;
 
 /// Settings after the file and the flags have been joined.
 #[derive(Clone, Debug, Default, Deserialize)]
--- a/bins/entry/src/target.rs
+++ b/bins/entry/src/target.rs
@@ -21,8 +21,6 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::message::Message;
-use crate::message::Outbox;
 use caraway_core::name;
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
@@ -31,6 +29,9 @@
 use caraway_ownership::grant::State;
 use caraway_ownership::grant::from_ranges;
 
+use crate::message::Message;
+use crate::message::Outbox;
+
 /// Longest time for one call. A target that answers later is treated as silent.
 const CALL_TIMEOUT: Duration = Duration::from_millis(250);
 
