--- a/bins/entry/src/control.rs
+++ b/bins/entry/src/control.rs
@@ -33,7 +33,7 @@
 use crate::timer::Part;
 use crate::timer::Service;
 
-mod balancing;
+pub mod balancing;
 mod configuration;
 mod explain;
 mod groups;
@@ -203,6 +203,7 @@
             Message::History { group, term, from, entries } => {
                 self.take_history(&group, term, &from, entries, now);
             }
+            Message::Outcomes { group, entries } => self.take_outcomes(&group, entries, now),
             Message::Copied { group, to, stored } => self.take_copied(&group, &to, stored),
             Message::Handover { request, reply } => {
                 let answer = self.take_handover(&request, now);
--- a/bins/entry/src/control/replication.rs
+++ b/bins/entry/src/control/replication.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use caraway_call::ledger::State;
 use caraway_core::name;
 use caraway_core::time::Stamp;
 use caraway_relay::replication;
@@ -21,16 +22,45 @@
     pub(super) fn replicate(&mut self, job: replication::Job, now: Stamp) {
         let replication::Job { group, term, entry, done } = job;
         let current = self.coordinated.get(&group).map(|row| row.origin.term);
-        if current != Some(term) || self.releasing.contains(&group) {
+        let outcome = entry.state != State::Open;
+        let serving = current == Some(term) && !self.releasing.contains(&group);
+        if !serving && !outcome {
             let _ = done.send(false);
             return;
         }
-        let addresses = self.holders(now).into_iter().map(|member| member.control).collect();
+        let mut addresses: Vec<SocketAddr> =
+            self.holders(now).into_iter().map(|member| member.control).collect();
+        if !serving {
+            // The new coordinator has to know that the request ended, or it answers a repeated one
+            // with "outcome unknown".
+            addresses = self.coordinator_address(&group).into_iter().collect();
+        }
         let entries = vec![ledgers::to_wire(entry)];
         let request = peer::RecordRequest { group: group.to_string(), term, entries };
         self.parts.caller.record(addresses, request, done);
     }
 
+    fn coordinator_address(&self, group: &name::Group) -> Option<SocketAddr> {
+        let holder = self.directory.row(group).map(|row| row.holder.instance.clone());
+        let member = self.directory.member(&holder?)?;
+        (member.process != self.parts.me.process).then_some(member.control)
+    }
+
+    /// Takes the outcomes that a former coordinator of a group tells late.
+    pub(super) fn take_outcomes(
+        &mut self,
+        group: &name::Group,
+        entries: Vec<peer::Entry>,
+        now: Stamp,
+    ) {
+        if let Some(row) = self.coordinated.get(group) {
+            let mut ledger = row.lock_ledger();
+            for entry in entries {
+                ledger.import(ledgers::from_wire(entry), now);
+            }
+        }
+    }
+
     /// Returns the live instances of the failure domain that hold this instance's ledgers.
     fn holders(&self, now: Stamp) -> Vec<Member> {
         let alive = self.roster.alive(now);
--- a/bins/entry/src/coordination.rs
+++ b/bins/entry/src/coordination.rs
@@ -13,6 +13,7 @@
 
 use caraway_admission::lane;
 use caraway_admission::lane::Lane;
+use caraway_balance::rule::Rule;
 use caraway_call::ledger;
 use caraway_call::ledger::Ledger;
 use caraway_core::name;
@@ -33,6 +34,7 @@
 use caraway_ownership::group::Machine;
 use caraway_ownership::roster::Former;
 
+use crate::control::balancing;
 use crate::ledgers;
 use crate::message::Outbox;
 use crate::target::Call;
@@ -111,6 +113,10 @@
     pub copying: BTreeSet<name::Instance>,
     /// Latest changes of ownership.
     pub changes: VecDeque<Change>,
+    /// Placement rule of a keyed group.
+    pub rule: Rule,
+    /// Requests per second of each target in the latest window of the rule.
+    pub target_rates: Vec<f64>,
     machine: Machine,
     lines: BTreeMap<name::Target, Line>,
     draining: BTreeSet<Shard>,
@@ -154,7 +160,7 @@
             queue: service.queue,
             warmup: service.warmup,
         });
-        let mut ledger = Ledger::new(ledger::Options::default());
+        let mut ledger = Ledger::new(ledger::Options::default(), origin.term);
         let history_missing = if first { BTreeSet::new() } else { peers };
         if !history_missing.is_empty() {
             ledger.set_incomplete_until(now + HISTORY_GAP);
@@ -169,6 +175,8 @@
             copies: BTreeSet::new(),
             copying: BTreeSet::new(),
             changes: VecDeque::new(),
+            rule: balancing::rule(),
+            target_rates: Vec::new(),
             machine,
             lines: BTreeMap::new(),
             draining: BTreeSet::new(),
--- a/bins/entry/src/message.rs
+++ b/bins/entry/src/message.rs
@@ -47,6 +47,13 @@
         /// True if it holds them now.
         stored: bool,
     },
+    /// A former coordinator tells the outcomes of requests that it finished.
+    Outcomes {
+        /// The group.
+        group: name::Group,
+        /// The outcomes.
+        entries: Vec<peer::Entry>,
+    },
     /// Another instance hands a group over.
     Handover {
         /// The request.
