Use the reserved term whether or not the store answers

Cause: with the store 500 ms slow, a killed coordinator's keys came back after 2.0 s, because the takeover read and wrote the record first. The named successor needs no store, so it acts at once and the record follows; a change starts from the record as last seen, which saves a read. A first successor is named without the pause that protects an earlier one.

--- a/bins/entry/src/control.rs
+++ b/bins/entry/src/control.rs
@@ -96,7 +96,8 @@
     coordinated: BTreeMap<name::Group, Coordination>,
     /// Groups that are being handed over; they are not served any more.
     releasing: BTreeSet<name::Group>,
-    record_revision: u64,
+    /// The domain record as last seen, with its revision.
+    record: Option<(u64, caraway_store::record::Domain)>,
     store: StoreView,
     beating: BTreeSet<std::net::SocketAddr>,
     survey_turn: usize,
@@ -147,7 +148,7 @@
             rejected_version: 0,
             coordinated: BTreeMap::new(),
             releasing: BTreeSet::new(),
-            record_revision: 0,
+            record: None,
             store: StoreView::default(),
             beating: BTreeSet::new(),
             survey_turn: 0,
--- a/bins/entry/src/control/groups.rs
+++ b/bins/entry/src/control/groups.rs
@@ -11,6 +11,7 @@
 use caraway_ownership::event::Cause;
 use caraway_ownership::event::Event;
 use caraway_ownership::event::Health;
+use caraway_ownership::grant;
 use caraway_ownership::grant::Reply;
 use caraway_relay::directory::Local;
 use caraway_relay::directory::Remote;
@@ -77,8 +78,8 @@
 
     pub(super) fn take_outcome(&mut self, group: &name::Group, outcome: Outcome, now: Stamp) {
         self.log_changes(group, &outcome.changes);
-        for (target, health) in outcome.health {
-            self.log_health(group, &target, health);
+        for (target, health, incarnation) in outcome.health {
+            log_health(group, target, health, incarnation);
         }
         if let Some(higher_term) = outcome.fenced {
             let term = self.coordinated.remove(group).map_or(0, |row| row.origin.term);
@@ -112,16 +113,6 @@
         }
     }
 
-    fn log_health(&self, group: &name::Group, target: &name::Target, health: Health) {
-        let (group, target) = (group.clone(), target.clone());
-        match health {
-            Health::Granted(_) => {
-                event::emit(LogEvent::TargetReturned { target, group, incarnation: 0 });
-            }
-            Health::Lost => event::emit(LogEvent::TargetSilent { target, group, silent_ms: 0 }),
-        }
-    }
-
     pub(super) fn take_target_answer(&mut self, answer: Answer, now: Stamp) {
         let Answer { group, term, target, sent, result } = answer;
         let current = self.coordinated.get(&group).map(|row| row.origin.term);
@@ -201,6 +192,15 @@
     }
 }
 
+fn log_health(group: &name::Group, target: name::Target, health: Health, incarnation: u64) {
+    let group = group.clone();
+    let silent_ms = u64::try_from(grant::LENGTH.as_millis()).unwrap_or(0);
+    event::emit(match health {
+        Health::Granted(_) => LogEvent::TargetReturned { target, group, incarnation },
+        Health::Lost => LogEvent::TargetSilent { target, group, silent_ms },
+    });
+}
+
 fn local(row: &Coordination) -> Local {
     Local { lane: row.lane.clone(), term: row.origin.term, ledger: row.ledger.clone() }
 }
--- a/bins/entry/src/control/membership.rs
+++ b/bins/entry/src/control/membership.rs
@@ -122,7 +122,7 @@
             passed_rows: passed.collect(),
             crashes: self.own_crashes(now),
             members: members.collect(),
-            record_revision: self.record_revision,
+            record_revision: self.record_revision(),
             leaving: self.leaving.iter().cloned().collect(),
             gone: self.gone.iter().cloned().collect(),
         }
@@ -196,7 +196,7 @@
     fn take_domain_beat(&mut self, sender: &Member, beat: &peer::Beat, now: Stamp) {
         let words: Vec<Word> = beat.rows.iter().map(word).collect();
         self.roster.heard(&sender.process, &words, beat.stopping, now);
-        if beat.record_revision > self.record_revision {
+        if beat.record_revision > self.record_revision() {
             self.parts.storage.read_domain(self.parts.me.domain.clone());
         }
         let leaving: Vec<String> = beat.leaving.clone();
--- a/bins/entry/src/control/terms.rs
+++ b/bins/entry/src/control/terms.rs
@@ -74,7 +74,7 @@
                 self.release(&group.clone());
             }
         }
-        self.parts.storage.change(changes);
+        self.parts.storage.change(changes, self.record.clone());
     }
 
     fn claim(
@@ -102,7 +102,7 @@
         }
         event::emit(LogEvent::ReservedTermUsed { group: group.clone(), term });
         self.parts.metrics.took_over(Takeover::Reserved);
-        let reason = "coordinator gone, store not reachable";
+        let reason = "coordinator gone, reserved term";
         self.start(group, Origin { term, former: Some(former), claimed: now, reason }, now);
     }
 
@@ -139,7 +139,9 @@
                 self.store_answered(now);
                 self.take_record(revision, &record, began, now);
                 if applied.is_empty() {
+                    // The change was judged by a record that may be out of date.
                     self.store.next_change = now + CHANGE_PAUSE;
+                    self.parts.storage.read_domain(self.parts.me.domain.clone());
                 }
                 for change in applied {
                     self.take_applied(change, &record, now);
@@ -178,6 +180,10 @@
         }
     }
 
+    pub(super) fn record_revision(&self) -> u64 {
+        self.record.as_ref().map_or(0, |(revision, _)| *revision)
+    }
+
     fn store_answered(&mut self, now: Stamp) {
         if !self.store.reachable {
             let outage = self.store.last_ok.map_or(Duration::ZERO, |last| now.since(last));
@@ -206,10 +212,10 @@
         began: Stamp,
         now: Stamp,
     ) {
-        if revision < self.record_revision {
+        if revision < self.record_revision() {
             return;
         }
-        self.record_revision = revision;
+        self.record = Some((revision, record.clone()));
         for member in domain::members(record, &self.parts.me.domain) {
             if member.process.instance != self.parts.me.process.instance {
                 self.directory.add_member(member);
@@ -233,7 +239,10 @@
             Change::Claim { group, former, holder, reason, .. } => {
                 let row = record.groups.iter().find(|row| row.group == group);
                 let mine = row.filter(|row| row.holder_incarnation == holder.incarnation);
-                if let Some(row) = mine.filter(|row| row.holder == holder.instance) {
+                // A group taken with the reserved term is only recorded: its tokens stay valid,
+                // because nobody else uses the recorded term.
+                let held = self.coordinated.contains_key(&group);
+                if let Some(row) = mine.filter(|row| row.holder == holder.instance && !held) {
                     let origin = Origin { term: row.term, former, claimed: now, reason };
                     self.parts.metrics.took_over(takeover(origin.former.as_ref()));
                     self.start(&group, origin, now);
--- a/bins/entry/src/coordination.rs
+++ b/bins/entry/src/coordination.rs
@@ -75,8 +75,8 @@
     pub fenced: Option<u64>,
     /// Changes of ownership.
     pub changes: Vec<Change>,
-    /// Targets whose usability changed.
-    pub health: Vec<(name::Target, Health)>,
+    /// Targets whose usability changed after they had been usable or lost before.
+    pub health: Vec<(name::Target, Health, u64)>,
 }
 
 /// How a coordination came about.
@@ -328,9 +328,13 @@
             Effect::Allow { target, until } => self.lane.allow_until(&target, until),
             Effect::UseToken { target, token } => self.lane.set_token(&target, token),
             Effect::Health { target, health } => {
-                self.health.insert(target.clone(), health);
+                let before = self.health.insert(target.clone(), health);
                 self.set_lane_state(&target, health);
-                outcome.health.push((target, health));
+                let turned = |before: Health| (before == Health::Lost) != (health == Health::Lost);
+                if before.is_some_and(turned) {
+                    let incarnation = self.machine.incarnation(&target).unwrap_or(0);
+                    outcome.health.push((target, health, incarnation));
+                }
             }
             Effect::AwaitIdle(target) => {
                 self.awaiting_idle.insert(target);
--- a/bins/entry/src/storage.rs
+++ b/bins/entry/src/storage.rs
@@ -91,7 +91,7 @@
 
 #[derive(Debug)]
 enum Job {
-    Change(Vec<Change>),
+    Change(Vec<Change>, Option<(u64, record::Domain)>),
     ReadDomain(name::Domain),
     ReadDocument,
 }
@@ -195,8 +195,10 @@
 
 impl Storage {
     /// Changes the own domain record; the result is [`Done::Changed`] or [`Done::ChangeFailed`].
-    pub fn change(&self, changes: Vec<Change>) {
-        self.send(&self.changes, Job::Change(changes));
+    ///
+    /// `known` is the record as last seen, with its revision.
+    pub fn change(&self, changes: Vec<Change>, known: Option<(u64, record::Domain)>) {
+        self.send(&self.changes, Job::Change(changes, known));
     }
 
     /// Reads a domain record.
@@ -226,7 +228,7 @@
         while !self.stop.load(Ordering::Acquire) {
             let Ok(job) = jobs.recv_timeout(PAUSE) else { continue };
             let done = match job {
-                Job::Change(changes) => self.change(&changes),
+                Job::Change(changes, known) => self.change(&changes, known),
                 Job::ReadDomain(domain) => self.read_domain(&domain),
                 Job::ReadDocument => self.read_document(),
             };
@@ -234,7 +236,7 @@
         }
     }
 
-    fn change(&self, changes: &[Change]) -> Done {
+    fn change(&self, changes: &[Change], known: Option<(u64, record::Domain)>) -> Done {
         let began = Clock.now();
         let key = self.keys.domain(&self.me.domain);
         let mut applied = Vec::new();
@@ -249,7 +251,7 @@
             }
             !applied.is_empty()
         };
-        let outcome = write::change(&self.client, &key, &mut write_id, &mut apply);
+        let outcome = write::change(&self.client, &key, known, &mut write_id, &mut apply);
         match outcome {
             Ok(Outcome::Written { revision, record }) => {
                 Done::Changed { began, revision, record, applied }
--- a/crates/ownership/src/claim.rs
+++ b/crates/ownership/src/claim.rs
@@ -129,7 +129,7 @@
     if checked { Verdict::Claim } else { Verdict::Blocked }
 }
 
-/// Decides whether a named successor may use its reserved term while the store cannot be reached.
+/// Decides whether a named successor may use its reserved term, which needs no call to the store.
 ///
 /// `named` is when the holder last named this instance. The holder must be proved gone, and must
 /// have named it shortly before: a holder names nobody for a while before it names someone else, so
--- a/crates/ownership/src/group.rs
+++ b/crates/ownership/src/group.rs
@@ -138,6 +138,12 @@
         row.stage.is_held().then(|| (&target.name, Token::new(self.term, row.seq)))
     }
 
+    /// Returns the incarnation of a target that this coordinator is in contact with.
+    pub fn incarnation(&self, target: &name::Target) -> Option<u64> {
+        let row = self.targets.get(self.index(target)?)?;
+        row.contact.map(|contact| contact.incarnation)
+    }
+
     /// Returns how many shards wait for proof that the former coordinator can no longer renew grants.
     pub fn waiting_for_proof(&self) -> usize {
         if self.pooled || !self.blocked() {
--- a/crates/ownership/src/roster.rs
+++ b/crates/ownership/src/roster.rs
@@ -102,7 +102,7 @@
         /// Successor to name.
         successor: Option<name::Instance>,
     },
-    /// Use the reserved term because the store cannot be reached.
+    /// Use the reserved term, without a call to the store.
     Succeed {
         /// The group.
         group: name::Group,
@@ -408,10 +408,10 @@
                 }
                 _ => *self.vacant.entry(group.name.clone()).or_insert(now),
             };
-            if !self.store_reachable {
-                self.decide_succession(&group.name, intents);
+            if self.decide_succession(&group.name, intents) || !self.store_reachable {
                 continue;
             }
+            let rank = rank + usize::from(self.successor_is_alive(&group.name, now));
             let verdict = claim::judge(&holder, rank, group.checked, vacant_since, now);
             if verdict == Verdict::Claim {
                 let expected = self.holdings.get(&group.name).map_or(0, |holding| holding.term);
@@ -439,14 +439,28 @@
         Some(self.previous.get(group).cloned().unwrap_or_else(Former::unknown))
     }
 
-    fn decide_succession(&self, group: &name::Group, intents: &mut Vec<Intent>) {
-        let Some(naming) = self.namings.get(group) else { return };
-        let Some(row) = self.rows.get(&naming.holder) else { return };
+    /// Uses the reserved term if this instance is the named successor of a coordinator that is proved gone.
+    ///
+    /// That needs no store, so it is done whether or not the store answers: a slow store delays nothing.
+    fn decide_succession(&self, group: &name::Group, intents: &mut Vec<Intent>) -> bool {
+        let Some(naming) = self.namings.get(group) else { return false };
+        let Some(row) = self.rows.get(&naming.holder) else { return false };
         let current = self.coordinator(group).is_none_or(|(process, _)| *process == naming.holder);
-        if current && claim::may_succeed(&row.peer, naming.at) {
+        let may = current && claim::may_succeed(&row.peer, naming.at);
+        if may {
             let former = Former { holder: naming.holder.clone(), released: false, successor: None };
             intents.push(Intent::Succeed { group: group.clone(), term: naming.term, former });
         }
+        may
+    }
+
+    /// Returns true if another live instance is the named successor, which acts first.
+    fn successor_is_alive(&self, group: &name::Group, now: Stamp) -> bool {
+        let named = self.holdings.get(group).and_then(|holding| holding.successor.as_ref());
+        let alive = |name: &name::Instance| {
+            self.rows.iter().any(|(process, row)| process.instance == *name && row.peer.alive(now))
+        };
+        named.is_some_and(|name| *name != self.me.instance && alive(name))
     }
 
     fn decide_successors(&mut self, now: Stamp, intents: &mut Vec<Intent>) {
@@ -458,7 +472,7 @@
                 continue;
             }
             let named = self.holdings.get(&group).and_then(|holding| holding.successor.clone());
-            if named.is_some_and(|name| names.contains(&name)) {
+            if named.as_ref().is_some_and(|name| names.contains(name)) {
                 self.successor_lost.remove(&group);
                 continue;
             }
@@ -466,8 +480,10 @@
             if !self.groups.iter().any(checked) {
                 continue;
             }
+            let first = named.is_none();
             let since = *self.successor_lost.entry(group.clone()).or_insert(now);
-            if !self.store_reachable || now.since(since) < claim::NAMING_PAUSE {
+            let paused = !first && now.since(since) < claim::NAMING_PAUSE;
+            if !self.store_reachable || paused {
                 continue;
             }
             if let Some(successor) = self.choose_successor(&group, now) {
--- a/crates/store/src/declaration.rs
+++ b/crates/store/src/declaration.rs
@@ -91,5 +91,5 @@
     key: &str,
     change: &mut dyn FnMut(&mut Declarations) -> bool,
 ) -> Result<Outcome<Declarations>> {
-    write::change_record(client, key, Limits::default(), &mut swap::write_id, change)
+    write::change_record(client, key, None, Limits::default(), &mut swap::write_id, change)
 }
--- a/crates/store/src/write.rs
+++ b/crates/store/src/write.rs
@@ -64,6 +64,9 @@
 /// then the caller must not act on it. A read without an answer ends the change, because a claim that is late by
 /// several calls is of no use.
 ///
+/// `known` is the record with its revision as it was last seen, which saves a read. If it is out of date, the store
+/// refuses the write and the change is tried on the current record.
+///
 /// # Errors
 ///
 /// Fails if the store does not answer. A write may have taken effect then: the caller must read the record before
@@ -71,11 +74,12 @@
 pub fn change(
     client: &Client,
     key: &str,
+    known: Option<(u64, record::Domain)>,
     write_id: &mut dyn FnMut() -> String,
     change: &mut dyn FnMut(&mut record::Domain) -> bool,
 ) -> Result<Outcome> {
     let limits = Limits { failed_reads: 1, ..Limits::default() };
-    change_record(client, key, limits, write_id, change)
+    change_record(client, key, known, limits, write_id, change)
 }
 
 /// Reads a record of any kind, as [`read`] does.
@@ -87,13 +91,17 @@
 pub(crate) fn change_record<T: Record>(
     client: &Client,
     key: &str,
+    known: Option<(u64, T)>,
     limits: Limits,
     write_id: &mut dyn FnMut() -> String,
     change: &mut dyn FnMut(&mut T) -> bool,
 ) -> Result<Outcome<T>> {
-    let mut found = client.get(key)?;
+    let mut current = match known {
+        Some(known) => known,
+        None => read_record(client, key)?,
+    };
     for _ in 0..ATTEMPTS {
-        let (revision, mut record) = decode::<T>(found.as_ref())?;
+        let (revision, mut record) = current;
         if !change(&mut record) {
             return Ok(Outcome::Unchanged { revision, record });
         }
@@ -104,7 +112,7 @@
         let write = Write { key, text: &text, write_id: &write_id, expect: revision };
         match swap::write(client, &write, limits)? {
             Swap::Written(revision) => return Ok(Outcome::Written { revision, record }),
-            Swap::Lost(winner) => found = winner.0,
+            Swap::Lost(winner) => current = decode(winner.0.as_ref())?,
             Swap::Replaced(_) => return Ok(Outcome::Lost),
             Swap::Unknown(problem) => return Err(Error::NoAnswer(problem)),
         }
--- a/crates/store/tests/swap/main.rs
+++ b/crates/store/tests/swap/main.rs
@@ -65,7 +65,7 @@
         number += 1;
         format!("mine-{number}")
     };
-    write::change(&fake.client(), "k", &mut write_id, &mut |record: &mut Domain| {
+    write::change(&fake.client(), "k", None, &mut write_id, &mut |record: &mut Domain| {
         record.groups.is_empty()
     })
 }
@@ -98,7 +98,8 @@
 fn a_change_that_does_not_apply_is_not_written() {
     let fake = Fake::start(&[]);
     let outcome =
-        write::change(&fake.client(), "k", &mut || "mine".to_owned(), &mut |_| false).unwrap();
+        write::change(&fake.client(), "k", None, &mut || "mine".to_owned(), &mut |_| false)
+            .unwrap();
     assert_eq!(outcome, Outcome::Unchanged { revision: 0, record: Domain::default() });
     assert_eq!(fake.calls(), (1, 0));
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -196,8 +196,8 @@
     /// Another instance acquired the term that this one tried to acquire.
     307 Info TakeoverLost "takeover-lost" { group: name::Group, winner: name::Instance }
         "{winner} acquired {group} first"
-    /// A group was acquired with the reserved term because the store does not respond.
-    308 Warn ReservedTermUsed "reserved-term-used" { group: name::Group, term: u64 }
+    /// A group was acquired with the reserved term, which needs no call to the store.
+    308 Info ReservedTermUsed "reserved-term-used" { group: name::Group, term: u64 }
         "acquired {group} with the reserved term {term} without the store"
     /// Shards got an owner.
     309 Info ShardsReassigned "shards-reassigned"
