Serve a group until its handover is recorded

Now the group is given up only when the write is known to have taken effect; the message to the receiver says that the giver has stopped, and without it the giver counts as possibly alive. Names listed as gone count only while nothing is heard from them, so a restarted process is not taken for gone.

--- a/bins/entry/src/control.rs
+++ b/bins/entry/src/control.rs
@@ -94,8 +94,6 @@
     document: Option<(u64, String)>,
     rejected_version: u64,
     coordinated: BTreeMap<name::Group, Coordination>,
-    /// Groups that are being handed over; they are not served any more.
-    releasing: BTreeSet<name::Group>,
     /// The domain record as last seen, with its revision.
     record: Option<(u64, caraway_store::record::Domain)>,
     store: StoreView,
@@ -147,7 +145,6 @@
             document: None,
             rejected_version: 0,
             coordinated: BTreeMap::new(),
-            releasing: BTreeSet::new(),
             record: None,
             store: StoreView::default(),
             beating: BTreeSet::new(),
--- a/bins/entry/src/control/configuration.rs
+++ b/bins/entry/src/control/configuration.rs
@@ -71,6 +71,11 @@
         names.sort();
         let watches = names.iter().take(WATCHERS).any(|name| *name == self.parts.me.process);
         self.parts.storage.set_watching(watches);
+        if !watches {
+            // What was read as a watcher is out of date from now on.
+            self.leaving.clear();
+            self.gone.clear();
+        }
         if self.document.is_none() {
             self.parts.storage.read_document();
         }
--- a/bins/entry/src/control/explain.rs
+++ b/bins/entry/src/control/explain.rs
@@ -61,13 +61,7 @@
                 })
             })
             .collect();
-        let state = if self.releasing.contains(name) {
-            "handing-over"
-        } else if row.is_served(now) {
-            "serving"
-        } else {
-            "collecting-history"
-        };
+        let state = if row.is_served(now) { "serving" } else { "collecting-history" };
         json!({
             "group": name,
             "term": row.origin.term,
--- a/bins/entry/src/control/groups.rs
+++ b/bins/entry/src/control/groups.rs
@@ -82,8 +82,8 @@
             log_health(group, target, health, incarnation);
         }
         if let Some(higher_term) = outcome.fenced {
-            let term = self.coordinated.remove(group).map_or(0, |row| row.origin.term);
-            self.releasing.remove(group);
+            let term = self.coordinated.get(group).map_or(0, |row| row.origin.term);
+            self.set_aside(group, now);
             let group = group.clone();
             event::emit(LogEvent::GroupLost { group, term, higher_term });
             self.note_mine();
@@ -139,12 +139,8 @@
 
     /// Updates the set of held groups in the roster and the metrics.
     pub(super) fn note_mine(&mut self) {
-        let mine: BTreeMap<name::Group, u64> = self
-            .coordinated
-            .iter()
-            .filter(|(group, _)| !self.releasing.contains(*group))
-            .map(|(group, row)| (group.clone(), row.origin.term))
-            .collect();
+        let mine: BTreeMap<name::Group, u64> =
+            self.coordinated.iter().map(|(group, row)| (group.clone(), row.origin.term)).collect();
         self.parts.metrics.set_groups_held(mine.len());
         self.roster.set_mine(mine);
     }
@@ -167,9 +163,7 @@
     }
 
     fn row(&self, group: &name::Group, now: Stamp) -> Row {
-        if let Some(row) = self.coordinated.get(group)
-            && !self.releasing.contains(group)
-        {
+        if let Some(row) = self.coordinated.get(group) {
             return if row.is_served(now) { Row::Local(local(row)) } else { Row::Unknown };
         }
         match self.directory.row(group) {
--- a/bins/entry/src/control/membership.rs
+++ b/bins/entry/src/control/membership.rs
@@ -7,6 +7,7 @@
 use caraway_core::name;
 use caraway_core::time::Stamp;
 use caraway_ownership::event::Event;
+use caraway_ownership::event::Health;
 use caraway_ownership::roster::Process;
 use caraway_ownership::roster::Word;
 use caraway_relay::report;
@@ -145,11 +146,7 @@
                 queue_percent: coordination.lane.queue_percent(),
             }
         };
-        self.coordinated
-            .iter()
-            .filter(|(group, _)| !self.releasing.contains(*group))
-            .map(|(group, coordination)| row(group, coordination))
-            .collect()
+        self.coordinated.iter().map(|(group, coordination)| row(group, coordination)).collect()
     }
 
     fn own_crashes(&self, now: Stamp) -> Vec<peer::Crash> {
@@ -199,9 +196,7 @@
         if beat.record_revision > self.record_revision() {
             self.parts.storage.read_domain(self.parts.me.domain.clone());
         }
-        let leaving: Vec<String> = beat.leaving.clone();
-        let gone: Vec<String> = beat.gone.clone();
-        self.take_platform_states(leaving, gone, now);
+        self.apply_platform_states(&beat.leaving, &beat.gone, now);
     }
 
     /// Ends a coordination of a lower term.
@@ -228,31 +223,52 @@
         }
     }
 
-    /// Takes over what the platform says about targets and instances.
-    pub(super) fn take_platform_states(
+    /// Takes what the platform's list or an operator says, as this instance has read it.
+    pub(super) fn take_platform_list(
         &mut self,
         leaving: Vec<String>,
         gone: Vec<String>,
         now: Stamp,
     ) {
+        self.apply_platform_states(&leaving, &gone, now);
+        self.leaving = leaving.into_iter().collect();
+        self.gone = gone.into_iter().collect();
+    }
+
+    /// Applies what the platform says about targets and instances, as read here or by a peer.
+    ///
+    /// A name that is listed as gone counts only while nothing is heard from it: the list lags, and a process that was
+    /// started again under the name is alive.
+    fn apply_platform_states(&mut self, leaving: &[String], gone: &[String], now: Stamp) {
         for name in leaving {
-            if self.leaving.insert(name.clone()) {
-                let target = name::Target::new(&name);
-                self.step_all(&Event::Leaving(target), now);
-            }
+            self.step_all(&Event::Leaving(name::Target::new(name)), now);
         }
+        let alive = self.roster.alive(now);
         for name in gone {
-            if !self.gone.insert(name.clone()) {
-                continue;
-            }
-            self.step_all(&Event::Gone(name::Target::new(&name)), now);
-            if let Some(member) = self.directory.member(&name::Instance::new(&name)) {
-                let process = member.process.clone();
-                self.prove_gone(&process, "the platform's list", now);
+            self.step_gone(&name::Target::new(name), now);
+            let member = self.directory.member(&name::Instance::new(name));
+            let process = member.map(|member| member.process.clone());
+            if let Some(process) = process.filter(|process| !alive.contains(process)) {
+                self.prove_gone(&process, "the platform's list or an operator says so", now);
             }
         }
     }
 
+    fn step_gone(&mut self, target: &name::Target, now: Stamp) {
+        let granted = |row: &crate::coordination::Coordination| {
+            matches!(row.health().get(target), Some(Health::Granted(_)))
+        };
+        let groups: Vec<name::Group> = self
+            .coordinated
+            .iter()
+            .filter(|(_, row)| !granted(row))
+            .map(|(group, _)| group.clone())
+            .collect();
+        for group in groups {
+            self.step(&group, Event::Gone(target.clone()), now);
+        }
+    }
+
     pub(super) fn take_beat_answer(&mut self, answer: BeatAnswer, now: Stamp) {
         self.beating.remove(&answer.address);
         match answer.result {
--- a/bins/entry/src/control/replication.rs
+++ b/bins/entry/src/control/replication.rs
@@ -23,7 +23,7 @@
         let replication::Job { group, term, entry, done } = job;
         let current = self.coordinated.get(&group).map(|row| row.origin.term);
         let outcome = entry.state != State::Open;
-        let serving = current == Some(term) && !self.releasing.contains(&group);
+        let serving = current == Some(term);
         if !serving && !outcome {
             let _ = done.send(false);
             return;
--- a/bins/entry/src/control/terms.rs
+++ b/bins/entry/src/control/terms.rs
@@ -69,11 +69,6 @@
             return;
         }
         self.store.changing = true;
-        for change in &changes {
-            if let Change::HandOver { group, .. } = change {
-                self.release(&group.clone());
-            }
-        }
         self.parts.storage.change(changes, self.record.clone());
     }
 
@@ -114,8 +109,8 @@
     }
 
     fn hand_over_all(&self, now: Stamp) -> Vec<Change> {
-        let groups = self.coordinated.keys().filter(|group| !self.releasing.contains(*group));
-        groups
+        self.coordinated
+            .keys()
             .filter_map(|group| {
                 let to = self.roster.receiver(group, now)?;
                 self.hand_over(group, &to)
@@ -123,20 +118,16 @@
             .collect()
     }
 
-    /// Stops serving a group before it is given away.
-    fn release(&mut self, group: &name::Group) {
-        if let Some(row) = self.coordinated.get(group) {
-            row.close();
-            self.releasing.insert(group.clone());
-            self.dirty = true;
-        }
-    }
-
     pub(super) fn take_store(&mut self, done: Done, now: Stamp) {
         match done {
             Done::Changed { began, revision, record, applied } => {
                 self.store.changing = false;
                 self.store_answered(now);
+                for change in &applied {
+                    if let Change::HandOver { group, to, term, .. } = change {
+                        self.handed_over(group, to, *term, &record);
+                    }
+                }
                 self.take_record(revision, &record, began, now);
                 if applied.is_empty() {
                     // The change was judged by a record that may be out of date.
@@ -146,7 +137,6 @@
                 for change in applied {
                     self.take_applied(change, &record, now);
                 }
-                self.retake_released(now);
             }
             Done::ChangeFailed { unavailable } => {
                 self.store.changing = false;
@@ -154,7 +144,6 @@
                 if unavailable {
                     self.store_failed();
                 }
-                self.retake_released(now);
                 self.parts.storage.read_domain(self.parts.me.domain.clone());
             }
             Done::Record { domain, began, revision, record } => {
@@ -173,7 +162,7 @@
             }
             Done::Instances { leaving, gone } => {
                 self.store_answered(now);
-                self.take_platform_states(leaving, gone, now);
+                self.take_platform_list(leaving, gone, now);
             }
             Done::Nothing => self.store_answered(now),
             Done::Failed => self.store_failed(),
@@ -225,7 +214,7 @@
         for (group, holding) in &holdings {
             if holding.holder != self.parts.me.process {
                 let held = self.coordinated.get(group).map(|row| row.origin.term);
-                if held.is_some_and(|term| term < holding.term) && !self.releasing.contains(group) {
+                if held.is_some_and(|term| term < holding.term) {
                     self.step(group, Event::Fenced(holding.term), now);
                 }
             }
@@ -248,12 +237,15 @@
                     self.start(&group, origin, now);
                 }
             }
-            Change::HandOver { group, to, term, .. } => self.handed_over(&group, &to, term, record),
             Change::Leave(_) => self.left = true,
-            Change::Register(_) | Change::Rename { .. } => {}
+            Change::HandOver { .. } | Change::Register(_) | Change::Rename { .. } => {}
         }
     }
 
+    /// Ends the coordination of a group that the record now names another instance for.
+    ///
+    /// The group is served until the record is written: if the write fails, nothing has changed. The message tells
+    /// the receiver that this instance has stopped; without it the receiver treats it as possibly alive.
     fn handed_over(
         &mut self,
         group: &name::Group,
@@ -262,10 +254,11 @@
         record: &caraway_store::record::Domain,
     ) {
         let Some(row) = self.coordinated.remove(group) else { return };
-        self.releasing.remove(group);
+        row.close();
         self.dirty = true;
         let now = self.clock.now();
         self.last_handover = now;
+        let gap = row.lock_ledger().incomplete_until().since(now);
         let entries = row.lock_ledger().export(now).into_iter().map(ledgers::to_wire).collect();
         let new_term = record.groups.iter().find(|row| row.group == *group);
         let request = peer::HandoverRequest {
@@ -274,6 +267,7 @@
             holder: to.instance.to_string(),
             holder_incarnation: to.incarnation,
             entries,
+            incomplete_ms: u64::try_from(gap.as_millis()).unwrap_or(u64::MAX),
         };
         if let Some(member) = self.directory.member(&to.instance).cloned() {
             // The data path forwards to the receiver from now on; it does not wait for its heartbeat.
@@ -294,20 +288,8 @@
         self.note_mine();
     }
 
-    /// Gives up the coordination of groups that could not be handed over.
-    ///
-    /// Their lanes are closed for good. The record still names this instance, so the roster claims the groups again
-    /// with a higher term; the ledgers wait among the copies.
-    fn retake_released(&mut self, now: Stamp) {
-        for group in std::mem::take(&mut self.releasing) {
-            self.set_aside(&group, now);
-        }
-        self.note_mine();
-        self.dirty = true;
-    }
-
     /// Ends a coordination and keeps its ledger among the copies.
-    fn set_aside(&mut self, group: &name::Group, now: Stamp) {
+    pub(super) fn set_aside(&mut self, group: &name::Group, now: Stamp) {
         if let Some(row) = self.coordinated.remove(group) {
             row.close();
             let entries = row.lock_ledger().export(now);
@@ -349,7 +331,7 @@
             // The former coordinator sent its whole ledger, so no history has to be collected.
             row.history_missing.clear();
             let mut ledger = row.lock_ledger();
-            ledger.set_incomplete_until(Stamp::default());
+            ledger.set_incomplete_until(now + Duration::from_millis(request.incomplete_ms));
             for entry in &request.entries {
                 ledger.import(ledgers::from_wire(entry.clone()), now);
             }
--- a/bins/entry/src/domain.rs
+++ b/bins/entry/src/domain.rs
@@ -76,7 +76,6 @@
                 holder_incarnation: holder.incarnation,
                 successor: successor.clone(),
                 reserved: claim::reserved_term(term, 0).unwrap_or(0),
-                released: false,
                 reason: (*reason).to_owned(),
             };
             record.groups.retain(|row| row.group != *group);
@@ -90,7 +89,6 @@
             row.holder_incarnation = to.incarnation;
             row.successor = None;
             row.reserved = 0;
-            row.released = true;
             row.reason = format!("handed over by {}", from.instance);
             true
         }
@@ -185,7 +183,6 @@
         holder: Process { instance: row.holder.clone(), incarnation: row.holder_incarnation },
         successor: row.successor.clone(),
         reserved: row.reserved,
-        released: row.released,
     };
     record.groups.iter().map(|row| (row.group.clone(), holding(row))).collect()
 }
--- a/crates/ownership/src/claim.rs
+++ b/crates/ownership/src/claim.rs
@@ -17,6 +17,9 @@
 /// Additional wait of each rank, so that usually one instance tries to take a term.
 pub const RANK_DELAY: Duration = Duration::from_millis(150);
 
+/// Time that the message of a handover may take after the record names the receiver.
+pub const HANDOVER: Duration = Duration::from_millis(300);
+
 /// Longest time since a holder named a successor within which the reserved term may be used.
 pub const NAMING: Duration = Duration::from_millis(400);
 
@@ -80,8 +83,10 @@
 pub enum Holder {
     /// The group never had a coordinator.
     Nobody,
-    /// The coordinator gave the group up, or was a former incarnation of this instance.
-    Released,
+    /// The record names this process, which does not coordinate the group.
+    Own,
+    /// The record names a former incarnation of this instance.
+    Replaced,
     /// A peer holds the group.
     Peer(Peer),
 }
@@ -110,7 +115,8 @@
 ) -> Verdict {
     let delay = RANK_DELAY * u32::try_from(rank).unwrap_or(u32::MAX);
     match holder {
-        Holder::Nobody | Holder::Released => due(now >= vacant_since + delay),
+        Holder::Own => due(now >= vacant_since + HANDOVER),
+        Holder::Nobody | Holder::Replaced => due(now >= vacant_since + delay),
         Holder::Peer(peer) => judge_peer(peer, delay, checked, now),
     }
 }
--- a/crates/ownership/src/group.rs
+++ b/crates/ownership/src/group.rs
@@ -371,6 +371,11 @@
     }
 
     fn gone(&mut self, index: usize, now: Stamp, effects: &mut Vec<Effect>) {
+        let nothing =
+            |row: &table::Target| row.contact.is_none() && !row.exposed && !row.await_idle;
+        if self.targets.get(index).is_none_or(nothing) {
+            return;
+        }
         self.release_all(index, Cause::Gone, now, effects);
         if let Some(row) = self.targets.get_mut(index) {
             row.exposed = false;
--- a/crates/ownership/src/roster.rs
+++ b/crates/ownership/src/roster.rs
@@ -41,8 +41,6 @@
     pub successor: Option<name::Instance>,
     /// Term reserved for the named successor.
     pub reserved: u64,
-    /// True if the holder of the term before gave it up.
-    pub released: bool,
 }
 
 /// What a heartbeat says about a group that its sender coordinates.
@@ -431,11 +429,8 @@
             let successor = holding.and_then(|holding| holding.successor.clone());
             return Some(Former { holder: process.clone(), released: false, successor });
         }
-        // The record names this process, which does not coordinate the group: it was handed over, or a
-        // write took effect whose answer was lost. In the second case the coordinator before counts.
-        if holding.is_some_and(|holding| holding.released) {
-            return Some(Former { holder: process.clone(), released: true, successor: None });
-        }
+        // The record names this process, which does not coordinate the group: the message of a handover was lost, or
+        // the answer to a write. The coordinator before may go on until it is fenced.
         Some(self.previous.get(group).cloned().unwrap_or_else(Former::unknown))
     }
 
@@ -578,16 +573,28 @@
         };
         if *process == self.me {
             // The record or a peer still lists a term that this process has given up or not used.
-            return Some((Holder::Released, None));
+            return Some((self.own_holder(group), None));
         }
         if process.instance == self.me.instance {
             // This process listens on the address of its former incarnation.
-            return Some((Holder::Released, Some(process.clone())));
+            return Some((Holder::Replaced, Some(process.clone())));
         }
         let row = self.rows.get(process)?;
         Some((Holder::Peer(row.peer.clone()), Some(process.clone())))
     }
 
+    /// Returns the holder of a group that the record names this process for, although it does not coordinate it.
+    ///
+    /// If the targets check no tokens, the coordinator before has to be gone first.
+    fn own_holder(&self, group: &name::Group) -> Holder {
+        let checked = self.groups.iter().any(|row| row.name == *group && row.checked);
+        let before = self.previous.get(group).and_then(|former| self.rows.get(&former.holder));
+        match before {
+            Some(row) if !checked => Holder::Peer(row.peer.clone()),
+            Some(_) | None => Holder::Own,
+        }
+    }
+
     fn row(&mut self, process: &Process, now: Stamp) -> &mut Row {
         self.rows.entry(process.clone()).or_insert_with(|| Row {
             peer: Peer { heard: now, gone: None, stopping: false },
--- /dev/null
+++ b/crates/ownership/tests/roster.rs
@@ -0,0 +1,235 @@
+//! Tests of the roster: who takes a group, when, and who may still act for it.
+
+#![allow(clippy::unwrap_used)]
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use caraway_core::name;
+use caraway_core::time::Stamp;
+use caraway_ownership::claim;
+use caraway_ownership::roster::Group;
+use caraway_ownership::roster::Holding;
+use caraway_ownership::roster::Intent;
+use caraway_ownership::roster::Process;
+use caraway_ownership::roster::Roster;
+use caraway_ownership::roster::Word;
+
+const GROUP: &str = "lectura/med/0";
+
+fn process(name: &str) -> Process {
+    Process { instance: name::Instance::new(name), incarnation: 1 }
+}
+
+fn group() -> name::Group {
+    name::Group::new(GROUP)
+}
+
+fn at(millis: u64) -> Stamp {
+    Stamp::from_millis(100_000 + millis)
+}
+
+fn held(holder: &str, term: u64, successor: Option<&str>) -> BTreeMap<name::Group, Holding> {
+    let successor = successor.map(name::Instance::new);
+    let holding = Holding { term, holder: process(holder), successor, reserved: term + 1 };
+    BTreeMap::from([(group(), holding)])
+}
+
+fn word(term: u64, successor: Option<&str>) -> Word {
+    let successor = successor.map(name::Instance::new);
+    Word { group: group(), term, successor, reserved: term + 1 }
+}
+
+fn members() -> Vec<Process> {
+    ["a", "b", "c"].map(process).to_vec()
+}
+
+/// Returns the roster of `me` with three listed members.
+fn roster(me: &str, holdings: BTreeMap<name::Group, Holding>, checked: bool) -> Roster {
+    let mut roster = Roster::new(process(me), at(0));
+    roster.set_groups(vec![Group { name: group(), checked }]);
+    roster.set_store_reachable(true);
+    roster.observe(&members(), holdings, at(0));
+    roster
+}
+
+fn claims(roster: &mut Roster, now: Stamp) -> Vec<Intent> {
+    let wanted = |intent: &Intent| matches!(intent, Intent::Claim { .. } | Intent::Succeed { .. });
+    roster.decide(now).into_iter().filter(wanted).collect()
+}
+
+/// Decides every 10 ms until there is a claim and returns its time in milliseconds and the claim.
+fn first_claim(roster: &mut Roster, from: u64, to: u64) -> Option<(u64, Intent)> {
+    (from..to).step_by(10).find_map(|now| {
+        let claim = claims(roster, at(now)).pop()?;
+        Some((now, claim))
+    })
+}
+
+/// Guards against a takeover from a coordinator that is alive.
+#[test]
+fn a_heard_coordinator_keeps_its_group() {
+    let mut roster = roster("b", held("a", 16, None), true);
+    for now in (0..2000).step_by(100) {
+        roster.heard(&process("a"), &[word(16, None)], false, at(now));
+        assert_eq!(claims(&mut roster, at(now + 90)), []);
+    }
+}
+
+/// Guards against a silent coordinator whose keys stay unserved for longer than the target of 1 s allows.
+#[test]
+fn a_silent_coordinator_is_replaced() {
+    let mut roster = roster("b", held("a", 16, None), true);
+    let (now, claim) = first_claim(&mut roster, 0, 900).unwrap();
+    let limit = (claim::SUSPICION + 2 * claim::RANK_DELAY).as_millis();
+    assert!(u128::from(now) <= limit + 10, "claimed after {now} ms");
+    let Intent::Claim { former, .. } = claim else { panic!("{claim:?}") };
+    assert_eq!(former.unwrap().holder, process("a"));
+}
+
+/// Guards against a second sender to targets that check no tokens: silence is no proof.
+#[test]
+fn unchecked_targets_wait_for_proof() {
+    let mut roster = roster("b", held("a", 16, None), false);
+    assert_eq!(first_claim(&mut roster, 0, 5000), None);
+    assert_eq!(roster.blocked(at(5000)), [(group(), process("a"))]);
+    roster.gone(&process("a"), at(5000));
+    assert!(first_claim(&mut roster, 5000, 6000).is_some());
+}
+
+/// Guards against a group that is claimed at once by its receiver, before the giver's message arrives.
+#[test]
+fn a_receiver_waits_for_the_message_of_a_handover() {
+    let mut roster = roster("b", held("a", 16, None), true);
+    roster.heard(&process("a"), &[word(16, None)], false, at(0));
+    roster.observe(&members(), held("b", 32, None), at(0));
+    let (now, claim) = first_claim(&mut roster, 0, 2000).unwrap();
+    assert!(u128::from(now) >= claim::HANDOVER.as_millis());
+    let Intent::Claim { former, .. } = claim else { panic!("{claim:?}") };
+    let former = former.unwrap();
+    assert_eq!((former.holder, former.released), (process("a"), false));
+}
+
+/// Guards against a receiver that serves unchecked targets beside the giver, whose message was lost.
+#[test]
+fn a_receiver_of_unchecked_targets_waits_for_the_giver_to_end() {
+    let mut roster = roster("b", held("a", 16, None), false);
+    roster.observe(&members(), held("b", 32, None), at(0));
+    for now in (0..3000).step_by(100) {
+        roster.heard(&process("a"), &[], false, at(now));
+        assert_eq!(claims(&mut roster, at(now + 50)), []);
+    }
+    roster.gone(&process("a"), at(3000));
+    assert!(first_claim(&mut roster, 3000, 4000).is_some());
+}
+
+/// Guards against a claimant that counts the receiver of a handover as ended because the giver had given up.
+#[test]
+fn a_claim_after_a_handover_counts_the_receiver() {
+    let mut roster = roster("c", held("a", 16, None), true);
+    roster.observe(&members(), held("b", 32, Some("a")), at(0));
+    let (_, claim) = first_claim(&mut roster, 0, 2000).unwrap();
+    let Intent::Claim { former, expected, .. } = claim else { panic!("{claim:?}") };
+    let former = former.unwrap();
+    assert_eq!((former.holder.clone(), former.released, expected), (process("b"), false, 32));
+    assert_eq!(roster.ended(&former, at(1000)), None);
+}
+
+/// Guards against a lost coordinator during a store outage: the named successor needs no store.
+#[test]
+fn a_named_successor_acts_without_the_store() {
+    let mut roster = roster("b", held("a", 16, Some("b")), true);
+    roster.heard(&process("a"), &[word(16, Some("b"))], false, at(0));
+    roster.set_store_reachable(false);
+    roster.gone(&process("a"), at(100));
+    let (_, intent) = first_claim(&mut roster, 100, 200).unwrap();
+    assert!(matches!(intent, Intent::Succeed { term: 17, .. }), "{intent:?}");
+}
+
+#[yare::parameterized(
+    not_proved_gone = { Some(0), None },
+    named_too_long_ago = { Some(0), Some(401) },
+    named_by_nobody = { None, Some(100) },
+)]
+fn a_reserved_term_is_not_used_without_grounds(named: Option<u64>, gone: Option<u64>) {
+    let mut roster = roster("b", held("a", 16, Some("b")), true);
+    roster.set_store_reachable(false);
+    if let Some(named) = named {
+        roster.heard(&process("a"), &[word(16, Some("b"))], false, at(named));
+    }
+    if let Some(gone) = gone {
+        roster.gone(&process("a"), at(gone));
+    }
+    assert_eq!(first_claim(&mut roster, 500, 3000), None);
+}
+
+/// Guards against two instances that act at once: the one that claims by the store has to know that the
+/// named successor has taken notice before it counts the former coordinator as ended.
+#[test]
+fn a_former_coordinator_has_ended_only_with_its_successor() {
+    let mut roster = roster("c", held("a", 16, Some("b")), true);
+    roster.gone(&process("a"), at(100));
+    let (now, claim) = first_claim(&mut roster, 100, 2000).unwrap();
+    let Intent::Claim { former, .. } = claim else { panic!("{claim:?}") };
+    let former = former.unwrap();
+    assert_eq!(roster.ended(&former, at(now)), None);
+    roster.answered(&process("b"), at(now - 1), at(now + 1));
+    assert_eq!(roster.ended(&former, at(now)), None);
+    roster.answered(&process("b"), at(now + 2), at(now + 3));
+    assert_eq!(roster.ended(&former, at(now)), Some(at(now + 2)));
+}
+
+/// Guards against a process that was paused and takes groups of instances it did not listen to.
+#[test]
+fn a_paused_process_counts_silence_anew() {
+    let mut roster = roster("b", held("a", 16, None), true);
+    roster.heard(&process("a"), &[word(16, None)], false, at(0));
+    roster.resume(at(10_000));
+    assert_eq!(claims(&mut roster, at(10_010)), []);
+}
+
+/// Guards against two successors that rely on the same holder: it names nobody for a while in between.
+#[test]
+fn a_holder_names_nobody_before_it_names_another_successor() {
+    let mut roster = roster("a", held("a", 16, Some("b")), true);
+    roster.set_mine(BTreeMap::from([(group(), 16)]));
+    let mut renamed = None;
+    for now in (0..3000u64).step_by(50) {
+        roster.heard(&process("c"), &[], false, at(now));
+        if now < 1000 {
+            roster.heard(&process("b"), &[], false, at(now));
+        }
+        let intents = roster.decide(at(now));
+        let rename = intents.iter().any(|intent| matches!(intent, Intent::Rename { .. }));
+        if rename {
+            renamed = Some(now);
+            break;
+        }
+        // The last heartbeat of b came at 950 ms.
+        let silent = now > 950 + 350;
+        assert_eq!(roster.named_successor(&group()).is_none(), silent, "at {now} ms");
+    }
+    assert!(renamed.unwrap() >= 950 + 350 + 1000, "renamed at {renamed:?} ms");
+}
+
+/// Guards against a wait for a successor that was never named.
+#[test]
+fn a_first_successor_is_named_at_once() {
+    let mut roster = roster("a", held("a", 16, None), true);
+    roster.set_mine(BTreeMap::from([(group(), 16)]));
+    roster.heard(&process("c"), &[], false, at(0));
+    let intents = roster.decide(at(10));
+    assert!(intents.iter().any(|intent| matches!(intent, Intent::Rename { .. })), "{intents:?}");
+}
+
+/// Guards against a term of the store that a reserved one can reach.
+#[test]
+fn terms_of_the_store_are_above_all_reserved_ones() {
+    for term in 0..64 {
+        let next = claim::next_term(term);
+        let reserved = (0..64).filter_map(|index| claim::reserved_term(term, index)).max();
+        assert!(next > reserved.unwrap() && next > term);
+        assert_eq!(next % claim::TERM_STEP, 0);
+    }
+    assert_eq!(Duration::from_millis(400), claim::NAMING);
+}
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -59,8 +59,6 @@
     pub successor: Option<name::Instance>,
     /// Term reserved for the successor.
     pub reserved: u64,
-    /// True if the coordinator before gave the group up.
-    pub released: bool,
     /// Why the group was taken.
     pub reason: String,
 }
