Test a running environment under faults

The router had only tests of its parts.

'caraway-demo bench' compares direct and routed requests. Bad answers are described in the report.

--- a/bins/demo/src/admin.rs
+++ b/bins/demo/src/admin.rs
@@ -38,17 +38,26 @@
 
     /// Returns the names of the groups that an instance holds, or nothing if it does not answer.
     pub fn held(&self, address: SocketAddr) -> Option<BTreeSet<String>> {
-        Some(groups_of(&self.page(address, "/status").ok()?))
+        Some(groups_of(&self.page(address, "/status").ok()?, None))
+    }
+
+    /// Returns the names of the held groups that take requests of every class.
+    pub fn serving(&self, address: SocketAddr) -> Option<BTreeSet<String>> {
+        Some(groups_of(&self.page(address, "/status").ok()?, Some("serving")))
+    }
+
+    /// Returns the configuration version of an instance, or nothing if it does not answer.
+    pub fn config_version(&self, address: SocketAddr) -> Option<u64> {
+        self.page(address, "/status").ok()?.get("config_version")?.as_u64()
     }
 }
 
-/// Returns the names of the held groups of a status page.
-fn groups_of(status: &Value) -> BTreeSet<String> {
-    let list = status.get("held_groups").or_else(|| status.get("groups"));
-    let items = list.and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
-    let name = |item: &Value| match item {
-        Value::String(name) => Some(name.clone()),
-        _ => Some(item.get("group")?.as_str()?.to_owned()),
-    };
-    items.iter().filter_map(name).collect()
+/// Returns the names of the groups of a status page, or of those in one state.
+fn groups_of(status: &Value, state: Option<&str>) -> BTreeSet<String> {
+    let items = status.get("groups").and_then(Value::as_array).map(Vec::as_slice);
+    let text = |item: &Value, field: &str| Some(item.get(field)?.as_str()?.to_owned());
+    let matching = items.unwrap_or_default().iter().filter(|item| {
+        state.is_none_or(|state| text(item, "state").is_some_and(|found| found == state))
+    });
+    matching.filter_map(|item| text(item, "group")).collect()
 }
--- a/bins/demo/src/builder.rs
+++ b/bins/demo/src/builder.rs
@@ -24,6 +24,7 @@
 use caraway_document::plan::Fencing;
 use caraway_document::plan::Plan;
 use caraway_document::schema::Document;
+use caraway_document::schema::Service;
 use caraway_load::journal::Journals;
 
 /// Ports of an entry instance: client, peer, control and admin.
@@ -45,6 +46,9 @@
     pub programs: Option<PathBuf>,
     /// Service time of the targets in milliseconds.
     pub service_ms: u64,
+    /// Further targets that are not in the document and accept requests without a token, for
+    /// comparisons. They have the options of the first service.
+    pub spares: usize,
     /// Log level of the entry instances.
     pub log_level: String,
     /// True if the directory with settings and logs is kept.
@@ -60,6 +64,7 @@
             base_port: None,
             programs: None,
             service_ms: 2,
+            spares: 0,
             log_level: "info".to_owned(),
             keep_directory: false,
         }
@@ -77,7 +82,7 @@
         let mut document = self.document;
         let targets: usize = document.services.iter().map(|service| service.targets.len()).sum();
         let entries = document.failure_domains.len() * self.entries_per_domain;
-        let count = 2 + targets + entries * usize::from(ENTRY_PORTS);
+        let count = 2 + self.spares + targets + entries * usize::from(ENTRY_PORTS);
         let count = u16::try_from(count).map_err(|_| Error::Ports(u16::MAX))?;
         let range = Range::reserve(self.base_port, count)?;
         let mut next = sketch::place(&mut document, &range, 2);
@@ -129,7 +134,12 @@
                 environment.add_entry(&name, domain.as_str(), &program, addresses, &settings)?;
             }
         }
-        environment.add_targets(&programs.join("caraway-target"), self.service_ms);
+        let program = programs.join("caraway-target");
+        environment.add_targets(&program, self.service_ms);
+        for n in 1..=self.spares {
+            environment.add_spare(&program, n, next, self.service_ms);
+            next += 1;
+        }
         Ok(environment)
     }
 }
@@ -157,36 +167,55 @@
     }
 
     fn add_targets(&mut self, program: &Path, service_ms: u64) {
-        for service in &self.document.services {
+        for service in self.document.services.clone() {
             for target in &service.targets {
                 let name = target.name.to_string();
-                let flags = [
-                    ("--name", name.clone()),
-                    ("--service", service.name.to_string()),
-                    ("--address", target.address.to_string()),
-                    ("--slots", service.slots.to_string()),
-                    ("--connections", service.connections.to_string()),
-                    ("--service-ms", service_ms.to_string()),
-                    ("--warmup-ms", service.warmup_ms.to_string()),
-                    ("--check-token", (service.fencing == Fencing::Checked).to_string()),
-                ];
-                let arguments =
-                    flags.into_iter().flat_map(|(flag, value)| [flag.to_owned(), value]).collect();
+                let check = service.fencing == Fencing::Checked;
+                let arguments = flags(&name, &service, target.address, service_ms, check);
                 let log = self.directory.join(format!("{name}.log"));
-                let process = Process::new(&name, program, arguments, log);
-                let address = target.address;
                 let node = Node {
                     kind: Kind::Target,
                     domain: target.failure_domain.to_string(),
-                    address,
-                    listed: address,
-                    admin: address,
-                    process,
+                    address: target.address,
+                    listed: target.address,
+                    admin: target.address,
+                    process: Process::new(&name, program, arguments, log),
                 };
                 self.nodes.insert(name, node);
             }
         }
     }
+
+    fn add_spare(&mut self, program: &Path, n: usize, port: u16, service_ms: u64) {
+        let Some(service) = self.document.services.first() else { return };
+        let (name, address) = (format!("spare-{n}"), self.range.address(port));
+        let arguments = flags(&name, service, address, service_ms, false);
+        let log = self.directory.join(format!("{name}.log"));
+        let process = Process::new(&name, program, arguments, log);
+        let (domain, kind) = (String::new(), Kind::Spare);
+        let node = Node { kind, domain, address, listed: address, admin: address, process };
+        self.nodes.insert(name, node);
+    }
+}
+
+fn flags(
+    name: &str,
+    service: &Service,
+    address: SocketAddr,
+    service_ms: u64,
+    check_token: bool,
+) -> Vec<String> {
+    let flags = [
+        ("--name", name.to_owned()),
+        ("--service", service.name.to_string()),
+        ("--address", address.to_string()),
+        ("--slots", service.slots.to_string()),
+        ("--connections", service.connections.to_string()),
+        ("--service-ms", service_ms.to_string()),
+        ("--warmup-ms", service.warmup_ms.to_string()),
+        ("--check-token", check_token.to_string()),
+    ];
+    flags.into_iter().flat_map(|(flag, value)| [flag.to_owned(), value]).collect()
 }
 
 /// Returns the directory of the programs: that of the running program, or its parent for a test.
--- a/bins/demo/src/environment.rs
+++ b/bins/demo/src/environment.rs
@@ -1,6 +1,7 @@
 //! A running environment and the faults that can be injected into it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::time::Duration;
@@ -28,6 +29,9 @@
 const START_LIMIT: Duration = Duration::from_secs(30);
 /// Time allowed for a planned stop.
 const STOP_LIMIT: Duration = Duration::from_secs(15);
+/// Time without a change of coordinators after which an environment counts as settled. Groups are
+/// spread one by one, every 500 ms.
+const SETTLED: Duration = Duration::from_millis(1000);
 /// Interval at which a condition is checked.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -38,6 +42,8 @@
     Entry,
     /// Target.
     Target,
+    /// Target that is not in the document.
+    Spare,
 }
 
 /// An entry instance or a target.
@@ -56,6 +62,13 @@
     pub(crate) process: Process,
 }
 
+impl Node {
+    /// Returns the process id while the process runs.
+    pub fn process_id(&self) -> Option<u32> {
+        self.process.id()
+    }
+}
+
 /// A running environment. Dropping it ends every process.
 #[derive(Debug)]
 pub struct Environment {
@@ -89,7 +102,9 @@
         }
         let names: Vec<String> = self.nodes.keys().cloned().collect();
         for name in &names {
-            self.set_listed(name, State::Live)?;
+            if self.node(name)?.kind != Kind::Spare {
+                self.set_listed(name, State::Live)?;
+            }
             self.node_mut(name)?.process.start()?;
         }
         self.wait_served(START_LIMIT)
@@ -101,9 +116,27 @@
             let entries = environment.responsive(Kind::Entry);
             entries.iter().all(|(_, node)| environment.admin.ready(node.admin))
         })?;
-        self.wait_until("every group has a coordinator", limit, |environment| {
-            let holders = environment.coordinators();
-            environment.plan.groups.iter().all(|group| holders.contains_key(group.name.as_str()))
+        self.wait_until("every group is served", limit, |environment| {
+            let mut served = BTreeSet::new();
+            for (_, node) in environment.responsive(Kind::Entry) {
+                served.extend(environment.admin.serving(node.admin).unwrap_or_default());
+            }
+            environment.plan.groups.iter().all(|group| served.contains(group.name.as_str()))
+        })
+    }
+
+    /// Waits until no group has changed its coordinator for a second, as groups are spread over the
+    /// instances after a start.
+    pub fn wait_settled(&mut self, limit: Duration) -> Result<()> {
+        let mut seen = self.coordinators();
+        let mut since = Instant::now();
+        self.wait_until("no group changes its coordinator", limit, |environment| {
+            let now = environment.coordinators();
+            if now != seen {
+                seen = now;
+                since = Instant::now();
+            }
+            since.elapsed() > SETTLED
         })
     }
 
@@ -181,6 +214,11 @@
         kept.map(|(_, node)| node.address).collect()
     }
 
+    /// Returns the addresses of the targets that are not in the document.
+    pub fn spare_addresses(&self) -> Vec<SocketAddr> {
+        self.responsive(Kind::Spare).iter().map(|(_, node)| node.address).collect()
+    }
+
     /// Returns the process ids of the running processes of a kind.
     pub fn process_ids(&self, kind: Kind) -> Vec<u32> {
         self.responsive(kind).iter().filter_map(|(_, node)| node.process.id()).collect()
@@ -203,6 +241,39 @@
         found.ok_or_else(|| Error::Unknown(format!("coordinator of {group}")))
     }
 
+    /// Returns the groups that an entry instance says it coordinates, if it answers.
+    pub fn held(&self, name: &str) -> Option<BTreeSet<String>> {
+        self.admin.held(self.node(name).ok()?.admin)
+    }
+
+    /// Returns the term under which an entry instance says it coordinates a group.
+    pub fn term(&self, name: &str, group: &str) -> Option<u64> {
+        let status = self.admin_page(name, "/status").ok()?;
+        let groups = status.get("groups")?.as_array()?;
+        let row = groups.iter().find(|row| row.get("group").is_some_and(|found| found == group))?;
+        row.get("term")?.as_u64()
+    }
+
+    /// Returns the configuration version that an entry instance applies, if it answers.
+    pub fn config_version(&self, name: &str) -> Option<u64> {
+        self.admin.config_version(self.node(name).ok()?.admin)
+    }
+
+    /// Returns the status of a target.
+    pub fn target_status(&self, name: &str) -> Result<Value> {
+        let (_, text) = self.http.get(self.node(name)?.address, "/control/status")?;
+        Ok(serde_json::from_str(&text)?)
+    }
+
+    /// Returns the number of requests that a target has started.
+    pub fn executed(&mut self, name: &str) -> Result<usize> {
+        let mut targets = self.journal_targets();
+        targets.retain(|target| target.name == name);
+        let mut journals = Journals::default();
+        journals.collect_blocking(&targets, false)?;
+        Ok(journals.read.values().map(|journal| journal.entries.len()).sum())
+    }
+
     /// Returns a page of the admin interface of an entry instance.
     pub fn admin_page(&self, name: &str, path: &str) -> Result<Value> {
         self.admin.page(self.node(name)?.admin, path)
@@ -327,7 +398,7 @@
         let node = self.node(name)?;
         let kind = match node.kind {
             Kind::Entry => "entry",
-            Kind::Target => "target",
+            Kind::Target | Kind::Spare => "target",
         };
         self.platform.list(name, kind, &node.domain, node.listed, state)
     }
--- a/bins/demo/src/lib.rs
+++ b/bins/demo/src/lib.rs
@@ -7,6 +7,7 @@
 #![warn(missing_docs)]
 
 pub mod admin;
+pub mod bench;
 pub mod builder;
 pub mod child;
 pub mod environment;
--- a/bins/demo/src/main.rs
+++ b/bins/demo/src/main.rs
@@ -15,6 +15,7 @@
 use clap::Subcommand;
 use serde::Serialize;
 
+use caraway_demo::bench;
 use caraway_demo::builder::Builder;
 use caraway_demo::environment::Environment;
 use caraway_demo::environment::Kind;
@@ -25,7 +26,6 @@
 use caraway_demo::schedule::Cast;
 use caraway_demo::schedule::Step;
 use caraway_demo::session;
-use caraway_demo::session::Outcome;
 use caraway_demo::sketch;
 use caraway_demo::traffic;
 
@@ -45,6 +45,8 @@
     Soak(SoakOptions),
     /// Measures unavailable times after each fault and pair of faults.
     Recovery(RecoveryOptions),
+    /// Compares direct requests to targets with requests through entry instances.
+    Bench(BenchOptions),
 }
 
 #[derive(Args)]
@@ -87,6 +89,19 @@
     json: bool,
 }
 
+#[derive(Args)]
+struct BenchOptions {
+    /// Duration of each side of a comparison in seconds.
+    #[arg(long, default_value_t = 5.0)]
+    seconds: f64,
+    /// Service time of the targets in milliseconds.
+    #[arg(long, default_value_t = 1)]
+    service_ms: u64,
+    /// Prints JSON.
+    #[arg(long)]
+    json: bool,
+}
+
 #[derive(Args)]
 struct CommonOptions {
     /// Seed of load and faults.
@@ -98,6 +113,9 @@
     /// First port. By default a free range is chosen.
     #[arg(long)]
     base_port: Option<u16>,
+    /// Directory of the programs. By default that of this program.
+    #[arg(long)]
+    programs: Option<PathBuf>,
     /// Keeps settings and logs.
     #[arg(long)]
     keep: bool,
@@ -113,6 +131,7 @@
         None => demo(&options.demo, &interrupted),
         Some(Command::Soak(soak)) => run_soak(soak, &interrupted),
         Some(Command::Recovery(recovery)) => run_recovery(recovery, &interrupted),
+        Some(Command::Bench(options)) => run_bench(options),
     });
     match result {
         Ok(true) => ExitCode::SUCCESS,
@@ -162,6 +181,7 @@
     steps: impl FnOnce(&Environment, Duration) -> Vec<Step>,
 ) -> Result<bool> {
     builder.base_port = common.base_port;
+    builder.programs.clone_from(&common.programs);
     builder.keep_directory = common.keep;
     let started = std::time::Instant::now();
     let mut environment = builder.start()?;
@@ -204,11 +224,18 @@
     Ok(rows.iter().all(|row| row.bad_answers == 0))
 }
 
-fn print(outcome: &Outcome, json: bool) -> Result<()> {
+fn run_bench(options: &BenchOptions) -> Result<bool> {
+    let (seconds, service_ms) = (options.seconds, options.service_ms);
+    let results = bench::run(&bench::Options { seconds, service_ms })?;
+    print(&results, options.json)?;
+    Ok(results.closed.routed.report.clean() && results.half.routed.report.clean())
+}
+
+fn print<T: Serialize + std::fmt::Display>(value: &T, json: bool) -> Result<()> {
     if json {
-        return print_json(outcome);
+        return print_json(value);
     }
-    print!("{outcome}");
+    print!("{value}");
     Ok(())
 }
 
--- /dev/null
+++ b/bins/demo/tests/soak.rs
@@ -0,0 +1,44 @@
+//! A randomised run with a fixed seed. Longer runs: `caraway-demo soak --seed N --seconds S`.
+
+#![allow(clippy::unwrap_used, clippy::indexing_slicing)]
+
+mod common;
+
+use std::sync::atomic::AtomicBool;
+use std::time::Duration;
+
+use caraway_demo::schedule;
+use caraway_demo::schedule::Cast;
+use caraway_demo::session;
+use caraway_demo::sketch::Size;
+use caraway_demo::traffic;
+use caraway_load::profile::Arrival;
+
+/// Guards against violated invariants under combinations of faults that no other test has.
+#[test]
+fn random_faults_violate_no_invariant() {
+    let mut environment = common::environment(3, &Size::default(), 2);
+    let length = Duration::from_secs(13);
+    let steps = schedule::random(&Cast::new(&environment), 11, length);
+    let options = traffic::Options {
+        seconds: length.as_secs_f64(),
+        arrival: Arrival::Open { rate: 250.0, connections: 200, poisson: true },
+        ..traffic::Options::default()
+    };
+    let profile = traffic::profile(&environment, &options);
+    let never = AtomicBool::new(false);
+    let outcome = session::run(&mut environment, &profile, &steps, &never).unwrap();
+    println!("{outcome}");
+    assert!(outcome.clean(), "an invariant was violated");
+    assert!(outcome.report.overall.answered > 500, "hardly anything was answered");
+}
+
+/// Guards against schedules that differ between runs of one seed, which could not be repeated.
+#[test]
+fn a_seed_always_gives_the_same_schedule() {
+    let names = |prefix: &str| (0..5).map(|n| format!("{prefix}{n}")).collect();
+    let cast = Cast { entries: names("e"), targets: names("t") };
+    let length = Duration::from_secs(60);
+    assert_eq!(schedule::random(&cast, 3, length), schedule::random(&cast, 3, length));
+    assert_ne!(schedule::random(&cast, 3, length), schedule::random(&cast, 4, length));
+}
--- a/bins/load/src/body.rs
+++ b/bins/load/src/body.rs
@@ -75,6 +75,11 @@
         self.position += u64::try_from(piece.len()).unwrap_or(0);
     }
 
+    /// Returns the number of bytes that were added.
+    pub fn position(&self) -> u64 {
+        self.position
+    }
+
     /// Returns what the whole body is.
     pub fn finish(&self) -> Finding {
         let line_bytes = u64::try_from(self.line.len()).unwrap_or(0);
--- a/bins/load/src/client.rs
+++ b/bins/load/src/client.rs
@@ -94,6 +94,15 @@
     pub entry: usize,
     /// Target and incarnation that answered, as `target/incarnation`.
     pub source: Option<String>,
+    /// Head of an answer that no instance may send.
+    pub detail: Option<String>,
+}
+
+impl Exchange {
+    /// Makes the result of a submission without an answer.
+    pub fn unanswered(verdict: Verdict, entry: usize) -> Self {
+        Self { verdict, entry, source: None, detail: None }
+    }
 }
 
 /// A caller with at most one open connection.
@@ -128,13 +137,14 @@
         limit: Duration,
     ) -> Exchange {
         let Some(mut sender) = self.connect(addresses).await else {
-            return Exchange { verdict: Verdict::Unreachable, entry: self.current, source: None };
+            return Exchange::unanswered(Verdict::Unreachable, self.current);
         };
+        let entry = self.current;
         let exchange = exchange(&mut sender, request, ids, expected, direct);
         let result = timeout(limit, exchange).await;
-        let (verdict, source) = result.unwrap_or((Verdict::TimedOut, None));
-        let entry = self.current;
-        match verdict {
+        let mut result = result.unwrap_or_else(|_| Exchange::unanswered(Verdict::TimedOut, entry));
+        result.entry = entry;
+        match result.verdict {
             Verdict::Answered(_) | Verdict::Refused(_) | Verdict::Unknown(_) => {
                 self.sender = Some(sender);
             }
@@ -144,7 +154,7 @@
             }
             Verdict::Broken | Verdict::Truncated | Verdict::Wrong | Verdict::Malformed => {}
         }
-        Exchange { verdict, entry, source }
+        result
     }
 
     /// Returns the open connection, or opens one at the first address that accepts it.
@@ -182,25 +192,35 @@
     ids: &[String],
     expected: Option<u64>,
     direct: bool,
-) -> (Verdict, Option<String>) {
+) -> Exchange {
     let response = match sender.send_request(request).await {
         Ok(response) => response,
         // The connection task ended before it took the request, so nothing was sent.
-        Err(error) if error.is_canceled() => return (Verdict::Unreachable, None),
-        Err(_) => return (Verdict::Lost, None),
+        Err(error) if error.is_canceled() => return Exchange::unanswered(Verdict::Unreachable, 0),
+        Err(_) => return Exchange::unanswered(Verdict::Lost, 0),
     };
-    let verdict = Head::new(response.status(), response.headers()).judge(ids, direct);
-    let source = source(&response);
+    let head = Head::new(response.status(), response.headers());
+    let verdict = head.judge(ids, direct);
+    let mut result = Exchange { verdict, entry: 0, source: source(&response), detail: None };
     let mut checkers: Vec<Checker> = ids.iter().map(|id| Checker::new(id, expected)).collect();
     let mut body = response.into_body();
     while let Some(frame) = body.frame().await {
-        let Ok(frame) = frame else { return (Verdict::Broken, source) };
+        let Ok(frame) = frame else {
+            result.verdict = Verdict::Broken;
+            return result;
+        };
         if let Some(data) = frame.data_ref() {
             checkers.iter_mut().for_each(|checker| checker.add(data));
         }
     }
     let findings: Vec<Finding> = checkers.iter().map(Checker::finish).collect();
-    (with_body(verdict, &findings), source)
+    result.verdict = with_body(verdict, &findings);
+    if matches!(result.verdict, Verdict::Truncated | Verdict::Wrong | Verdict::Malformed) {
+        let bytes = checkers.first().map_or(0, Checker::position);
+        let verdict = result.verdict.name();
+        result.detail = Some(format!("{verdict}: request {ids:?}, {bytes} bytes, {head:?}"));
+    }
+    result
 }
 
 fn source(response: &Response<Incoming>) -> Option<String> {
--- a/bins/load/src/report.rs
+++ b/bins/load/src/report.rs
@@ -91,6 +91,8 @@
     pub truncated: u64,
     /// Answers without a valid outcome.
     pub malformed: u64,
+    /// Descriptions of the first wrong, truncated and malformed answers.
+    pub details: Vec<String>,
     /// Idempotency keys that were executed more than once.
     pub doubled: u64,
     /// Requests with an idempotency key.
@@ -130,6 +132,7 @@
             truncated: count(Verdict::Truncated),
             malformed: count(Verdict::Malformed),
             doubled: journal.as_ref().map_or(0, |findings| findings.doubled),
+            details: record.details.clone(),
             orders: orders(profile, samples),
             connect_failures: record.connect_failures,
             windows: summaries.collect(),
@@ -232,6 +235,7 @@
             "wrong {}, truncated {}, malformed {}, doubled {}",
             self.wrong, self.truncated, self.malformed, self.doubled
         )?;
+        self.details.iter().try_for_each(|detail| writeln!(f, "  {detail}"))?;
         if let Some(findings) = &self.journal {
             write_findings(f, findings)?;
         }
--- a/bins/load/src/run.rs
+++ b/bins/load/src/run.rs
@@ -46,6 +46,7 @@
             next: AtomicU64::new(0),
             stop: AtomicBool::new(false),
             sources: Mutex::new(Vec::new()),
+            details: Mutex::new(Vec::new()),
             profile,
         });
         let moved = Arc::clone(&shared);
@@ -79,15 +80,14 @@
         let thread = self.thread.take().ok_or(Error::Thread)?;
         let mut samples = thread.join().map_err(|_| Error::Thread)??;
         samples.sort_by_key(|sample| (sample.intended_us, sample.number, sample.submission));
-        let sources = match self.shared.sources.lock() {
-            Ok(sources) => sources.clone(),
-            Err(poisoned) => poisoned.into_inner().clone(),
-        };
+        let sources = worker::locked(&self.shared.sources).clone();
+        let details = worker::locked(&self.shared.details).clone();
         let last = samples.iter().map(|sample| sample.ended_us).max().unwrap_or(0);
         let addresses = &self.shared.addresses;
         Ok(Record {
             samples,
             sources,
+            details,
             duration_us: last,
             connect_failures: addresses.connect_failures.load(Ordering::Relaxed),
             connections: addresses.connections.load(Ordering::Relaxed),
--- a/bins/load/src/sample.rs
+++ b/bins/load/src/sample.rs
@@ -92,6 +92,8 @@
     pub samples: Vec<Sample>,
     /// Targets that answered, each as `target/incarnation`.
     pub sources: Vec<String>,
+    /// Descriptions of the first wrong, truncated and malformed answers.
+    pub details: Vec<String>,
     /// Duration of the run in microseconds.
     pub duration_us: u64,
     /// Connections that could not be opened.
--- a/bins/load/src/worker.rs
+++ b/bins/load/src/worker.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -21,6 +23,8 @@
 
 /// Pause after an answer other than "answered", so that a closed loop does not spin on refusals.
 const PAUSE_AFTER_FAILURE: Duration = Duration::from_millis(5);
+/// Descriptions of bad answers that are kept.
+const MAX_DETAILS: usize = 20;
 /// Pause before a non-repeatable request is submitted again.
 const PAUSE_BEFORE_RESEND: Duration = Duration::from_millis(100);
 
@@ -36,6 +40,7 @@
     pub(crate) next: AtomicU64,
     pub(crate) stop: AtomicBool,
     pub(crate) sources: Mutex<Vec<String>>,
+    pub(crate) details: Mutex<Vec<String>>,
 }
 
 impl Shared {
@@ -131,8 +136,14 @@
                 let addresses = &shared.addresses;
                 self.client.submit(addresses, request, ids, bytes, profile.direct, limit).await
             }
-            Err(_) => Exchange { verdict: Verdict::Unreachable, entry: 0, source: None },
+            Err(_) => Exchange::unanswered(Verdict::Unreachable, 0),
         };
+        if let Some(detail) = exchange.detail {
+            let mut details = locked(&shared.details);
+            if details.len() < MAX_DETAILS {
+                details.push(detail);
+            }
+        }
         let source = exchange.source.map(|source| self.intern(source));
         self.samples.push(Sample {
             number: draft.number,
@@ -153,10 +164,7 @@
         if let Some(index) = self.sources.get(&source) {
             return *index;
         }
-        let mut list = match self.shared.sources.lock() {
-            Ok(list) => list,
-            Err(poisoned) => poisoned.into_inner(),
-        };
+        let mut list = locked(&self.shared.sources);
         let position = list.iter().position(|known| *known == source).unwrap_or_else(|| {
             list.push(source.clone());
             list.len() - 1
@@ -168,6 +176,11 @@
     }
 }
 
+/// Locks a list. A list whose holder panicked is still whole, because each change is one push.
+pub(crate) fn locked(list: &Mutex<Vec<String>>) -> MutexGuard<'_, Vec<String>> {
+    list.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns true if the request may have run, or if an earlier submission of it may still be running.
 fn open(verdict: Verdict, submission: u8) -> bool {
     match verdict {
