Close gaps in the tests of the stand-ins

Five of 42 deliberate faults in the stand-ins were not seen by their tests: a lower term that only the shard's token caught, a takeover that kept the old granting sequence, a deadline that was only checked with a free slot, a lease expiry that did not wake watches, and a control call that its own cut closed.

--- a/standins/platform/tests/platform/faults.rs
+++ b/standins/platform/tests/platform/faults.rs
@@ -52,7 +52,9 @@
         let cut = watch("bog");
         let kept = watch("med");
         platform.await_count("watch", 2);
-        platform.fault(json!({ "cut_domains": ["bog"] }));
+        let fault = r#"{"cut_domains":["bog"]}"#;
+        let control = platform.call_from("bog", "POST", "/v1/fault", fault);
+        assert_eq!(control.unwrap().0, 200, "a control call is never cut");
         assert!(cut.join().unwrap().is_err());
         assert!(platform.call_from("bog", "GET", "/v1/kv/k", "").is_err());
         assert_eq!(platform.put("k", "1", 0).0, 200);
--- a/standins/platform/tests/platform/store.rs
+++ b/standins/platform/tests/platform/store.rs
@@ -81,7 +81,8 @@
         assert_eq!(platform.call("PUT", &format!("/v1/leases/{lease}"), "").0, 200);
     }
     assert_eq!(platform.get("/v1/kv/held").0, 200);
-    let watch = platform.get("/v1/watch/held?after=1&wait_ms=5000");
+    // The caller's timeout is shorter than this wait.
+    let watch = platform.get("/v1/watch/held?after=1&wait_ms=60000");
     let change = json!({ "key": "held", "value": null, "revision": 3 });
     assert_eq!(watch, (200, json!({ "revision": 3, "changes": [change] })));
     assert_eq!(platform.get("/v1/kv/held").0, 404);
--- a/standins/target/tests/target/grant.rs
+++ b/standins/target/tests/target/grant.rs
@@ -20,14 +20,15 @@
     let target = Target::start(&[]);
     assert_eq!(target.grant((4, 1), LONG_MS, json!([[0, 9]])), 200);
     assert_eq!(target.request("4.1", "3", &[]).status, 200);
-    assert_eq!(target.grant((6, 1), LONG_MS, Value::Null), 200);
-    assert_eq!(target.request("4.1", "3", &[]).refusal(), (409, Some("stale-token")));
-    assert_eq!(target.request("4.9", "3", &[]).refusal(), (409, Some("stale-token")));
+    assert_eq!(target.grant((6, 2), LONG_MS, Value::Null), 200);
+    for (token, shard) in [("4.1", "3"), ("4.9", "3"), ("4.9", "50"), ("6.1", "3")] {
+        assert_eq!(target.request(token, shard, &[]).refusal(), (409, Some("stale-token")));
+    }
     assert_eq!(target.grant((4, 9), LONG_MS, json!([[0, 99]])), 409);
-    assert_eq!(target.request("6.1", "3", &[]).status, 200);
+    assert_eq!(target.request("6.2", "3", &[]).status, 200);
     let status = target.status();
     assert_eq!(status["shards"], json!([[0, 9]]), "a takeover keeps the shards");
-    assert_eq!((&status["term"], &status["seq"]), (&json!(6), &json!(1)));
+    assert_eq!((&status["term"], &status["seq"]), (&json!(6), &json!(2)));
     assert_eq!(target.journal().len(), 2);
 }
 
--- a/standins/target/tests/target/load.rs
+++ b/standins/target/tests/target/load.rs
@@ -38,15 +38,16 @@
     assert_eq!(target.status()["running"], 0);
 }
 
-/// Guards against a request that starts after its deadline.
+/// Guards against a request that starts after its deadline, or is refused long after it.
 #[test]
 fn a_deadline_that_passes_in_the_queue_stops_the_request() {
     let target = start(&["--slots", "1"]);
     thread::scope(|scope| {
-        let slow = scope.spawn(|| target.request("1.1", "0", &[("test-service-ms", "600")]));
+        let slow = scope.spawn(|| target.request("1.1", "0", &[("test-service-ms", "1500")]));
         target.await_status("running", &json!(1));
         let late = target.request("1.1", "0", &[("caraway-deadline-ms", "50")]);
         assert_eq!(late.refusal(), (504, Some("deadline")));
+        assert_eq!(target.status()["running"], 1, "the refusal waited for the slot");
         assert_eq!(slow.join().unwrap().status, 200);
     });
     let none = target.request("1.1", "0", &[("caraway-deadline-ms", "0")]);
