--- a/bins/entry/src/control/terms.rs
+++ b/bins/entry/src/control/terms.rs
@@ -261,6 +261,7 @@
         let gap = row.lock_ledger().incomplete_until().since(now);
         let entries = row.lock_ledger().export(now).into_iter().map(ledgers::to_wire).collect();
         let new_term = record.groups.iter().find(|row| row.group == *group);
+        let successor = self.roster.holding(group).and_then(|holding| holding.successor.clone());
         let request = peer::HandoverRequest {
             group: group.to_string(),
             term: new_term.map_or(term, |row| row.term),
@@ -268,6 +269,7 @@
             holder_incarnation: to.incarnation,
             entries,
             incomplete_ms: u64::try_from(gap.as_millis()).unwrap_or(u64::MAX),
+            successor: successor.map(|name| name.to_string()).unwrap_or_default(),
         };
         if let Some(member) = self.directory.member(&to.instance).cloned() {
             // The data path forwards to the receiver from now on; it does not wait for its heartbeat.
@@ -318,7 +320,8 @@
         }
         let holder = self.roster.coordinator(&group).map(|(process, _)| process.clone());
         let Some(holder) = holder else { return refuse("the former coordinator is not known") };
-        let successor = self.roster.holding(&group).and_then(|row| row.successor.clone());
+        let named = name::Instance::new(&request.successor);
+        let successor = (!request.successor.is_empty()).then_some(named);
         let former = Former { holder, released: true, successor };
         let origin = Origin {
             term: request.term,
