Answer "unknown" with its own status after a lost attempt

When a repeatable request was lost on one coordinator and refused by the next, the caller got the outcome "unknown" with the refusal's status 503. Such an answer is now made here, with 502.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -82,6 +82,10 @@
     let sent = exchange::send(&router.pool, router.clock, &order, request).await;
     let event = match sent {
         Ok((response, lease)) => match check(router, remote, group, call, &response) {
+            // The refusal is about this attempt; an earlier one may have run the request.
+            Ok(Outcome::Refused(reason)) if call.trail.may_have_run() => {
+                return Err(call.refuse(reason));
+            }
             Ok(outcome) => return Ok(pass(router, call, response, lease, outcome)),
             Err(event) => event,
         },
@@ -135,7 +139,7 @@
                 Err(Event::Refused(Reason::Misdirected))
             }
             Reason::NotReady => Err(Event::Refused(Reason::NotReady)),
-            reason => Ok(call.trail.conclude(reason)),
+            reason => Ok(Outcome::Refused(reason)),
         },
         Some(_) | None => Err(Event::BadAnswer),
     }
--- a/crates/relay/tests/instances.rs
+++ b/crates/relay/tests/instances.rs
@@ -167,6 +167,26 @@
     assert_eq!(reading.outcome().0, "unknown");
 }
 
+/// Guards against "did not run" that is true for the second attempt only: the first one may have run.
+#[tokio::test]
+async fn refusal_after_a_lost_attempt_is_unknown() {
+    let peer = Target::start(|seen, number| match number {
+        0 => Act::Crash,
+        _ => {
+            let id = seen.id();
+            let outcome = "caraway-outcome: refused\r\ncaraway-reason: no-target";
+            let head = format!("HTTP/1.1 503 No\r\ncaraway-request-id: {id}\r\n{outcome}");
+            Act::Write(format!("{head}\r\ncontent-length: 0\r\n\r\n").into())
+        }
+    })
+    .await;
+    let entry = Entry::start("entry-2").await;
+    entry.replace([remote(KEYED, peer.address, 2)].into());
+    let answer = entry.get("/lectura/k", &[]).await;
+    assert_eq!((answer.status, answer.outcome()), (502, ("unknown", "connection-lost")));
+    assert_eq!(peer.count(), 2);
+}
+
 /// Guards against a coordinator whose death is noticed only by heartbeats.
 #[tokio::test]
 async fn refused_connection_to_a_coordinator_is_reported() {
