--- a/crates/admission/src/table.rs
+++ b/crates/admission/src/table.rs
@@ -454,7 +454,7 @@
         }
         let last = self.unit_mut(&out.scope).is_some_and(|unit| unit.give_back(out.epoch));
         if last {
-            self.settle(&out.scope, now);
+            self.settle(now);
         }
         self.fleet.forget(out.member);
         if self.options.pooled {
@@ -465,8 +465,8 @@
     }
 
     /// Continues a change of ownership that waited for the last permit of a unit.
-    fn settle(&mut self, scope: &Scope, now: Stamp) {
-        if matches!(scope, Scope::Key(_)) {
+    fn settle(&mut self, now: Stamp) {
+        if !self.keys.is_empty() {
             self.merge_ended();
         }
         if !self.held.is_empty() {
--- a/crates/admission/tests/table.rs
+++ b/crates/admission/tests/table.rs
@@ -301,6 +301,22 @@
     assert_eq!(grants(&mut table).len(), usize::from(!at_once));
 }
 
+/// Guards against a key that waits on after its split ended, although the last permit that kept its
+/// shard from the same owner is back.
+#[test]
+fn ended_split_joins_its_shard_when_that_arrives() {
+    let mut table = table(false, 2, 4, 8);
+    table.split("shelf-0", &target(1), Token::new(2, 2), NOW);
+    table.acquire(normal(0), NOW);
+    let neighbor = Request { key: Arc::from("shelf-99"), ..normal(0) };
+    let (sent, _) = granted(&table.acquire(neighbor, NOW));
+    table.unsplit("shelf-0", NOW);
+    table.assign(Shard(0), &target(1), Token::new(2, 3), NOW);
+    assert!(matches!(table.acquire(normal(0), NOW), Entry::Queued(_)));
+    table.finish(sent, Some(Finish::Answered), ms(5));
+    assert_eq!(grants(&mut table).len(), 1);
+}
+
 /// Guards against counts that the placement policy would misread.
 #[test]
 fn rates_count_arrivals_since_the_last_call() {
