Count control messages, their bytes and store calls

The metrics of control messages and store calls existed, but nothing fed them.

Entry instances now count each control message that they send, with the length of the protobuf message plus 49 bytes of gRPC and HTTP/2 framing; calls to targets count request and answer with their heads, under the kinds grant and query. The store client tells an observer about each call, so that retries and reads after a lost response count as well.

The test of the observer fails in 3 of 6 cases if a lost response counts as failed.

--- a/bins/entry/src/control.rs
+++ b/bins/entry/src/control.rs
@@ -74,8 +74,8 @@
     pub caller: Caller,
     /// Calls to the store.
     pub storage: Storage,
-    /// Runtime of the target lines.
-    pub runtime: tokio::runtime::Handle,
+    /// Runtime and metrics of the target lines.
+    pub runtime: crate::target::Shared,
     /// Own messages.
     pub outbox: Outbox,
     /// Told when a planned stop has handed everything over.
--- a/bins/entry/src/coordination.rs
+++ b/bins/entry/src/coordination.rs
@@ -41,6 +41,7 @@
 use crate::target::Grant;
 use crate::target::Line;
 use crate::target::Order;
+use crate::target::Shared;
 
 /// Changes of ownership that are kept for explanations, for each group.
 const CHANGES: usize = 256;
@@ -134,7 +135,7 @@
         group: Arc<plan::Group>,
         origin: Origin,
         peers: BTreeSet<name::Instance>,
-        runtime: &tokio::runtime::Handle,
+        runtime: &Shared,
         outbox: &Outbox,
         now: Stamp,
     ) -> caraway_ownership::errors::Result<Self> {
@@ -188,7 +189,7 @@
     }
 
     /// Opens lines to the targets of the plan and closes those of others.
-    fn connect(&mut self, runtime: &tokio::runtime::Handle, outbox: &Outbox) {
+    fn connect(&mut self, runtime: &Shared, outbox: &Outbox) {
         let group = self.group.clone();
         self.lines.retain(|name, _| group.targets.iter().any(|target| target.name == *name));
         for target in &group.targets {
@@ -203,7 +204,7 @@
     pub fn replan(
         &mut self,
         group: Arc<plan::Group>,
-        runtime: &tokio::runtime::Handle,
+        runtime: &Shared,
         outbox: &Outbox,
         now: Stamp,
     ) -> Outcome {
--- a/bins/entry/src/peers.rs
+++ b/bins/entry/src/peers.rs
@@ -8,6 +8,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use prost::Message as Wire;
 use tokio::net::TcpStream;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -21,6 +22,8 @@
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
 use caraway_ownership::roster::Process;
+use caraway_telemetry::metric;
+use caraway_telemetry::metric::Metrics;
 use caraway_wire::peer;
 use caraway_wire::peer::peer_client::PeerClient;
 use caraway_wire::peer::peer_server::Peer;
@@ -44,6 +47,11 @@
 /// Largest message that is accepted: a full ledger with kept answers fits, and so does a document.
 const MESSAGE_LIMIT: usize = 96 << 20;
 
+/// Bytes that gRPC and HTTP/2 add to a message: the 5-byte prefix of gRPC, frame headers of 9 bytes for
+/// the headers and the data, and the indexed header fields. Measured as the difference between the messages
+/// and the bytes on their connections, on average of heartbeats and records.
+const FRAMING_BYTES: usize = 49;
+
 /// What came of a heartbeat.
 #[derive(Debug)]
 pub struct BeatAnswer {
@@ -71,13 +79,14 @@
 pub struct Caller {
     runtime: tokio::runtime::Handle,
     outbox: Outbox,
+    metrics: Arc<Metrics>,
     channels: Arc<Mutex<HashMap<SocketAddr, Channel>>>,
 }
 
 impl Caller {
     /// Makes a caller without connections.
-    pub fn new(runtime: tokio::runtime::Handle, outbox: Outbox) -> Self {
-        Self { runtime, outbox, channels: Arc::new(Mutex::new(HashMap::new())) }
+    pub fn new(runtime: tokio::runtime::Handle, outbox: Outbox, metrics: Arc<Metrics>) -> Self {
+        Self { runtime, outbox, metrics, channels: Arc::new(Mutex::new(HashMap::new())) }
     }
 
     /// Sends a heartbeat.
@@ -97,6 +106,7 @@
         beat: peer::Beat,
     ) -> Result<Box<peer::Beat>, Silence> {
         let Some(mut client) = self.client(address) else { return Err(Silence::Unknown) };
+        count(&self.metrics, metric::Message::Heartbeat, &beat);
         match timeout(BEAT_TIMEOUT, client.heartbeat(Request::new(beat))).await {
             Ok(Ok(answer)) => Ok(Box::new(answer.into_inner())),
             Ok(Err(_)) | Err(_) => Err(probe(address).await),
@@ -147,6 +157,7 @@
         limit: Duration,
     ) -> bool {
         let Some(mut client) = self.client(address) else { return false };
+        count(&self.metrics, metric::Message::Record, &request);
         match timeout(limit, client.record(Request::new(request))).await {
             Ok(Ok(answer)) => answer.into_inner().accepted,
             Ok(Err(_)) | Err(_) => false,
@@ -165,6 +176,7 @@
         self.runtime.spawn(async move {
             let Some(mut client) = caller.client(address) else { return };
             let request = peer::HistoryRequest { group: group.to_string(), term };
+            count(&caller.metrics, metric::Message::History, &request);
             let call = timeout(BULK_TIMEOUT, client.history(Request::new(request))).await;
             if let Ok(Ok(answer)) = call {
                 let entries = answer.into_inner().entries;
@@ -178,6 +190,7 @@
         let caller = self.clone();
         self.runtime.spawn(async move {
             let Some(mut client) = caller.client(address) else { return };
+            count(&caller.metrics, metric::Message::Handover, &request);
             let call = timeout(BULK_TIMEOUT, client.handover(Request::new(request))).await;
             if !matches!(call, Ok(Ok(_))) {
                 // The receiver finds the group in the domain record as well.
@@ -192,6 +205,7 @@
         self.runtime.spawn(async move {
             let Some(mut client) = caller.client(address) else { return };
             let request = peer::DocumentRequest { version };
+            count(&caller.metrics, metric::Message::Document, &request);
             let call = timeout(BULK_TIMEOUT, client.document(Request::new(request))).await;
             if let Ok(Ok(answer)) = call {
                 let peer::DocumentReply { version, document } = answer.into_inner();
@@ -214,6 +228,11 @@
     }
 }
 
+fn count(metrics: &Metrics, kind: metric::Message, message: &impl Wire) {
+    let bytes = message.encoded_len().saturating_add(FRAMING_BYTES);
+    metrics.sent(kind, u64::try_from(bytes).unwrap_or(u64::MAX));
+}
+
 fn client(channel: Channel) -> PeerClient<Channel> {
     PeerClient::new(channel)
         .max_decoding_message_size(MESSAGE_LIMIT)
@@ -233,13 +252,20 @@
 pub struct Service {
     outbox: Outbox,
     copies: Copies,
+    metrics: Arc<Metrics>,
     started: Stamp,
 }
 
 impl Service {
     /// Makes the service.
-    pub fn new(outbox: Outbox, copies: Copies, started: Stamp) -> Self {
-        Self { outbox, copies, started }
+    pub fn new(outbox: Outbox, copies: Copies, metrics: Arc<Metrics>, started: Stamp) -> Self {
+        Self { outbox, copies, metrics, started }
+    }
+
+    /// Counts an answer and makes the response of it.
+    fn answer<T: Wire>(&self, kind: metric::Message, message: T) -> Response<T> {
+        count(&self.metrics, kind, &message);
+        Response::new(message)
     }
 
     /// Returns the tonic server of the service.
@@ -263,7 +289,8 @@
         let (reply, answer) = oneshot::channel();
         let beat = Box::new(request.into_inner());
         self.outbox.send(Message::Beat { beat, reply });
-        answer.await.map(Response::new).map_err(ended)
+        let answer = answer.await.map_err(ended)?;
+        Ok(self.answer(metric::Message::Heartbeat, answer))
     }
 
     async fn record(
@@ -278,7 +305,8 @@
         if term < known && !outcomes.is_empty() {
             self.outbox.send(Message::Outcomes { group, entries: outcomes });
         }
-        Ok(Response::new(peer::RecordReply { accepted, term: known }))
+        let reply = peer::RecordReply { accepted, term: known };
+        Ok(self.answer(metric::Message::Record, reply))
     }
 
     async fn history(
@@ -289,7 +317,8 @@
         let now = Clock.now();
         let entries = self.copies.history(&name::Group::new(&group), term, now);
         let uptime_ms = u64::try_from(now.since(self.started).as_millis()).unwrap_or(u64::MAX);
-        Ok(Response::new(peer::HistoryReply { entries, uptime_ms }))
+        let reply = peer::HistoryReply { entries, uptime_ms };
+        Ok(self.answer(metric::Message::History, reply))
     }
 
     async fn handover(
@@ -299,7 +328,8 @@
         let (reply, answer) = oneshot::channel();
         let request = Box::new(request.into_inner());
         self.outbox.send(Message::Handover { request, reply });
-        answer.await.map(Response::new).map_err(ended)
+        let answer = answer.await.map_err(ended)?;
+        Ok(self.answer(metric::Message::Handover, answer))
     }
 
     async fn document(
@@ -312,7 +342,8 @@
         let held = answer.await.map_err(ended)?;
         match held.filter(|(version, _)| *version >= wanted) {
             Some((version, document)) => {
-                Ok(Response::new(peer::DocumentReply { version, document }))
+                let reply = peer::DocumentReply { version, document };
+                Ok(self.answer(metric::Message::Document, reply))
             }
             None => Err(Status::not_found("this instance has no document of that version")),
         }
--- a/bins/entry/src/process.rs
+++ b/bins/entry/src/process.rs
@@ -44,6 +44,7 @@
 use crate::settings::Settings;
 use crate::signal;
 use crate::storage;
+use crate::target;
 
 /// Longest time for a call to the store. The store answers in milliseconds.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -93,7 +94,7 @@
         metrics.clone(),
         Arc::new(registry),
     )?;
-    let service = peers::Service::new(outbox.clone(), copies.clone(), Clock.now());
+    let service = peers::Service::new(outbox.clone(), copies.clone(), metrics.clone(), Clock.now());
     let tasks = serve(&runtime, listeners, &router, service, &finishing);
     forward(&runtime, report_queue, outbox.clone(), Message::Report);
     forward(&runtime, replication_queue, outbox.clone(), Message::Replicate);
@@ -104,17 +105,22 @@
         domain: settings.failure_domain.clone(),
         timeout: STORE_TIMEOUT,
     };
-    let (storage, threads) =
-        storage::start(client::Client::new(options), keys, me.clone(), outbox.clone())?;
+    let (storage, threads) = storage::start(
+        client::Client::new(options),
+        keys,
+        me.clone(),
+        outbox.clone(),
+        metrics.clone(),
+    )?;
     let (stopped, mut stop_seen) = watch::channel(false);
     let parts = Parts {
         me: me.clone(),
         router,
         copies,
-        metrics,
-        caller: peers::Caller::new(runtime.handle().clone(), outbox.clone()),
+        metrics: metrics.clone(),
+        caller: peers::Caller::new(runtime.handle().clone(), outbox.clone(), metrics.clone()),
         storage,
-        runtime: runtime.handle().clone(),
+        runtime: target::Shared { runtime: runtime.handle().clone(), metrics },
         outbox: outbox.clone(),
         stopped,
     };
--- a/bins/entry/src/storage.rs
+++ b/bins/entry/src/storage.rs
@@ -14,6 +14,9 @@
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
 use caraway_store::client::Client;
+use caraway_store::client::Conclusion;
+use caraway_store::client::Kind;
+use caraway_store::client::Observer;
 use caraway_store::declaration;
 use caraway_store::errors::Error;
 use caraway_store::record;
@@ -21,6 +24,9 @@
 use caraway_store::write::Outcome;
 use caraway_telemetry::event;
 use caraway_telemetry::event::Event;
+use caraway_telemetry::metric::Call;
+use caraway_telemetry::metric::CallResult;
+use caraway_telemetry::metric::Metrics;
 
 use crate::declaration::Known;
 use crate::directory::Member;
@@ -166,7 +172,11 @@
     keys: Keys,
     me: Member,
     outbox: Outbox,
+    metrics: Arc<Metrics>,
 ) -> errors::Result<(Storage, Threads)> {
+    let client = client.observed(Observer::new(move |kind, conclusion| {
+        metrics.store_called(label(kind), result_label(conclusion));
+    }));
     let stop = Arc::new(AtomicBool::new(false));
     let watching = Arc::new(AtomicBool::new(false));
     let (changes, change_jobs) = channel();
@@ -375,6 +385,24 @@
     Done::Failed
 }
 
+fn label(kind: Kind) -> Call {
+    match kind {
+        Kind::Get => Call::Get,
+        Kind::Put => Call::Put,
+        Kind::Watch => Call::Watch,
+        Kind::Instances => Call::Instances,
+    }
+}
+
+fn result_label(conclusion: Conclusion) -> CallResult {
+    match conclusion {
+        Conclusion::Done => CallResult::Ok,
+        Conclusion::Conflict => CallResult::Conflict,
+        Conclusion::Failed => CallResult::Failed,
+        Conclusion::Ambiguous => CallResult::Ambiguous,
+    }
+}
+
 /// Returns an identity that no other write has.
 fn next_write_id(instance: &str, incarnation: u64) -> String {
     static NEXT: AtomicU64 = AtomicU64::new(0);
--- a/bins/entry/src/target.rs
+++ b/bins/entry/src/target.rs
@@ -6,12 +6,14 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use http_body_util::Limited;
+use hyper::HeaderMap;
 use hyper::Request;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -28,6 +30,8 @@
 use caraway_ownership::grant::Reply;
 use caraway_ownership::grant::State;
 use caraway_ownership::grant::from_ranges;
+use caraway_telemetry::metric;
+use caraway_telemetry::metric::Metrics;
 
 use crate::message::Message;
 use crate::message::Outbox;
@@ -117,6 +121,15 @@
     state: String,
 }
 
+/// What the lines of all targets share.
+#[derive(Clone, Debug)]
+pub struct Shared {
+    /// Runtime of the tasks.
+    pub runtime: tokio::runtime::Handle,
+    /// Counts of messages and bytes.
+    pub metrics: Arc<Metrics>,
+}
+
 /// Handle to the task of one target.
 #[derive(Clone, Debug)]
 pub struct Line {
@@ -126,14 +139,15 @@
 impl Line {
     /// Starts the task of a target. It ends when the handle is dropped.
     pub fn start(
-        runtime: &tokio::runtime::Handle,
+        shared: &Shared,
         target: name::Target,
         address: SocketAddr,
         outbox: Outbox,
     ) -> Self {
         let (orders, queue) = mpsc::channel(QUEUE);
-        let caller = Caller { target, address, outbox, connection: None };
-        runtime.spawn(caller.run(queue));
+        let metrics = shared.metrics.clone();
+        let caller = Caller { target, address, outbox, metrics, connection: None };
+        shared.runtime.spawn(caller.run(queue));
         Self { orders }
     }
 
@@ -149,6 +163,7 @@
     target: name::Target,
     address: SocketAddr,
     outbox: Outbox,
+    metrics: Arc<Metrics>,
     connection: Option<SendRequest<Full<Bytes>>>,
 }
 
@@ -204,29 +219,43 @@
 
     async fn exchange(&mut self, call: &Call) -> Result<Reply, Failure> {
         let connection = self.connection.as_mut().ok_or(Failure::Silent)?;
-        let (method, path, body, seq) = match call {
-            Call::Query => ("GET", "/control/status", Vec::new(), None),
+        let (kind, method, path, body, seq) = match call {
+            Call::Query => (metric::Message::Query, "GET", "/control/status", Vec::new(), None),
             Call::Grant(grant) => {
                 let body = serde_json::to_vec(grant).map_err(|_| Failure::Silent)?;
-                ("POST", "/control/grant", body, Some(grant.seq))
+                (metric::Message::Grant, "POST", "/control/grant", body, Some(grant.seq))
             }
         };
+        let body_bytes = body.len();
         let request = Request::builder()
             .method(method)
             .uri(path)
             .header("host", self.address.to_string())
             .header("content-type", "application/json")
+            .header("content-length", body_bytes)
             .body(Full::new(Bytes::from(body)))
             .map_err(|_| Failure::Silent)?;
         connection.ready().await.map_err(|_| Failure::Silent)?;
+        let line = method.len() + path.len() + " HTTP/1.1 ".len();
+        self.metrics.sent(kind, message_bytes(line, request.headers(), body_bytes));
         let response = connection.send_request(request).await.map_err(|_| Failure::Silent)?;
-        let body = Limited::new(response.into_body(), ANSWER_LIMIT);
+        let (head, body) = response.into_parts();
+        let body = Limited::new(body, ANSWER_LIMIT);
         let bytes = body.collect().await.map_err(|_| Failure::Silent)?.to_bytes();
+        let line = "HTTP/1.1 200 ".len() + head.status.canonical_reason().map_or(0, str::len);
+        self.metrics.sent(kind, message_bytes(line, &head.headers, bytes.len()));
         let status: Status = serde_json::from_slice(&bytes).map_err(|_| Failure::Silent)?;
         Ok(reply(status, seq))
     }
 }
 
+/// Returns the length of an HTTP/1.1 message without the end of its first line.
+fn message_bytes(line: usize, headers: &HeaderMap, body: usize) -> u64 {
+    let fields = headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
+    let head = line + 2 + fields.sum::<usize>() + 2;
+    u64::try_from(head.saturating_add(body)).unwrap_or(u64::MAX)
+}
+
 fn reply(status: Status, seq: Option<u64>) -> Reply {
     Reply {
         accepted: status.accepted && seq.is_some(),
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -1,6 +1,8 @@
 //! Calls to the platform.
 
+use std::fmt;
 use std::io::ErrorKind;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -74,11 +76,55 @@
     revision: u64,
 }
 
+/// Kind of a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Kind {
+    /// Read of a key.
+    Get,
+    /// Write of a key.
+    Put,
+    /// Watch of a prefix.
+    Watch,
+    /// Read of the instance list.
+    Instances,
+}
+
+/// What became of a call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Conclusion {
+    /// It succeeded.
+    Done,
+    /// A compare-and-swap found another revision.
+    Conflict,
+    /// It failed and had no effect.
+    Failed,
+    /// It has no answer and may have had an effect.
+    Ambiguous,
+}
+
+/// Told about every call when it ends, retries and reads after a lost answer included.
+#[derive(Clone)]
+pub struct Observer(Arc<dyn Fn(Kind, Conclusion) + Send + Sync>);
+
+impl Observer {
+    /// Makes an observer that calls a function.
+    pub fn new(told: impl Fn(Kind, Conclusion) + Send + Sync + 'static) -> Self {
+        Self(Arc::new(told))
+    }
+}
+
+impl fmt::Debug for Observer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Observer")
+    }
+}
+
 /// Client of the platform.
 #[derive(Clone, Debug)]
 pub struct Client {
     agent: Agent,
     options: Options,
+    observer: Option<Observer>,
 }
 
 impl Client {
@@ -93,7 +139,13 @@
             .proxy(None)
             .timeout_connect(Some(options.timeout))
             .build();
-        Self { agent: config.into(), options }
+        Self { agent: config.into(), options, observer: None }
+    }
+
+    /// Returns the client with an observer of its calls.
+    pub fn observed(mut self, observer: Observer) -> Self {
+        self.observer = Some(observer);
+        self
     }
 
     /// Returns the URL of a key.
@@ -107,12 +159,13 @@
     ///
     /// Fails if there is no answer or the answer is not valid.
     pub fn get(&self, key: &str) -> Result<Option<Value>> {
-        let (status, text) = self.read(&format!("/v1/kv/{key}"), Duration::ZERO)?;
-        match status {
+        let answer = self.read(&format!("/v1/kv/{key}"), Duration::ZERO);
+        let result = answer.and_then(|(status, text)| match status {
             200 => parse(&text).map(Some),
             404 => Ok(None),
             _ => Err(Error::Status(status)),
-        }
+        });
+        self.tell_read(Kind::Get, result)
     }
 
     /// Writes a value if the key has the expected revision; zero stands for absent.
@@ -121,6 +174,20 @@
     ///
     /// After [`Error::NoAnswer`] the write may or may not have taken effect; after the other errors it has not.
     pub fn put(&self, key: &str, value: &str, expect: u64) -> Result<Put> {
+        let result = self.write(key, value, expect);
+        self.tell(
+            Kind::Put,
+            match &result {
+                Ok(Put::Written(_)) => Conclusion::Done,
+                Ok(Put::Conflict(_)) => Conclusion::Conflict,
+                Err(Error::NoAnswer(_)) => Conclusion::Ambiguous,
+                Err(Error::NotSent(_) | Error::Status(_) | Error::Invalid(_)) => Conclusion::Failed,
+            },
+        );
+        result
+    }
+
+    fn write(&self, key: &str, value: &str, expect: u64) -> Result<Put> {
         let body = json!({ "value": value, "expect": expect }).to_string();
         let mut request = self.agent.put(self.url(key)).header("content-type", "application/json");
         if !self.options.domain.is_empty() {
@@ -146,8 +213,8 @@
     /// Fails if there is no answer or the answer is not valid.
     pub fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Result<Changes> {
         let path = format!("/v1/watch/{prefix}?after={after}&wait_ms={}", wait.as_millis());
-        let (status, text) = self.read(&path, wait)?;
-        if status == 200 { parse(&text) } else { Err(Error::Status(status)) }
+        let answer = self.read(&path, wait);
+        self.tell_read(Kind::Watch, answer.and_then(parse_found))
     }
 
     /// Reads the platform's instance list.
@@ -156,8 +223,8 @@
     ///
     /// Fails if there is no answer or the answer is not valid.
     pub fn instances(&self) -> Result<Vec<Instance>> {
-        let (status, text) = self.read("/v1/instances", Duration::ZERO)?;
-        if status == 200 { parse(&text) } else { Err(Error::Status(status)) }
+        let answer = self.read("/v1/instances", Duration::ZERO);
+        self.tell_read(Kind::Instances, answer.and_then(parse_found))
     }
 
     fn read(&self, path: &str, wait: Duration) -> Result<(u16, String)> {
@@ -174,6 +241,17 @@
         Ok((response.status().as_u16(), text))
     }
 
+    fn tell_read<T>(&self, kind: Kind, result: Result<T>) -> Result<T> {
+        self.tell(kind, if result.is_ok() { Conclusion::Done } else { Conclusion::Failed });
+        result
+    }
+
+    fn tell(&self, kind: Kind, conclusion: Conclusion) {
+        if let Some(Observer(told)) = &self.observer {
+            told(kind, conclusion);
+        }
+    }
+
     /// Converts an error that came instead of an answer.
     fn failure(&self, error: ureq::Error) -> Error {
         let refused = matches!(&error, ureq::Error::Io(error) if error.kind() == ErrorKind::ConnectionRefused);
@@ -200,6 +278,10 @@
     }
 }
 
+fn parse_found<T: DeserializeOwned>((status, text): (u16, String)) -> Result<T> {
+    if status == 200 { parse(&text) } else { Err(Error::Status(status)) }
+}
+
 fn parse<T: DeserializeOwned>(text: &str) -> Result<T> {
     serde_json::from_str(text).map_err(|error| Error::Invalid(error.to_string()))
 }
--- a/crates/store/tests/swap/main.rs
+++ b/crates/store/tests/swap/main.rs
@@ -5,6 +5,7 @@
 
 mod fake;
 
+use caraway_store::client::Observer;
 use caraway_store::errors::Error;
 use caraway_store::record::Domain;
 use caraway_store::swap;
@@ -110,3 +111,27 @@
     let ids: std::collections::BTreeSet<_> = (0..1000).map(|_| swap::write_id()).collect();
     assert!(ids.len() == 1000 && ids.iter().all(|id| id.len() == 32));
 }
+
+/// Guards against store calls that are missing in the metrics: every call of a write counts with its own result,
+/// repeated writes and reads after a lost response included.
+#[yare::parameterized(
+    plain = { &[], "Put Done" },
+    lost_response = { &[Fault::Lose], "Put Ambiguous, Get Done" },
+    conflict = { &[Fault::Race], "Put Conflict, Get Done" },
+    dropped = { &[Fault::Drop, Fault::None], "Put Ambiguous, Get Done, Put Done" },
+    too_large = { &[Fault::Status(413)], "Put Failed" },
+    read_fails = { &[Fault::Down], "Put Ambiguous, Get Failed, Put Done" },
+)]
+fn every_call_is_observed(faults: &[Fault], expected: &str) {
+    let fake = Fake::start(faults);
+    let (calls, told) = std::sync::mpsc::channel();
+    let observer = Observer::new(move |kind, conclusion| {
+        let _ = calls.send(format!("{kind:?} {conclusion:?}"));
+    });
+    let client = fake.client().observed(observer);
+    let write = Write { key: "k", text: "{\"write_id\":\"mine\"}", write_id: "mine", expect: 0 };
+    let _ = swap::write(&client, &write, Limits::default());
+    drop(client);
+    let seen: Vec<String> = told.iter().collect();
+    assert_eq!(seen.join(", "), expected);
+}
--- a/crates/telemetry/src/metric.rs
+++ b/crates/telemetry/src/metric.rs
@@ -95,6 +95,8 @@
         Document = "document",
         /// Grant to a target.
         Grant = "grant",
+        /// Read of the state of a target.
+        Query = "query",
     }
 
     /// Kind of a store call.
@@ -317,7 +319,8 @@
         self.takeovers.get_or_create(&[("how", how.as_str())]).inc();
     }
 
-    /// Counts a control message and its bytes.
+    /// Counts a control message and its bytes. A call to a target is two messages, because the target
+    /// counts none; each entry instance counts what it sends.
     pub fn sent(&self, message: Message, bytes: u64) {
         let labels = [("kind", message.as_str())];
         self.control_messages.get_or_create(&labels).inc();
