--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -7,7 +7,6 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod backend;
 pub mod lane;
 pub mod queue;
 pub mod rates;
@@ -15,3 +14,4 @@
 pub mod sketch;
 pub mod slots;
 pub mod table;
+pub mod target;
--- a/crates/admission/src/table.rs
+++ b/crates/admission/src/table.rs
@@ -12,7 +12,6 @@
 use caraway_core::time::Stamp;
 use caraway_core::token::Token;
 
-use crate::backend::Fleet;
 use crate::lane::Finish;
 use crate::lane::Options;
 use crate::lane::Request;
@@ -22,6 +21,7 @@
 use crate::scope::Member;
 use crate::scope::Scope;
 use crate::scope::Unit;
+use crate::target::Fleet;
 
 mod control;
 mod export;
@@ -79,7 +79,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Lot {
     /// The queue of the shard's owner.
-    Backend(Member),
+    Target(Member),
     /// Requests of a pooled lane.
     Pool,
     /// Requests whose shard has no owner, or whose new owner waits for permits of the old one.
@@ -173,8 +173,8 @@
         match lot {
             Lot::Held => None,
             Lot::Pool => self.fleet.least_loaded(waiter.avoid.as_ref(), now),
-            Lot::Backend(member) => {
-                self.fleet.get(member).filter(|backend| backend.free(now)).map(|_| member)
+            Lot::Target(member) => {
+                self.fleet.get(member).filter(|target| target.free(now)).map(|_| member)
             }
         }
     }
@@ -207,8 +207,8 @@
     /// Returns true if the requests of one target take less than half of the queue. One hot shard
     /// would otherwise fill the queue, and requests for idle targets of the group were refused.
     fn within_share(&self, lot: Lot) -> bool {
-        let Lot::Backend(member) = lot else { return true };
-        let waiting = self.fleet.get(member).map_or(0, |backend| backend.queue.len());
+        let Lot::Target(member) = lot else { return true };
+        let waiting = self.fleet.get(member).map_or(0, |target| target.queue.len());
         self.fleet.count() < 2 || waiting < self.capacity().div_ceil(2)
     }
 
@@ -226,7 +226,7 @@
     }
 
     fn queues(&self) -> impl Iterator<Item = &Queue> {
-        self.fleet.iter().map(|backend| &backend.queue).chain([&self.pool, &self.held])
+        self.fleet.iter().map(|target| &target.queue).chain([&self.pool, &self.held])
     }
 
     fn waiting_of(&self, urgency: Urgency) -> usize {
@@ -238,21 +238,21 @@
         let (queue, member) = match lot {
             Lot::Held => return Duration::ZERO,
             Lot::Pool => (&self.pool, None),
-            Lot::Backend(member) => match self.fleet.get(member) {
-                Some(backend) => (&backend.queue, Some(member)),
+            Lot::Target(member) => match self.fleet.get(member) {
+                Some(target) => (&target.queue, Some(member)),
                 None => return Duration::ZERO,
             },
         };
         let serving = self
             .fleet
             .iter()
-            .filter(|backend| member.is_none_or(|member| member == backend.member))
-            .filter(|backend| backend.accepts(now));
+            .filter(|target| member.is_none_or(|member| member == target.member))
+            .filter(|target| target.accepts(now));
         let mut per_second = 0.0;
-        for backend in serving {
-            let Some(service) = backend.slots.service() else { return Duration::ZERO };
+        for target in serving {
+            let Some(service) = target.slots.service() else { return Duration::ZERO };
             let service = service.as_secs_f64().max(1e-6);
-            per_second += f64::from(backend.slots.limit(now)) / service;
+            per_second += f64::from(target.slots.limit(now)) / service;
         }
         if per_second == 0.0 {
             return Duration::ZERO;
@@ -295,7 +295,7 @@
         let Some(unit) = self.unit(&self.scope(waiter)) else { return Lot::Held };
         let Some(owner) = unit.owner else { return Lot::Held };
         let blocked = unit.ending || self.blocked(unit, owner.member);
-        if blocked { Lot::Held } else { Lot::Backend(owner.member) }
+        if blocked { Lot::Held } else { Lot::Target(owner.member) }
     }
 
     /// Returns true if permits are out for another target than the new owner, unless that is lost.
@@ -307,7 +307,7 @@
         match lot {
             Lot::Pool => Some(&mut self.pool),
             Lot::Held => Some(&mut self.held),
-            Lot::Backend(member) => self.fleet.get_mut(member).map(|backend| &mut backend.queue),
+            Lot::Target(member) => self.fleet.get_mut(member).map(|target| &mut target.queue),
         }
     }
 
@@ -339,17 +339,17 @@
         }
         let (shard, key) = (waiter.shard, waiter.key.clone());
         self.permits.insert(waiter.ticket, Out { member, scope, shard, key, epoch, taken: now });
-        let Some(backend) = self.fleet.get_mut(member) else {
+        let Some(target) = self.fleet.get_mut(member) else {
             unreachable!("a permit is handed out for a known target");
         };
-        backend.slots.take();
-        let write_before = waiter.deadline.min(backend.allow_until);
+        target.slots.take();
+        let write_before = waiter.deadline.min(target.allow_until);
         assert!(now < write_before, "a permit would be past its last moment");
         Grant {
             ticket: waiter.ticket,
-            target: backend.name.clone(),
-            address: backend.address,
-            token: assigned.or(backend.token).unwrap_or_default(),
+            target: target.name.clone(),
+            address: target.address,
+            token: assigned.or(target.token).unwrap_or_default(),
             write_before,
         }
     }
@@ -358,7 +358,7 @@
         match lot {
             Lot::Held => {}
             Lot::Pool => self.serve_pool(now),
-            Lot::Backend(member) => self.serve(member, now),
+            Lot::Target(member) => self.serve(member, now),
         }
     }
 
@@ -368,7 +368,7 @@
             self.serve_pool(now);
             return;
         }
-        let members: Vec<Member> = self.fleet.iter().map(|backend| backend.member).collect();
+        let members: Vec<Member> = self.fleet.iter().map(|target| target.member).collect();
         for member in members {
             self.serve(member, now);
         }
@@ -376,11 +376,11 @@
 
     fn serve(&mut self, member: Member, now: Stamp) {
         loop {
-            let Some(backend) = self.fleet.get_mut(member) else { return };
-            if backend.queue.is_empty() || !backend.free(now) {
+            let Some(target) = self.fleet.get_mut(member) else { return };
+            if target.queue.is_empty() || !target.free(now) {
                 return;
             }
-            let Some(waiter) = backend.queue.take(&|_| true) else { return };
+            let Some(waiter) = target.queue.take(&|_| true) else { return };
             self.dispatch(&waiter, member, now);
         }
     }
@@ -426,15 +426,15 @@
     fn expiry_reason(&self, waiter: &Waiter, now: Stamp) -> Reason {
         match self.lot(waiter) {
             Lot::Held => Reason::NoOwner,
-            Lot::Pool if self.fleet.iter().any(|backend| backend.accepts(now)) => {
+            Lot::Pool if self.fleet.iter().any(|target| target.accepts(now)) => {
                 Reason::DeadlineBeforeDispatch
             }
-            Lot::Backend(member)
-                if self.fleet.get(member).is_some_and(|backend| backend.accepts(now)) =>
+            Lot::Target(member)
+                if self.fleet.get(member).is_some_and(|target| target.accepts(now)) =>
             {
                 Reason::DeadlineBeforeDispatch
             }
-            Lot::Pool | Lot::Backend(_) => Reason::NoTarget,
+            Lot::Pool | Lot::Target(_) => Reason::NoTarget,
         }
     }
 
@@ -446,10 +446,10 @@
     /// Returns a permit. `finish` is none if the request was never sent.
     pub fn finish(&mut self, ticket: u64, finish: Option<Finish>, now: Stamp) {
         let Some(out) = self.permits.remove(&ticket) else { return };
-        if let Some(backend) = self.fleet.get_mut(out.member) {
+        if let Some(target) = self.fleet.get_mut(out.member) {
             match finish {
-                Some(finish) => backend.slots.finish(finish, out.taken, now),
-                None => backend.slots.give_back(),
+                Some(finish) => target.slots.finish(finish, out.taken, now),
+                None => target.slots.give_back(),
             }
         }
         let last = self.unit_mut(&out.scope).is_some_and(|unit| unit.give_back(out.epoch));
@@ -491,8 +491,8 @@
             return;
         }
         let mut waiters = self.held.extract(&|_| true);
-        for backend in self.fleet.iter_mut() {
-            waiters.extend(backend.queue.extract(&|_| true));
+        for target in self.fleet.iter_mut() {
+            waiters.extend(target.queue.extract(&|_| true));
         }
         waiters.extend(self.pool.extract(&|_| true));
         waiters.sort_by_key(|waiter| waiter.ticket);
--- a/crates/admission/src/table/control.rs
+++ b/crates/admission/src/table/control.rs
@@ -29,8 +29,8 @@
         state: State,
         now: Stamp,
     ) {
-        if let Some(backend) = self.fleet.known_mut(target) {
-            backend.restate(address, state, now);
+        if let Some(target) = self.fleet.known_mut(target) {
+            target.restate(address, state, now);
         } else {
             let slots = Slots::new(self.options.slots, self.options.warmup, state, now);
             self.fleet.add(target, address, slots);
@@ -40,9 +40,9 @@
 
     /// Removes a target. Shards that it still owns lose their owner.
     pub fn remove_target(&mut self, target: &name::Target, now: Stamp) {
-        let Some(backend) = self.fleet.named_mut(target) else { return };
-        backend.removed = true;
-        let member = backend.member;
+        let Some(target) = self.fleet.named_mut(target) else { return };
+        target.removed = true;
+        let member = target.member;
         for unit in self.shards.values_mut().chain(self.keys.values_mut()) {
             if unit.owner.is_some_and(|owner| owner.member == member) {
                 unit.owner = None;
@@ -60,8 +60,8 @@
 
     /// Sets the moment until which requests may be written to a target.
     pub fn allow_until(&mut self, target: &name::Target, until: Stamp, now: Stamp) {
-        let Some(backend) = self.fleet.named_mut(target) else { return };
-        backend.allow_until = until;
+        let Some(target) = self.fleet.named_mut(target) else { return };
+        target.allow_until = until;
         if !self.lots.is_empty() {
             self.advance(now);
         }
@@ -69,8 +69,8 @@
 
     /// Sets the token for requests to a target of a pooled lane.
     pub fn set_token(&mut self, target: &name::Target, token: Token, now: Stamp) {
-        let Some(backend) = self.fleet.named_mut(target) else { return };
-        backend.token = Some(token);
+        let Some(target) = self.fleet.named_mut(target) else { return };
+        target.token = Some(token);
         if !self.lots.is_empty() {
             self.advance(now);
         }
@@ -78,8 +78,8 @@
 
     /// Makes a target the owner of a shard. Ignored if the target is unknown.
     pub fn assign(&mut self, shard: Shard, target: &name::Target, token: Token, now: Stamp) {
-        let Some(backend) = self.fleet.named(target) else { return };
-        let owner = Owner { member: backend.member, token };
+        let Some(target) = self.fleet.named(target) else { return };
+        let owner = Owner { member: target.member, token };
         self.shards.entry(shard).or_default().owner = Some(owner);
         self.rehome_all(now);
     }
@@ -99,14 +99,14 @@
 
     /// Returns how many permits for a target are out.
     pub fn target_in_flight(&self, target: &name::Target) -> usize {
-        let count = self.fleet.known(target).map_or(0, |backend| backend.slots.in_flight());
+        let count = self.fleet.known(target).map_or(0, |target| target.slots.in_flight());
         usize::try_from(count).unwrap_or(usize::MAX)
     }
 
     /// Gives a key an owner of its own. Ignored if the target is unknown.
     pub fn split(&mut self, key: &str, target: &name::Target, token: Token, now: Stamp) {
-        let Some(backend) = self.fleet.named(target) else { return };
-        let owner = Owner { member: backend.member, token };
+        let Some(target) = self.fleet.named(target) else { return };
+        let owner = Owner { member: target.member, token };
         self.detach(key, Some(owner), now);
     }
 
--- a/crates/admission/src/table/export.rs
+++ b/crates/admission/src/table/export.rs
@@ -7,14 +7,14 @@
 use caraway_core::shard::Shard;
 use caraway_core::time::Stamp;
 
-use crate::backend::Backend;
-use crate::backend::Fleet;
 use crate::rates::KeyCount;
 use crate::rates::Report;
 use crate::rates::ShardCount;
 use crate::rates::TargetCount;
 use crate::scope::Unit;
 use crate::table::Table;
+use crate::target::Fleet;
+use crate::target::Target;
 
 impl Table {
     /// Returns the counts since the previous call and starts new ones.
@@ -54,12 +54,12 @@
     }
 
     fn target_counts(&mut self, now: Stamp) -> Vec<TargetCount> {
-        let present = self.fleet.iter_mut().filter(|backend| !backend.removed);
-        let count = |backend: &mut Backend| TargetCount {
-            target: backend.name.clone(),
-            in_flight: backend.slots.in_flight(),
-            limit: backend.slots.limit(now),
-            completed: backend.slots.take_completed(),
+        let present = self.fleet.iter_mut().filter(|target| !target.removed);
+        let count = |target: &mut Target| TargetCount {
+            target: target.name.clone(),
+            in_flight: target.slots.in_flight(),
+            limit: target.slots.limit(now),
+            completed: target.slots.take_completed(),
         };
         present.map(count).collect()
     }
@@ -77,11 +77,11 @@
 
     /// Returns the next moment at which a slot may become free without any event.
     pub fn next_growth(&self, now: Stamp) -> Option<Stamp> {
-        self.fleet.iter().filter_map(|backend| backend.slots.next_growth(now)).min()
+        self.fleet.iter().filter_map(|target| target.slots.next_growth(now)).min()
     }
 }
 
 fn owner_name(fleet: &Fleet, unit: &Unit) -> Option<name::Target> {
     let owner = unit.owner?;
-    fleet.get(owner.member).map(|backend| backend.name.clone())
+    fleet.get(owner.member).map(|target| target.name.clone())
 }
--- a/crates/admission/src/backend.rs
+++ b/crates/admission/src/target.rs
@@ -13,7 +13,7 @@
 
 /// A target of the lane.
 #[derive(Debug)]
-pub struct Backend {
+pub struct Target {
     /// Number of the target in its lane.
     pub member: Member,
     /// Name of the target.
@@ -32,7 +32,7 @@
     pub queue: Queue,
 }
 
-impl Backend {
+impl Target {
     /// Returns true if requests may be written to the target now.
     pub fn accepts(&self, now: Stamp) -> bool {
         !self.removed && self.slots.accepts() && now < self.allow_until
@@ -63,18 +63,18 @@
 /// The targets of a lane, in the order in which they were added.
 #[derive(Debug, Default)]
 pub struct Fleet {
-    list: Vec<Backend>,
+    list: Vec<Target>,
     last: Member,
     rotation: usize,
 }
 
 impl Fleet {
     /// Adds a target without permission.
-    pub fn add(&mut self, target: &name::Target, address: SocketAddr, slots: Slots) {
+    pub fn add(&mut self, name: &name::Target, address: SocketAddr, slots: Slots) {
         self.last += 1;
-        self.list.push(Backend {
+        self.list.push(Target {
             member: self.last,
-            name: target.clone(),
+            name: name.clone(),
             address,
             token: None,
             allow_until: Stamp::default(),
@@ -86,62 +86,62 @@
 
     /// Drops a removed target once no permit for it is out.
     pub fn forget(&mut self, member: Member) {
-        let gone = |backend: &Backend| {
-            backend.member == member && backend.removed && backend.slots.in_flight() == 0
+        let gone = |target: &Target| {
+            target.member == member && target.removed && target.slots.in_flight() == 0
         };
         if self.get(member).is_some_and(gone) {
-            self.list.retain(|backend| backend.member != member);
+            self.list.retain(|target| target.member != member);
         }
     }
 
     /// Returns the targets.
-    pub fn iter(&self) -> impl Iterator<Item = &Backend> {
+    pub fn iter(&self) -> impl Iterator<Item = &Target> {
         self.list.iter()
     }
 
     /// Returns the targets.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Backend> {
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Target> {
         self.list.iter_mut()
     }
 
     /// Returns how many targets there are, without removed ones.
     pub fn count(&self) -> usize {
-        self.list.iter().filter(|backend| !backend.removed).count()
+        self.list.iter().filter(|target| !target.removed).count()
     }
 
     /// Returns a target by its number.
-    pub fn get(&self, member: Member) -> Option<&Backend> {
-        self.list.iter().find(|backend| backend.member == member)
+    pub fn get(&self, member: Member) -> Option<&Target> {
+        self.list.iter().find(|target| target.member == member)
     }
 
     /// Returns a target by its number.
-    pub fn get_mut(&mut self, member: Member) -> Option<&mut Backend> {
-        self.list.iter_mut().find(|backend| backend.member == member)
+    pub fn get_mut(&mut self, member: Member) -> Option<&mut Target> {
+        self.list.iter_mut().find(|target| target.member == member)
     }
 
     /// Returns a target by its name, even if it is removed.
-    pub fn known(&self, target: &name::Target) -> Option<&Backend> {
-        self.list.iter().find(|backend| backend.name == *target)
+    pub fn known(&self, name: &name::Target) -> Option<&Target> {
+        self.list.iter().find(|target| target.name == *name)
     }
 
     /// Returns a target by its name, even if it is removed.
-    pub fn known_mut(&mut self, target: &name::Target) -> Option<&mut Backend> {
-        self.list.iter_mut().find(|backend| backend.name == *target)
+    pub fn known_mut(&mut self, name: &name::Target) -> Option<&mut Target> {
+        self.list.iter_mut().find(|target| target.name == *name)
     }
 
     /// Returns a target that is not removed by its name.
-    pub fn named(&self, target: &name::Target) -> Option<&Backend> {
-        self.known(target).filter(|backend| !backend.removed)
+    pub fn named(&self, name: &name::Target) -> Option<&Target> {
+        self.known(name).filter(|target| !target.removed)
     }
 
     /// Returns a target that is not removed by its name.
-    pub fn named_mut(&mut self, target: &name::Target) -> Option<&mut Backend> {
-        self.known_mut(target).filter(|backend| !backend.removed)
+    pub fn named_mut(&mut self, name: &name::Target) -> Option<&mut Target> {
+        self.known_mut(name).filter(|target| !target.removed)
     }
 
     /// Returns true if a target is lost or no longer known.
     pub fn is_lost(&self, member: Member) -> bool {
-        self.get(member).is_none_or(|backend| backend.slots.state() == State::Lost)
+        self.get(member).is_none_or(|target| target.slots.state() == State::Lost)
     }
 
     /// Selects the target of a pooled lane with the fewest requests in flight; ties rotate.
@@ -149,16 +149,16 @@
     /// The avoided target is selected only if no other target accepts work, even when all others
     /// are busy: a retry on the target that just failed is likely to fail again.
     pub fn least_loaded(&mut self, avoid: Option<&name::Target>, now: Stamp) -> Option<Member> {
-        let avoided = |backend: &Backend| avoid == Some(&backend.name);
-        let other = self.list.iter().any(|backend| backend.pooled(now) && !avoided(backend));
+        let avoided = |target: &Target| avoid == Some(&target.name);
+        let other = self.list.iter().any(|target| target.pooled(now) && !avoided(target));
         let count = self.list.len().max(1);
         let start = self.rotation % count;
         let chosen = (0..count)
             .filter_map(|offset| self.list.get((start + offset) % count))
-            .filter(|backend| backend.pooled(now) && backend.slots.free(now))
-            .filter(|backend| !(other && avoided(backend)))
-            .min_by_key(|backend| backend.slots.in_flight())
-            .map(|backend| backend.member);
+            .filter(|target| target.pooled(now) && target.slots.free(now))
+            .filter(|target| !(other && avoided(target)))
+            .min_by_key(|target| target.slots.in_flight())
+            .map(|target| target.member);
         if chosen.is_some() {
             self.rotation = (start + 1) % count;
         }
@@ -168,8 +168,8 @@
     /// Returns the targets of a pooled lane that a request may use now, and whether only one target
     /// accepts work at all, which is then used even by requests that avoid it.
     pub fn open(&self, now: Stamp) -> (Vec<&name::Target>, bool) {
-        let open = || self.list.iter().filter(|backend| backend.pooled(now));
-        let free = open().filter(|backend| backend.slots.free(now)).map(|backend| &backend.name);
+        let open = || self.list.iter().filter(|target| target.pooled(now));
+        let free = open().filter(|target| target.slots.free(now)).map(|target| &target.name);
         (free.collect(), open().count() == 1)
     }
 }
