--- a/bins/demo/src/environment.rs
+++ b/bins/demo/src/environment.rs
@@ -208,6 +208,21 @@
         self.admin.page(self.node(name)?.admin, path)
     }
 
+    /// Returns a page of the admin interface of an entry instance as text.
+    pub fn admin_text(&self, name: &str, path: &str) -> Result<String> {
+        Ok(self.http.get(self.node(name)?.admin, path)?.1)
+    }
+
+    /// Returns the process id of an entry instance or a target that runs.
+    pub fn process_id(&self, name: &str) -> Option<u32> {
+        self.nodes.get(name)?.process.id()
+    }
+
+    /// Returns the process id of the platform.
+    pub fn platform_id(&self) -> Option<u32> {
+        self.platform_process.id()
+    }
+
     /// Returns the targets for the comparison of journals.
     pub fn journal_targets(&self) -> Vec<Target> {
         let services = self.document.services.iter();
