Leave out callers of lost instances from unavailable times

Callers of a killed or frozen instance wait whatever the other instances do, so the times of the demo said little about the router.

--- a/bins/demo/src/environment.rs
+++ b/bins/demo/src/environment.rs
@@ -336,8 +336,9 @@
         Ok(())
     }
 
-    /// Starts a process again that was killed or stopped.
+    /// Starts a process again. One that still runs is killed before.
     pub fn restart(&mut self, name: &str) -> Result<()> {
+        self.kill(name)?;
         self.node_mut(name)?.process.start()?;
         self.set_listed(name, State::Live)
     }
--- a/bins/demo/src/fault.rs
+++ b/bins/demo/src/fault.rs
@@ -58,6 +58,17 @@
         }
     }
 
+    /// Returns the process that the change is about, if it is about one.
+    pub fn victim(&self) -> Option<&str> {
+        match self {
+            Self::Kill(name) | Self::Freeze(name) | Self::Resume(name) | Self::Restart(name) => {
+                Some(name)
+            }
+            Self::Stop(name) | Self::Replace(name) | Self::Drain(name) => Some(name),
+            Self::StoreDown(_) | Self::StoreSlow(_) | Self::LoseAnswers(_) | Self::Promote => None,
+        }
+    }
+
     /// Returns the change that ends the fault and the time after which a schedule applies it.
     pub fn undo(&self) -> Option<(Duration, Self)> {
         let after = Duration::from_millis;
--- a/bins/demo/src/recovery.rs
+++ b/bins/demo/src/recovery.rs
@@ -1,6 +1,7 @@
 //! Measures unavailable times after faults and pairs of faults.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fmt::Write;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -27,7 +28,7 @@
 const BEFORE: Duration = Duration::from_millis(1200);
 /// Load after the fault.
 const AFTER: Duration = Duration::from_millis(4000);
-/// Time allowed until everything is served again between two runs.
+/// Time allowed until the groups are spread over the instances.
 const SETTLE: Duration = Duration::from_secs(20);
 /// Keys of the probed route. With [`RATE`] each key is probed about every 50 ms.
 const KEYS: u32 = 32;
@@ -68,6 +69,7 @@
     use Action::StoreSlow;
     let scenario = |name, steps| Scenario { name, steps };
     vec![
+        scenario("none, for comparison", |_| (vec![], vec![])),
         scenario("target killed", |r| (vec![], vec![Kill(r.target.clone())])),
         scenario("target frozen", |r| (vec![], vec![Freeze(r.target.clone())])),
         scenario("target told to leave", |r| (vec![], vec![Drain(r.target.clone())])),
@@ -125,6 +127,9 @@
     pub max_ms: Vec<f64>,
     /// Unavailable time of the median affected key in each run, in milliseconds, sorted.
     pub median_ms: Vec<f64>,
+    /// Time from the fault to the first answer to a later request of the worst affected key in each run,
+    /// in milliseconds, sorted.
+    pub served_again_ms: Vec<f64>,
     /// Affected keys in each run, sorted.
     pub affected: Vec<usize>,
     /// Keys in each run.
@@ -168,7 +173,7 @@
     builder.entries_per_domain = 3;
     builder.service_ms = 1;
     let mut environment = builder.start()?;
-    environment.wait_served(SETTLE)?;
+    environment.wait_settled(SETTLE)?;
     Ok(environment)
 }
 
@@ -204,11 +209,13 @@
     fault.iter().try_for_each(|action| action.apply(environment))?;
     let record = load.finish()?;
     let to_us = record.duration_us;
-    let window = Window { label: scenario.name.to_owned(), from_us, to_us };
+    let except = BTreeSet::new();
+    let window = Window { label: scenario.name.to_owned(), from_us, to_us, except };
     let summary = outage::summarize(&record.samples, &window, SLOW_MS * 1000);
     let report = Report::new(&profile, &record, &[], SLOW_MS, None);
     row.max_ms.push(summary.max_ms);
     row.median_ms.push(summary.median_ms);
+    row.served_again_ms.push(summary.served_again_ms);
     row.affected.push(summary.affected);
     row.keys = summary.keys;
     row.not_served_again += summary.not_served_again;
@@ -248,6 +255,7 @@
             runs: 0,
             max_ms: Vec::new(),
             median_ms: Vec::new(),
+            served_again_ms: Vec::new(),
             affected: Vec::new(),
             keys: 0,
             not_served_again: 0,
@@ -260,6 +268,7 @@
     fn sort(&mut self) {
         self.max_ms.sort_by(f64::total_cmp);
         self.median_ms.sort_by(f64::total_cmp);
+        self.served_again_ms.sort_by(f64::total_cmp);
         self.affected.sort_unstable();
     }
 
@@ -274,12 +283,13 @@
         // Writing to a string cannot fail.
         let _ = write!(
             line,
-            "| {} | {} | {:.0} | {:.0} | {:.0} | {} of {} | {} | {} |",
+            "| {} | {} | {:.0} | {:.0} | {:.0} | {:.0} | {} of {} | {} | {} |",
             self.name,
             self.runs,
             middle(&self.median_ms),
             middle(&self.max_ms),
             largest,
+            self.served_again_ms.last().copied().unwrap_or(0.0),
             keys,
             self.keys,
             self.not_served_again,
@@ -292,9 +302,9 @@
 /// Returns the Markdown table of the results.
 pub fn table(rows: &[Row]) -> String {
     let mut table = String::from(
-        "| Fault | Runs | Median key, median run (ms) | Worst key, median run (ms) | Worst key, worst run (ms) \
+        "| Fault | Runs | Median key, median run (ms) | Worst key, median run (ms) | Worst key, worst run (ms) | First answer, worst key, worst run (ms) \
          | Affected keys, most | Not served again | Requests not answered |\n\
-         | --- | --- | --- | --- | --- | --- | --- | --- |\n",
+         | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n",
     );
     for row in rows {
         table.push_str(&row.markdown());
--- a/bins/demo/src/session.rs
+++ b/bins/demo/src/session.rs
@@ -1,6 +1,7 @@
 //! Load and faults on a running environment, and what came of it.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::fmt;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -11,6 +12,7 @@
 use crate::environment::Environment;
 use crate::errors::Error;
 use crate::errors::Result;
+use crate::fault::Action;
 use crate::schedule::Step;
 use caraway_load::journal;
 use caraway_load::outage::Window;
@@ -68,6 +70,7 @@
     let mut events: Vec<Event> = Vec::new();
     let mut windows: Vec<Window> = Vec::new();
     let mut holders = environment.coordinators();
+    let mut away = BTreeSet::new();
     let mut due = steps.iter().peekable();
     while !load.finished() {
         if interrupted.load(Ordering::Relaxed) {
@@ -78,7 +81,9 @@
             close(&mut windows, load.now_us());
             let what = step.action.to_string();
             let from_us = load.now_us();
-            windows.push(Window { label: what.clone(), from_us, to_us: u64::MAX });
+            note_away(environment, profile, &step.action, &mut away);
+            let (label, except) = (what.clone(), away.clone());
+            windows.push(Window { label, from_us, to_us: u64::MAX, except });
             let problem = step.action.apply(environment).err().map(|error| error.to_string());
             events.push(Event { at_ms: from_us / 1000, what, problem, takeovers: Vec::new() });
         }
@@ -99,6 +104,26 @@
     }
 }
 
+/// Keeps the indices of the entry instances that do not answer their own callers.
+fn note_away(
+    environment: &Environment,
+    profile: &Profile,
+    action: &Action,
+    away: &mut BTreeSet<u16>,
+) {
+    let Some(address) = action.victim().and_then(|name| Some(environment.node(name).ok()?.address))
+    else {
+        return;
+    };
+    let position = profile.entries.iter().position(|entry| *entry == address);
+    let Some(index) = position.and_then(|index| u16::try_from(index).ok()) else { return };
+    if action.undo().is_some() {
+        away.insert(index);
+    } else {
+        away.remove(&index);
+    }
+}
+
 /// Adds the changes of coordinators since the last event to that event.
 fn note_takeovers(
     environment: &Environment,
--- a/bins/load/src/outage.rs
+++ b/bins/load/src/outage.rs
@@ -1,6 +1,7 @@
 //! Unavailable times of keys, derived from samples.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use serde::Serialize;
 
@@ -16,6 +17,9 @@
     pub from_us: u64,
     /// End in microseconds since the start of the run.
     pub to_us: u64,
+    /// Indices of entry addresses that are left out: callers of a killed or frozen instance wait or
+    /// fail whatever the other instances do.
+    pub except: BTreeSet<u16>,
 }
 
 /// Unavailable time of one key in one window.
@@ -27,6 +31,8 @@
     pub key: u32,
     /// Longest unavailable time in microseconds.
     pub longest_us: u64,
+    /// Time from the start of the window to the first answer to a request that started in it.
+    pub first_answer_us: Option<u64>,
     /// True if the key was not served again before the window's end.
     pub open: bool,
 }
@@ -46,6 +52,9 @@
     pub median_ms: f64,
     /// Longest unavailable time in milliseconds.
     pub max_ms: f64,
+    /// Longest time in milliseconds from the start of the window to the first answer to a request of an
+    /// affected key that started in the window.
+    pub served_again_ms: f64,
 }
 
 /// Returns the unavailable time of each key that has requests in a window.
@@ -56,8 +65,11 @@
 /// Between the requests of a rarely used key nothing is known, so the time includes these gaps.
 pub fn outages(samples: &[Sample], window: &Window, slow_us: u64) -> Vec<Outage> {
     let mut keys: BTreeMap<(u16, u32), Vec<&Sample>> = BTreeMap::new();
-    let inside =
-        |sample: &&Sample| sample.ended_us >= window.from_us && sample.intended_us < window.to_us;
+    let inside = |sample: &&Sample| {
+        sample.ended_us >= window.from_us
+            && sample.intended_us < window.to_us
+            && !window.except.contains(&sample.entry)
+    };
     for sample in samples.iter().filter(inside) {
         keys.entry((sample.kind, sample.key)).or_default().push(sample);
     }
@@ -86,7 +98,11 @@
         open = true;
         longest_us = longest_us.max(window.to_us.saturating_sub(from));
     }
-    Outage { kind, key, longest_us, open }
+    let later = list.iter().filter(|sample| sample.intended_us >= window.from_us);
+    let first_answer =
+        later.filter(|sample| sample.verdict.answered()).map(|sample| sample.ended_us);
+    let first_answer_us = first_answer.min().map(|end| end.saturating_sub(window.from_us));
+    Outage { kind, key, longest_us, first_answer_us, open }
 }
 
 /// Summarizes the unavailable times of one window.
@@ -97,6 +113,7 @@
     for outage in &affected {
         histogram.add(std::time::Duration::from_micros(outage.longest_us));
     }
+    let first = affected.iter().filter_map(|outage| outage.first_answer_us);
     Summary {
         label: window.label.clone(),
         keys: list.len(),
@@ -104,6 +121,7 @@
         not_served_again: list.iter().filter(|outage| outage.open).count(),
         median_ms: millis(histogram.quantile_us(5000)),
         max_ms: millis(histogram.max_us()),
+        served_again_ms: millis(first.max().unwrap_or(0)),
     }
 }
 
