Free requests from frozen coordinators and targets, and part tenants' keys

A repeatable request waited for a frozen coordinator until its patience ended although another one had taken over; it now follows a row with a later term. Pool::cut lets the control plane do the same for the target that has lost its shards. A ledger entry belongs to a tenant, so that equal keys of two tenants are two requests. A retry with less than 10 ms left is not sent: it mostly turned "did not run" into "unknown"; the caller is told why the last attempt failed instead of only that time ended. Ledger::running tells when a planned handover may export.

--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -75,6 +75,7 @@
 pub struct Trail {
     ran: u32,
     unknown: Option<Reason>,
+    declined: Option<Reason>,
 }
 
 impl Trail {
@@ -94,6 +95,8 @@
         if event.may_have_run() {
             self.ran += 1;
             self.unknown = Some(reason);
+        } else if reason != Reason::DeadlineBeforeDispatch {
+            self.declined = Some(reason);
         }
         if self.may_retry(event, call) {
             Verdict::Retry
@@ -104,8 +107,11 @@
 
     /// Returns the outcome of a call that ends for a reason which by itself means "did not run".
     ///
-    /// The outcome is unknown if an earlier attempt may have run the request.
+    /// The outcome is unknown if an earlier attempt may have run the request. If time ends between two
+    /// attempts, the reason is why the last one failed, which tells more.
     pub fn conclude(&self, reason: Reason) -> Outcome {
+        let late = reason == Reason::DeadlineBeforeDispatch;
+        let reason = self.declined.filter(|_| late).unwrap_or(reason);
         self.unknown.map_or(Outcome::Refused(reason), Outcome::Unknown)
     }
 
--- a/crates/call/src/ledger.rs
+++ b/crates/call/src/ledger.rs
@@ -171,6 +171,12 @@
         self.records.is_empty()
     }
 
+    /// Returns the number of requests that are running. A planned handover exports the entries after
+    /// the lane has closed and this is zero, so that no request ends as "outcome unknown".
+    pub fn running(&self) -> usize {
+        self.records.len() - self.kept.len() - self.abandoned.len()
+    }
+
     /// Returns the memory of the entries in bytes, as it is counted against the limit.
     pub fn bytes(&self) -> usize {
         self.bytes
--- a/crates/call/src/patience.rs
+++ b/crates/call/src/patience.rs
@@ -7,6 +7,10 @@
 /// Longest time that a hop keeps for itself, so that its answer arrives before its sender gives up.
 const HOP_MARGIN: Duration = Duration::from_millis(5);
 
+/// Shortest time that another attempt is worth. With less, it would most likely be sent and then time
+/// out, which turns "did not run" into "outcome unknown".
+const MIN_ATTEMPT: Duration = Duration::from_millis(10);
+
 /// Returns the moment at which a call ends.
 ///
 /// `asked` is the caller's own limit; it can only lower the patience of the class.
@@ -20,6 +24,11 @@
     (!left.is_zero()).then_some(left)
 }
 
+/// Returns true if enough time is left for another attempt after a pause.
+pub fn allows_retry(deadline: Stamp, now: Stamp, pause: Duration) -> bool {
+    deadline.since(now) > pause + MIN_ATTEMPT
+}
+
 /// Returns the time that the next hop or target is given, or nothing if less than 1 ms is left.
 ///
 /// The time is what is left, less a margin for the way back of 1/16 or 5 ms, whichever is shorter.
--- a/crates/call/tests/call.rs
+++ b/crates/call/tests/call.rs
@@ -120,6 +120,17 @@
     }
 }
 
+/// Guards against a caller that is told only that time ended, and not why it was used up.
+#[test]
+fn end_of_time_names_the_last_failure() {
+    let mut trail = Trail::new();
+    let late = Reason::DeadlineBeforeDispatch;
+    assert_eq!(trail.conclude(late), Outcome::Refused(late));
+    assert_eq!(trail.record(Event::ConnectFailed, ORDER), RETRY);
+    assert_eq!(trail.conclude(late), Outcome::Refused(Reason::ConnectFailed));
+    assert_eq!(trail.conclude(Reason::NoOwner), Outcome::Refused(Reason::NoOwner));
+}
+
 /// Guards against a budget that stays exhausted.
 #[test]
 fn budget_recovers() {
--- a/crates/call/tests/ledger.rs
+++ b/crates/call/tests/ledger.rs
@@ -8,6 +8,7 @@
 use proptest::prelude::any;
 use proptest::prelude::prop;
 use proptest::prop_assert;
+use proptest::prop_assert_eq;
 use proptest::prop_oneof;
 use proptest::proptest;
 
@@ -127,6 +128,7 @@
                 }
                 Op::Wait(seconds) => second += seconds,
             }
+            prop_assert_eq!(holder.running(), running.len());
             prop_assert!(holder.len() <= 2 && peer.len() <= 2);
         }
     }
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -29,6 +29,7 @@
 use crate::body::Body;
 use crate::call::Call;
 use crate::call::Stop;
+use crate::directory::Changes;
 use crate::directory::Row;
 use crate::directory::Snapshot;
 use crate::dispatch;
@@ -174,7 +175,7 @@
     loop {
         let snapshot = changes.borrow_and_update().clone();
         let Some(snapshot) = snapshot else { return Err(call.trail.conclude(Reason::NotReady)) };
-        let (stop, pause) = offer(router, &snapshot, call).await;
+        let (stop, pause) = offer(router, &snapshot, &mut changes, call).await;
         let reason = match stop {
             Ok(response) => return Ok(response),
             Err(Stop::End(outcome)) => return Err(outcome),
@@ -182,12 +183,10 @@
         };
         let now = router.clock.now();
         call.steps.add(now, format!("not taken: {reason}; waiting for another coordinator"));
-        let left = patience::remaining(call.deadline, now);
-        let left = left.ok_or_else(|| call.trail.conclude(reason))?;
-        let wait = pause.map_or(left, |pause| pause.min(left));
-        // The time limit only ends the wait; the loop finds out whether the call has ended.
-        let _ = timeout(wait, changes.changed()).await;
-        if patience::remaining(call.deadline, router.clock.now()).is_none() {
+        let left = patience::remaining(call.deadline, now).unwrap_or_default();
+        // The time limit only ends the wait; the next step finds out whether time is left.
+        let _ = timeout(pause.map_or(left, |pause| pause.min(left)), changes.changed()).await;
+        if !patience::allows_retry(call.deadline, router.clock.now(), Duration::ZERO) {
             return Err(call.trail.conclude(reason));
         }
     }
@@ -198,6 +197,7 @@
 async fn offer(
     router: &Arc<Router>,
     snapshot: &Arc<Snapshot>,
+    changes: &mut Changes,
     call: &mut Call,
 ) -> (Result<Response<Body>, Stop>, Option<Duration>) {
     let Some(group) = select(&router.options.domain, snapshot, call) else {
@@ -208,7 +208,7 @@
         Row::Local(local) => (dispatch::run(router, local, &group, call).await, None),
         Row::Remote(remote) => {
             let version = snapshot.plan().version;
-            let sent = forward::run(router, remote, &group.name, version, call).await;
+            let sent = forward::run(router, remote, &group.name, version, changes, call).await;
             (sent, Some(REOFFER_PAUSE))
         }
         Row::Unknown => (Err(call.reroute(Reason::NoCoordinator)), None),
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -62,6 +62,15 @@
 }
 
 impl Row {
+    /// Returns the term of the group's coordinator, if one is known.
+    pub fn term(&self) -> Option<u64> {
+        match self {
+            Self::Local(local) => Some(local.term),
+            Self::Remote(remote) => Some(remote.term),
+            Self::Unknown => None,
+        }
+    }
+
     /// Returns the fill of the group's queue in percent, if a coordinator is known.
     pub fn queue_percent(&self) -> Option<u32> {
         match self {
@@ -127,6 +136,9 @@
     }
 }
 
+/// Receiver of the snapshots that follow one another.
+pub type Changes = watch::Receiver<Option<Arc<Snapshot>>>;
+
 /// The current snapshot, which the control plane replaces as a whole.
 #[derive(Debug)]
 pub struct Directory {
@@ -156,7 +168,7 @@
     }
 
     /// Returns a receiver that is notified of every replacement after this call.
-    pub fn changes(&self) -> watch::Receiver<Option<Arc<Snapshot>>> {
+    pub fn changes(&self) -> Changes {
         self.current.subscribe()
     }
 }
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -95,9 +95,8 @@
         if let Verdict::End(outcome) = call.trail.record(event, call.permits()) {
             return Err(Stop::End(outcome));
         }
-        let left = patience::remaining(call.deadline, now).unwrap_or_default();
         let allowed = !costs_budget(event) || router.budget().retry(now);
-        if left <= pause || !allowed {
+        if !allowed || !patience::allows_retry(call.deadline, now, pause) {
             return Err(call.refuse(event.reason()));
         }
         sleep(pause).await;
@@ -126,7 +125,8 @@
     call: &mut Call,
 ) -> Result<Begun, Stop> {
     let key = match &call.idempotency {
-        Some(key) if !call.class.repeatable => key.clone(),
+        // Tenants choose their keys independently of each other.
+        Some(key) if !call.class.repeatable => Arc::from(format!("{} {key}", call.tenant)),
         Some(_) | None => return Ok(Begun::Run(None)),
     };
     let now = router.clock.now();
@@ -197,7 +197,9 @@
         },
         Err(failure) => {
             let event = call.judge(failure.event);
-            failed(run, &target, event, failure.refused);
+            if !failure.cut {
+                failed(run, &target, event, failure.refused);
+            }
             event
         }
     };
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -45,11 +45,13 @@
     pub event: Event,
     /// True if the address refused the connection.
     pub refused: bool,
+    /// True if this instance cut the connection off, because the target is not used any more.
+    pub cut: bool,
 }
 
 impl From<Event> for Failure {
     fn from(event: Event) -> Self {
-        Self { event, refused: false }
+        Self { event, refused: false, cut: false }
     }
 }
 
@@ -73,7 +75,15 @@
         let mut lease = lease.map_err(unconnected)?;
         lease.gate().arm(order.write_before);
         let left = order.deadline.since(clock.now());
-        let sent = timeout(left, lease.sender().try_send_request(request)).await;
+        let sending = lease.sender().try_send_request(request);
+        let sent = tokio::select! {
+            biased;
+            sent = timeout(left, sending) => sent,
+            () = lease.cut() => {
+                let event = if lease.gate().shut() { Event::Lost } else { Event::Unsent };
+                return Err(Failure { event, refused: false, cut: true });
+            }
+        };
         let mut error = match sent {
             Ok(Ok(response)) => return Ok((response, lease)),
             Ok(Err(error)) => error,
@@ -91,7 +101,9 @@
 
 fn unconnected(failure: pool::Failure) -> Failure {
     match failure {
-        pool::Failure::Connect { refused } => Failure { event: Event::ConnectFailed, refused },
+        pool::Failure::Connect { refused } => {
+            Failure { event: Event::ConnectFailed, refused, cut: false }
+        }
         pool::Failure::Full => Event::TimedOut { written: false }.into(),
     }
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -20,7 +20,9 @@
 use crate::body::Body;
 use crate::call::Call;
 use crate::call::Stop;
+use crate::directory::Changes;
 use crate::directory::Remote;
+use crate::directory::Snapshot;
 use crate::exchange;
 use crate::exchange::Failure;
 use crate::exchange::Order;
@@ -54,6 +56,7 @@
     remote: &Remote,
     group: &name::Group,
     version: u64,
+    changes: &mut Changes,
     call: &mut Call,
 ) -> Result<Response<Body>, Stop> {
     let now = router.clock.now();
@@ -79,7 +82,13 @@
     if let Some(meter) = &mut call.meter {
         meter.attempt();
     }
-    let sent = exchange::send(&router.pool, router.clock, &order, request).await;
+    let movable = permits.repeatable && call.payload.buffered();
+    let sent = tokio::select! {
+        biased;
+        sent = exchange::send(&router.pool, router.clock, &order, request) => sent,
+        // A frozen coordinator would hold the request until patience ends.
+        () = superseded(changes, group, remote.term), if movable => Err(Event::Lost.into()),
+    };
     let event = match sent {
         Ok((response, lease)) => match check(router, remote, group, call, &response) {
             // The refusal is about this attempt; an earlier one may have run the request.
@@ -99,6 +108,17 @@
     }
 }
 
+/// Waits until the group has a coordinator of a later term.
+async fn superseded(changes: &mut Changes, group: &name::Group, term: u64) {
+    let later = |snapshot: &Option<Arc<Snapshot>>| {
+        let known = snapshot.as_ref().and_then(|snapshot| snapshot.row(group).term());
+        known.is_some_and(|known| known > term)
+    };
+    if changes.wait_for(later).await.is_err() {
+        std::future::pending().await
+    }
+}
+
 /// Offers a call again. A request that was not taken costs no budget: the coordinator changes and
 /// nothing ran.
 fn again(router: &Router, call: &Call, event: Event) -> Result<Response<Body>, Stop> {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -16,6 +16,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 
@@ -74,6 +75,8 @@
 struct Host {
     shelf: Mutex<Shelf>,
     freed: Notify,
+    /// Counts how often the connections were cut off.
+    cuts: watch::Sender<u64>,
 }
 
 impl Host {
@@ -104,6 +107,7 @@
 pub struct Lease {
     connection: Connection,
     host: Arc<Host>,
+    cuts: watch::Receiver<u64>,
     /// True if the connection has carried an exchange before.
     pub used: bool,
 }
@@ -114,6 +118,12 @@
         &mut self.connection.sender
     }
 
+    /// Waits until the connections to the address are cut off.
+    pub async fn cut(&self) {
+        // The host holds the sender, so the receiver does not fail while the lease exists.
+        let _ = self.cuts.clone().changed().await;
+    }
+
     /// Returns the gate of the connection.
     pub fn gate(&self) -> &Arc<Gate> {
         &self.connection.gate
@@ -161,17 +171,18 @@
         fresh: bool,
     ) -> Result<Lease, Failure> {
         let host = self.host(address);
+        let cuts = host.cuts.subscribe();
         loop {
             match self.find(&host, limit, fresh) {
                 Found::Idle(mut connection) => {
                     let ready = timeout(READY_LIMIT, connection.sender.ready()).await;
                     if matches!(ready, Ok(Ok(()))) {
-                        return Ok(Lease { connection, host, used: true });
+                        return Ok(Lease { connection, host, cuts, used: true });
                     }
                 }
                 Found::Slot(slot) => {
                     let connection = self.open(address, slot, deadline).await?;
-                    return Ok(Lease { connection, host, used: false });
+                    return Ok(Lease { connection, host, cuts, used: false });
                 }
                 Found::Full => {
                     let left = deadline.since(self.clock.now());
@@ -214,6 +225,18 @@
         self.hosts().retain(|_, host| Arc::strong_count(host) > 1 || host.with(|s| s.open > 0));
     }
 
+    /// Cuts off the connections to an address: idle ones are closed, and exchanges that wait for an
+    /// answer end as lost. Answers that have begun are passed on.
+    ///
+    /// The control plane calls it when a silent target has lost its shards, so that requests do not
+    /// wait for it until their patience ends.
+    pub fn cut(&self, address: SocketAddr) {
+        let Some(host) = self.hosts().get(&address).cloned() else { return };
+        let idle = host.with(|shelf| std::mem::take(&mut shelf.idle));
+        drop(idle);
+        host.cuts.send_modify(|cuts| *cuts += 1);
+    }
+
     /// Returns the number of open connections to an address.
     pub fn open_connections(&self, address: SocketAddr) -> usize {
         self.hosts().get(&address).map_or(0, |host| host.with(|shelf| shelf.open))
--- a/crates/relay/tests/faults.rs
+++ b/crates/relay/tests/faults.rs
@@ -244,6 +244,44 @@
     assert!(matches!(outcome.state, caraway_call::ledger::State::Answered(_)));
 }
 
+/// Guards against a tenant that gets the recorded answer of another one.
+#[tokio::test]
+async fn keys_of_tenants_are_apart() {
+    let target = Target::start(|seen, number| Act::Write(ok(seen, &number.to_string()))).await;
+    let entry = Entry::with(&[&target]).await;
+    for (tenant, expected) in [("acme", "0"), ("other", "1"), ("acme", "0")] {
+        let fields = [("idempotency-key", "key-1"), ("caraway-tenant", tenant)];
+        let answer =
+            fetch(entry.caller, request("POST", "/ordenes/a", &fields, "x")).await.unwrap();
+        assert_eq!(answer.text(), expected, "{tenant}");
+    }
+}
+
+/// Guards against a reader who waits for a frozen target although its shard has another owner, and
+/// against a suspicion of the request.
+#[tokio::test]
+async fn cut_target_frees_its_requests() {
+    let frozen = Target::start(|_, _| Act::Hang).await;
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "done"))).await;
+    let mut entry = Entry::with(&[&frozen, &target]).await;
+    let lane = entry.lane(KEYED);
+    let change = async {
+        eventually("arrival", || frozen.count() == 2).await;
+        let token = caraway_core::token::Token::new(2, 2);
+        (0..16).for_each(|shard| {
+            lane.assign(caraway_core::shard::Shard(shard), &target_name(1), token)
+        });
+        entry.router.pool.cut(frozen.address);
+    };
+    let (reading, order, ()) =
+        tokio::join!(entry.get("/lectura/k", &[]), entry.post("/lectura/k", "key-1", "x"), change);
+    assert_eq!(reading.text(), "done");
+    assert_eq!(order.outcome(), ("unknown", "connection-lost"));
+    assert!(entry.router.quarantine().is_empty());
+    assert!(entry.reports.try_recv().is_err());
+    assert_eq!(entry.router.pool.open_connections(frozen.address), 0);
+}
+
 /// Guards against a resend that runs beside the first submission.
 #[tokio::test]
 async fn resend_during_the_run_is_refused() {
--- a/crates/relay/tests/instances.rs
+++ b/crates/relay/tests/instances.rs
@@ -9,6 +9,7 @@
 
 use caraway_core::name;
 use caraway_core::outcome::Reason;
+use caraway_relay::directory::Local;
 use caraway_relay::directory::Remote;
 use caraway_relay::directory::Row;
 use caraway_relay::report::Event;
@@ -187,6 +188,29 @@
     assert_eq!(peer.count(), 2);
 }
 
+/// Guards against a reader who waits for a frozen coordinator although another one has taken over.
+#[tokio::test]
+async fn takeover_frees_the_requests_of_a_frozen_coordinator() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "done"))).await;
+    let frozen = Target::start(|_, _| Act::Hang).await;
+    let (coordinator, entry) = pair(&target).await;
+    let (group, row) = coordinator.local(KEYED, &[&target]);
+    let Row::Local(local) = row else { panic!("the row is local") };
+    coordinator.replace([(group, Row::Local(Local { term: 4, ..local }))].into());
+    entry.replace([remote(KEYED, frozen.address, 2)].into());
+    let change = async {
+        eventually("arrival", || frozen.count() == 1).await;
+        entry.replace([remote(KEYED, frozen.address, 2)].into());
+        sleep(Duration::from_millis(100)).await;
+        entry.replace([remote(KEYED, coordinator.peer, 4)].into());
+    };
+    let start = std::time::Instant::now();
+    let (answer, ()) = tokio::join!(entry.get("/lectura/k", &[]), change);
+    assert_eq!(answer.text(), "done");
+    assert!(start.elapsed() < Duration::from_millis(600), "{:?}", start.elapsed());
+    assert_eq!(frozen.count(), 1, "an unchanged row does not move the request");
+}
+
 /// Guards against a coordinator whose death is noticed only by heartbeats.
 #[tokio::test]
 async fn refused_connection_to_a_coordinator_is_reported() {
--- a/crates/relay/tests/path.rs
+++ b/crates/relay/tests/path.rs
@@ -1,9 +1,13 @@
 //! Tests of the path of a request through one or two instances.
 
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
+
 mod support;
 
 use std::time::Duration;
 
+use prometheus_client::encoding::text::encode;
+use prometheus_client::registry::Registry;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -13,6 +17,8 @@
 use caraway_relay::gate;
 use caraway_relay::pool::Failure;
 use caraway_relay::pool::Pool;
+use caraway_relay::server::Options;
+use caraway_relay::server::serve;
 
 use crate::support::Act;
 use crate::support::Entry;
@@ -210,3 +216,70 @@
     peer.read_to_end(&mut read).await.unwrap();
     assert_eq!(read, b"ab");
 }
+
+/// Starts a caller listener of its own.
+async fn listen(entry: &Entry, options: Options) -> std::net::SocketAddr {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve(listener, entry.router.clone(), options, entry.stop.subscribe()));
+    address
+}
+
+/// Guards against callers that hold connections: silent ones, slow senders of headers, and one more
+/// than the limit.
+#[tokio::test]
+async fn idle_and_slow_callers_are_closed() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, ""))).await;
+    let entry = Entry::with(&[&target]).await;
+    let idle = Duration::from_millis(200);
+    let address = listen(&entry, Options { idle, connections: 2, ..Options::default() }).await;
+    let mut silent = TcpStream::connect(address).await.unwrap();
+    let mut slow = TcpStream::connect(address).await.unwrap();
+    let mut third = TcpStream::connect(address).await.unwrap();
+    slow.write_all(b"GET /lectura/k HTTP/1.1\r\nhost: ").await.unwrap();
+    third.write_all(b"GET /lectura/k HTTP/1.1\r\nhost: e\r\n\r\n").await.unwrap();
+    let mut byte = [0; 1];
+    let early = timeout(Duration::from_millis(100), third.read(&mut byte)).await;
+    assert!(early.is_err(), "the third connection waits for a place");
+    let mut rest = Vec::new();
+    let limit = Duration::from_secs(2);
+    timeout(limit, silent.read_to_end(&mut rest)).await.unwrap().unwrap();
+    timeout(limit, slow.read_to_end(&mut rest)).await.unwrap().unwrap();
+    timeout(limit, third.read_to_end(&mut rest)).await.unwrap().unwrap();
+    assert!(String::from_utf8(rest).unwrap().contains("TTP/1.1 200 OK"));
+}
+
+/// Guards against a header section of any length that is read into memory.
+#[tokio::test]
+async fn long_header_section_is_refused() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, ""))).await;
+    let entry = Entry::with(&[&target]).await;
+    let address = listen(&entry, Options { header_bytes: 10_000, ..Options::default() }).await;
+    let fill = "x".repeat(20_000);
+    let answer = raw(address, &format!("GET /lectura/k HTTP/1.1\r\nfill: {fill}\r\n\r\n")).await;
+    assert!(answer.is_empty() || answer.starts_with("HTTP/1.1 431 "), "{answer}");
+    assert_eq!(target.count(), 0);
+}
+
+/// Guards against metrics whose labels callers can multiply, and against requests that do not count.
+#[tokio::test]
+async fn requests_are_counted_with_bounded_labels() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, ""))).await;
+    let entry = Entry::with(&[&target]).await;
+    let mut registry = Registry::default();
+    entry.router.observer.register(&mut registry);
+    for tenant in ["acme", "mallory-1", "mallory-2"] {
+        entry.get("/lectura/k", &[("caraway-tenant", tenant)]).await;
+    }
+    entry.get("/nothing/k", &[("caraway-tenant", "mallory-3")]).await;
+    let mut text = String::new();
+    encode(&mut text, &registry).unwrap();
+    let line = |tenant, class, outcome, reason, count| {
+        let labels = format!("tenant=\"{tenant}\",class=\"{class}\",outcome=\"{outcome}\"");
+        format!("caraway_requests_total{{{labels},reason=\"{reason}\"}} {count}\n")
+    };
+    assert!(text.contains(&line("acme", "reading", "answered", "", 1)), "{text}");
+    assert!(text.contains(&line("other", "reading", "answered", "", 2)), "{text}");
+    assert!(text.contains(&line("other", "", "refused", "no-route", 1)), "{text}");
+    assert!(!text.contains("mallory"), "{text}");
+}
