--- a/bins/entry/src/control.rs
+++ b/bins/entry/src/control.rs
@@ -25,13 +25,13 @@
 use crate::coordination::Coordination;
 use crate::directory::Directory;
 use crate::directory::Member;
-use crate::ledgers::Copies;
 use crate::message::Message;
 use crate::message::Outbox;
 use crate::peers::Caller;
 use crate::storage::Storage;
 use crate::timer::Part;
 use crate::timer::Service;
+use caraway_entry::ledgers::Copies;
 
 pub mod balancing;
 mod configuration;
--- a/bins/entry/src/control/terms.rs
+++ b/bins/entry/src/control/terms.rs
@@ -21,8 +21,8 @@
 use crate::directory::Member;
 use crate::domain;
 use crate::domain::Change;
-use crate::ledgers;
 use crate::storage::Done;
+use caraway_entry::ledgers;
 
 use super::Control;
 
--- a/bins/entry/src/coordination.rs
+++ b/bins/entry/src/coordination.rs
@@ -35,13 +35,13 @@
 use caraway_ownership::roster::Former;
 
 use crate::control::balancing;
-use crate::ledgers;
 use crate::message::Outbox;
 use crate::target::Call;
 use crate::target::Grant;
 use crate::target::Line;
 use crate::target::Order;
 use crate::target::Shared;
+use caraway_entry::ledgers;
 
 /// Changes of ownership that are kept for explanations, for each group.
 const CHANGES: usize = 256;
--- a/bins/entry/src/lib.rs
+++ b/bins/entry/src/lib.rs
@@ -1,5 +1,5 @@
-//! The parts of the entry instance that neither call others nor keep threads: settings, timer, directory, and the
-//! changes of the failure domain's record.
+//! The parts of the entry instance that neither call others nor keep threads: settings, timer, directory, ledger copies, and
+//! the changes of the failure domain's record.
 
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -8,5 +8,6 @@
 pub mod directory;
 pub mod domain;
 pub mod errors;
+pub mod ledgers;
 pub mod settings;
 pub mod timer;
--- a/bins/entry/src/process.rs
+++ b/bins/entry/src/process.rs
@@ -36,7 +36,6 @@
 use crate::directory::Member;
 use crate::errors::Error;
 use crate::errors::Result;
-use crate::ledgers::Copies;
 use crate::message::Message;
 use crate::message::Outbox;
 use crate::peers;
@@ -45,6 +44,7 @@
 use crate::signal;
 use crate::storage;
 use crate::target;
+use caraway_entry::ledgers::Copies;
 
 /// Longest time for a call to the store. The store answers in milliseconds.
 const STORE_TIMEOUT: Duration = Duration::from_secs(1);
