Check the term before the shards of a lost target are placed

The end of a grant proves something only to the sole renewer. The shards of a lost target now wait for a check of the term that begins after the loss: a read of the record, or answers of every instance that has met this one, which are the only ones that may act on its silence. One answer of any peer, which counted before, is not enough.

--- a/bins/entry/src/control.rs
+++ b/bins/entry/src/control.rs
@@ -104,6 +104,7 @@
     gone: BTreeSet<String>,
     dirty: bool,
     published: Stamp,
+    next_check: Stamp,
     stopping: Option<Stamp>,
     last_handover: Stamp,
     /// True once the own process is no longer listed, at the end of a planned stop.
@@ -154,6 +155,7 @@
             gone: BTreeSet::new(),
             dirty: true,
             published: now,
+            next_check: now,
             stopping: None,
             last_handover: now,
             left: false,
--- a/bins/entry/src/control/groups.rs
+++ b/bins/entry/src/control/groups.rs
@@ -26,9 +26,13 @@
 use crate::coordination::Outcome;
 use crate::target::Answer;
 use crate::target::Failure;
+use crate::timer::Part;
 
 use super::Control;
 
+/// Least time between two checks of the own terms; a check answers for all groups.
+const CHECK_PERIOD: Duration = Duration::from_millis(50);
+
 /// Time after which queue fill levels are published again although no row changed.
 const REFRESH: Duration = Duration::from_millis(200);
 
@@ -78,6 +82,9 @@
 
     pub(super) fn take_outcome(&mut self, group: &name::Group, outcome: Outcome, now: Stamp) {
         self.log_changes(group, &outcome.changes);
+        if outcome.confirm {
+            self.check_terms(now);
+        }
         for (target, health, incarnation) in outcome.health {
             log_health(group, target, health, incarnation);
         }
@@ -93,6 +100,15 @@
         }
     }
 
+    /// Starts a check of the own terms, by the store and by heartbeats to all instances of the failure domain.
+    fn check_terms(&mut self, now: Stamp) {
+        if now >= self.next_check {
+            self.next_check = now + CHECK_PERIOD;
+            self.parts.storage.read_domain(self.parts.me.domain.clone());
+            self.timer.hasten(Part::Heartbeat, now);
+        }
+    }
+
     fn log_changes(&self, group: &name::Group, changes: &[Change]) {
         let mut counts: BTreeMap<(name::Target, &'static str), (u32, &Change)> = BTreeMap::new();
         for change in changes {
--- a/bins/entry/src/control/membership.rs
+++ b/bins/entry/src/control/membership.rs
@@ -44,13 +44,11 @@
             .map(|member| (member.control, member.process.clone()))
             .collect();
         for (address, process) in peers {
+            self.roster.learn(&process, now);
             self.send_beat(address, Some(process), now);
         }
         self.notice_members(now);
-        if self.roster.alive(now).is_empty() && self.roster.silent(now).is_empty() {
-            // Without any other listed instance nobody could have taken a term of this one.
-            self.step_all(&Event::Confirmed(now), now);
-        }
+        self.confirm_by_peers(now);
     }
 
     /// Sends a heartbeat to one instance of each other failure domain in turn.
@@ -298,7 +296,13 @@
         }
         if sender.domain == self.parts.me.domain {
             self.roster.answered(&sender.process, sent, now);
-            self.step_all(&Event::Confirmed(sent), now);
+            self.confirm_by_peers(now);
+        }
+    }
+
+    fn confirm_by_peers(&mut self, now: Stamp) {
+        if let Some(since) = self.roster.confirmed_since(now) {
+            self.step_all(&Event::Confirmed(since), now);
         }
     }
 
--- a/bins/entry/src/coordination.rs
+++ b/bins/entry/src/coordination.rs
@@ -74,6 +74,8 @@
 pub struct Outcome {
     /// A higher term was seen; the coordination has ended.
     pub fenced: Option<u64>,
+    /// True if the machine waits for a check of the term.
+    pub confirm: bool,
     /// Changes of ownership.
     pub changes: Vec<Change>,
     /// Targets whose usability changed after they had been usable or lost before.
@@ -337,6 +339,7 @@
                     outcome.health.push((target, health, incarnation));
                 }
             }
+            Effect::Confirm => outcome.confirm = true,
             Effect::AwaitIdle(target) => {
                 self.awaiting_idle.insert(target);
             }
--- a/bins/entry/tests/history/world.rs
+++ b/bins/entry/tests/history/world.rs
@@ -322,7 +322,9 @@
         if now.since(self.entries[index].last_beat) >= BEAT {
             self.entries[index].last_beat = now;
             for to in (0..ENTRIES).filter(|to| *to != index) {
-                let incarnation = self.entries[to].process.incarnation;
+                let receiver = self.entries[to].process.clone();
+                let incarnation = receiver.incarnation;
+                self.entries[index].roster.learn(&receiver, now);
                 let beat = self.entries[index].beat();
                 self.packets.push(Packet::Beat { from: index, to, incarnation, sent: now, beat });
             }
@@ -693,7 +695,9 @@
         }
         self.hear(to, beat);
         self.entries[to].roster.answered(&beat.from, sent, self.now);
-        self.step(to, Event::Confirmed(sent));
+        if let Some(since) = self.entries[to].roster.confirmed_since(self.now) {
+            self.step(to, Event::Confirmed(since));
+        }
     }
 
     fn hear(&mut self, to: usize, beat: &Beat) {
--- a/crates/ownership/src/claim.rs
+++ b/crates/ownership/src/claim.rs
@@ -47,6 +47,8 @@
     pub gone: Option<Stamp>,
     /// True if it is in a planned stop.
     pub stopping: bool,
+    /// True if this process was ever heard from, so that it knows of the listening one.
+    pub met: bool,
 }
 
 impl Peer {
@@ -96,7 +98,8 @@
 pub enum Verdict {
     /// The holder is alive, or another candidate comes first.
     Wait,
-    /// The group's targets do not check tokens, and the holder is silent but not proved gone.
+    /// The holder is silent but not proved gone, and its silence is not enough: the group's targets do not check
+    /// tokens, or this instance has never heard from the holder.
     Blocked,
     /// The term may be taken by compare-and-swap.
     Claim,
@@ -132,6 +135,9 @@
     if now.since(peer.heard) <= SUSPICION + delay {
         return Verdict::Wait;
     }
+    // A holder asks everybody it knows of before it places the shards of a silent target. It can only know
+    // of an instance that it has exchanged heartbeats with, so others may not act on its silence.
+    let checked = checked && peer.met;
     if checked { Verdict::Claim } else { Verdict::Blocked }
 }
 
--- a/crates/ownership/src/event.rs
+++ b/crates/ownership/src/event.rs
@@ -61,7 +61,8 @@
     PredecessorEnded(Stamp),
     /// The own process did not run for a while and may have lost the term meanwhile.
     Paused,
-    /// A check that began at this moment found no higher term.
+    /// A check that began at this moment found no higher term: a read of the record, or answers of every
+    /// instance that could have taken it.
     Confirmed(Stamp),
     /// A higher term was seen.
     Fenced(u64),
@@ -150,6 +151,8 @@
         /// The new health.
         health: Health,
     },
+    /// Check whether a higher term exists, and report [`Event::Confirmed`] if none does.
+    Confirm,
     /// Report when no request to this target is in flight any more.
     AwaitIdle(name::Target),
     /// A shard has a new owner; for logs and explanations.
--- a/crates/ownership/src/group.rs
+++ b/crates/ownership/src/group.rs
@@ -66,6 +66,7 @@
     ended: bool,
     seq: u64,
     held_since: Option<Stamp>,
+    next_check: Stamp,
     targets: Vec<table::Target>,
     shards: table::Shards,
 }
@@ -101,6 +102,7 @@
             ended: false,
             seq: 0,
             held_since: None,
+            next_check: now,
             targets: targets.collect(),
             shards: table::Shards::new(options.shards),
         })
@@ -174,6 +176,7 @@
             self.place();
             self.empty_leaving(&mut effects);
             self.call(now, &mut effects);
+            self.ask_confirmation(now, &mut effects);
             self.check();
         }
         effects
@@ -205,7 +208,7 @@
             }
             Event::Targets(names) => self.set_targets(&names, now),
             Event::Drained(shard) => self.drained(shard, now),
-            Event::Idle(target) => self.idle(&target),
+            Event::Idle(target) => self.idle(&target, now),
             Event::Move { shard, to } => self.begin_move(shard, &to, Cause::Balance, effects),
             Event::PredecessorEnded(at) => {
                 if self.predecessor == Predecessor::Unproved {
@@ -390,7 +393,7 @@
             row.seen = true;
             row.leaving = false;
         }
-        self.shards.release(index);
+        self.shards.release(index, now);
     }
 
     /// Ends contact with a target whose grant is proved to be no longer in force.
@@ -461,12 +464,12 @@
         }
     }
 
-    fn idle(&mut self, target: &name::Target) {
+    fn idle(&mut self, target: &name::Target, now: Stamp) {
         let Some(index) = self.index(target) else { return };
         let Some(row) = self.targets.get_mut(index) else { return };
         if row.await_idle {
             row.await_idle = false;
-            self.shards.release(index);
+            self.shards.release(index, now);
         }
     }
 
@@ -479,6 +482,22 @@
                 row.unconfirmed_since = None;
             }
         }
+        for (_, row) in self.shards.iter_mut() {
+            if row.unconfirmed_since.is_some_and(|since| began >= since) {
+                row.unconfirmed_since = None;
+            }
+        }
+    }
+
+    /// Asks for a check of the term while something waits for it.
+    fn ask_confirmation(&mut self, now: Stamp, effects: &mut Vec<Effect>) {
+        let waiting = self.held_since.is_some()
+            || self.targets.iter().any(|row| row.unconfirmed_since.is_some())
+            || self.shards.iter().any(|(_, row)| row.unconfirmed_since.is_some());
+        if waiting && now >= self.next_check {
+            self.next_check = now + grant::RETRY;
+            effects.push(Effect::Confirm);
+        }
     }
 
     fn fence(&mut self, term: u64, effects: &mut Vec<Effect>) {
@@ -500,7 +519,7 @@
                 if wait {
                     effects.push(Effect::AwaitIdle(name));
                 } else {
-                    self.shards.release(index);
+                    self.shards.release(index, now);
                 }
             }
         }
@@ -529,7 +548,8 @@
         let open: Vec<Shard> = self
             .shards
             .iter()
-            .filter(|(_, row)| row.stage == Stage::Unowned && (row.free || !blocked))
+            .filter(|(_, row)| row.stage == Stage::Unowned && row.unconfirmed_since.is_none())
+            .filter(|(_, row)| row.free || !blocked)
             .map(|(shard, _)| shard)
             .collect();
         for shard in open {
--- a/crates/ownership/src/roster.rs
+++ b/crates/ownership/src/roster.rs
@@ -253,6 +253,7 @@
     pub fn heard(&mut self, process: &Process, words: &[Word], stopping: bool, now: Stamp) {
         let row = self.row(process, now);
         row.peer.heard = now;
+        row.peer.met = true;
         row.peer.stopping = stopping;
         row.groups = words.len();
         let older: Vec<Process> = self
@@ -286,6 +287,22 @@
         row.answered = row.answered.max(Some(sent));
     }
 
+    /// Counts a process among those that may know of this one, because a heartbeat is sent to it.
+    pub fn learn(&mut self, process: &Process, now: Stamp) {
+        if *process != self.me {
+            self.row(process, now);
+        }
+    }
+
+    /// Returns the moment at which nobody had taken a higher term from this instance.
+    ///
+    /// Only instances that have met this one may act on its silence. Each of them is gone, or has answered a
+    /// heartbeat that was sent at that moment or later, and told no higher term. None if one of them has not answered.
+    pub fn confirmed_since(&self, now: Stamp) -> Option<Stamp> {
+        let others = self.rows.values().filter(|row| row.peer.gone.is_none());
+        others.map(|row| row.answered).try_fold(now, |least, answered| Some(least.min(answered?)))
+    }
+
     /// Returns since when nobody can act for a group under an earlier term, if that is proved.
     ///
     /// `claimed` is when this instance took the group. The former coordinator must be gone or have given up. The
@@ -597,7 +614,7 @@
 
     fn row(&mut self, process: &Process, now: Stamp) -> &mut Row {
         self.rows.entry(process.clone()).or_insert_with(|| Row {
-            peer: Peer { heard: now, gone: None, stopping: false },
+            peer: Peer { heard: now, gone: None, stopping: false, met: false },
             groups: 0,
             answered: None,
         })
--- a/crates/ownership/src/table.rs
+++ b/crates/ownership/src/table.rs
@@ -123,6 +123,8 @@
     pub cause: Cause,
     /// True if it is proved, in this term, that no target may believe to own the unowned shard.
     pub free: bool,
+    /// The unowned shard waits for a check of the term that begins after this moment.
+    pub unconfirmed_since: Option<Stamp>,
 }
 
 impl Default for Shard {
@@ -134,6 +136,7 @@
             seq: 0,
             cause: Cause::Placed,
             free: false,
+            unconfirmed_since: None,
         }
     }
 }
@@ -180,9 +183,12 @@
 
     /// Makes the shards of a target available, after proof that it cannot own them any more.
     ///
+    /// The proof holds for grants of this coordinator. Another one may have taken a higher term and granted
+    /// the shards anew, so they wait for a check of the term that begins after `now`.
+    ///
     /// The target stays the preferred owner of the shards that have no heir, so that a short loss of
     /// contact with all targets moves nothing.
-    pub fn release(&mut self, target: usize) {
+    pub fn release(&mut self, target: usize, now: Stamp) {
         for row in &mut self.rows {
             if row.heir == Some(target) {
                 row.heir = None;
@@ -191,6 +197,7 @@
                 row.owner = row.heir.take().or(row.owner);
                 row.stage = Stage::Unowned;
                 row.free = true;
+                row.unconfirmed_since = Some(now);
             }
         }
     }
--- a/crates/ownership/tests/roster.rs
+++ b/crates/ownership/tests/roster.rs
@@ -80,6 +80,7 @@
 #[test]
 fn a_silent_coordinator_is_replaced() {
     let mut roster = roster("b", held("a", 16, None), true);
+    roster.heard(&process("a"), &[word(16, None)], false, at(0));
     let (now, claim) = first_claim(&mut roster, 0, 900).unwrap();
     let limit = (claim::SUSPICION + 2 * claim::RANK_DELAY).as_millis();
     assert!(u128::from(now) <= limit + 10, "claimed after {now} ms");
@@ -87,6 +88,32 @@
     assert_eq!(former.unwrap().holder, process("a"));
 }
 
+/// Guards against a takeover by an instance that the silent holder cannot know of, and so cannot ask.
+#[test]
+fn silence_of_a_holder_never_met_is_not_acted_on() {
+    let mut roster = roster("b", held("a", 16, None), true);
+    roster.heard(&process("c"), &[], false, at(0));
+    assert_eq!(first_claim(&mut roster, 0, 5000), None);
+    assert_eq!(roster.blocked(at(5000)), [(group(), process("a"))]);
+    roster.gone(&process("a"), at(5000));
+    assert!(first_claim(&mut roster, 5000, 6000).is_some());
+}
+
+/// Guards against a check of the term that counts although an instance that may have taken it did not answer.
+#[test]
+fn a_term_is_confirmed_by_every_instance_that_may_have_taken_it() {
+    let mut roster = roster("a", held("a", 16, None), true);
+    assert_eq!(roster.confirmed_since(at(50)), None);
+    roster.answered(&process("b"), at(10), at(50));
+    assert_eq!(roster.confirmed_since(at(50)), None);
+    roster.answered(&process("c"), at(20), at(60));
+    assert_eq!(roster.confirmed_since(at(60)), Some(at(10)));
+    roster.gone(&process("b"), at(70));
+    assert_eq!(roster.confirmed_since(at(70)), Some(at(20)));
+    roster.gone(&process("c"), at(80));
+    assert_eq!(roster.confirmed_since(at(80)), Some(at(80)));
+}
+
 /// Guards against a second sender to targets that check no tokens: silence is no proof.
 #[test]
 fn unchecked_targets_wait_for_proof() {
@@ -127,6 +154,7 @@
 #[test]
 fn a_claim_after_a_handover_counts_the_receiver() {
     let mut roster = roster("c", held("a", 16, None), true);
+    roster.heard(&process("b"), &[], false, at(0));
     roster.observe(&members(), held("b", 32, Some("a")), at(0));
     let (_, claim) = first_claim(&mut roster, 0, 2000).unwrap();
     let Intent::Claim { former, expected, .. } = claim else { panic!("{claim:?}") };
