Give up attempts whose target or coordinator was replaced

Cause: after a target lost its grant or a group its coordinator, requests in flight still waited for the old one's answer until their deadline. The lane now recalls the permits of a lost target and of a closed lane, and the forwarding instance watches the directory. A repeatable, buffered call with attempts left gives up (attempt::Event::GivenUp: no suspect, no retry budget); a non-repeatable one is withdrawn only if no byte was written and otherwise goes on waiting. A coordinator that loses its group after a possible run answers 'unknown misdirected', and the sender offers the call again. Two faults that this showed: a refusal after a possible run was passed on as 'unknown' with the status of a refusal, and the call ended when the burst after a takeover filled the queue.

Requests for a target whose permission ends within 300 ms (a renewal was missed) are bounded only by the queue.

--- a/crates/admission/src/lane.rs
+++ b/crates/admission/src/lane.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 
 use caraway_core::class::Urgency;
 use caraway_core::name;
@@ -110,6 +111,20 @@
         }
     }
 
+    /// Waits until the target is lost or the lane closes.
+    ///
+    /// From then on another target or instance may own the key, so waiting for this one's answer can
+    /// take longer than sending the request again.
+    pub async fn recalled(&self) {
+        let lane = &self.slot.lane;
+        let mut changes = lane.recalls.subscribe();
+        while lane.read(|table| table.is_recalled(self.slot.ticket)) == Some(false) {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Returns the slot of a request that was never sent.
     fn release(mut self) {
         self.slot.finish = None;
@@ -199,6 +214,8 @@
     options: Options,
     clock: Clock,
     inner: Mutex<Inner>,
+    /// Changes when permits are recalled.
+    recalls: watch::Sender<()>,
 }
 
 impl Lane {
@@ -206,7 +223,7 @@
     pub fn new(options: Options) -> Arc<Self> {
         let table = Table::new(options.clone());
         let inner = Mutex::new(Inner { table, wakers: HashMap::new() });
-        Arc::new(Self { options, clock: Clock, inner })
+        Arc::new(Self { options, clock: Clock, inner, recalls: watch::Sender::new(()) })
     }
 
     /// Returns the group of the lane.
@@ -303,6 +320,9 @@
         let now = self.clock.now();
         change(&mut inner.table, now);
         inner.wake();
+        if inner.table.take_recalled() {
+            self.recalls.send_replace(());
+        }
     }
 
     /// Adds a target or changes its address or state.
@@ -376,7 +396,8 @@
         self.change(|table, now| table.unsplit(key, now));
     }
 
-    /// Refuses all waiting and later requests with the reason. Requests with permits go on.
+    /// Refuses all waiting and later requests with the reason. Requests with permits go on; their
+    /// permits are recalled, see [`Permit::recalled`].
     pub fn close(&self, reason: Reason) {
         self.change(|table, _| table.close(reason));
     }
--- a/crates/admission/src/table.rs
+++ b/crates/admission/src/table.rs
@@ -73,6 +73,8 @@
     key: Arc<str>,
     epoch: u64,
     taken: Stamp,
+    /// True if the target was lost or the lane closed after the permit was handed out.
+    recalled: bool,
 }
 
 /// Queue that a request waits in.
@@ -99,6 +101,8 @@
     permits: HashMap<u64, Out>,
     counts: Counts,
     effects: Vec<Effect>,
+    /// True if permits were recalled since the last call of [`Table::take_recalled`].
+    recalled: bool,
     closed: Option<Reason>,
     next_ticket: u64,
 }
@@ -117,6 +121,7 @@
             permits: HashMap::new(),
             counts: Counts::default(),
             effects: Vec::new(),
+            recalled: false,
             closed: None,
             next_ticket: 0,
         }
@@ -142,10 +147,11 @@
         if let Some(member) = self.free_member(lot, &waiter, now) {
             return Entry::Granted(self.grant(&waiter, member, now));
         }
-        if self.expected_wait(lot, &waiter, now) > waiter.deadline.since(now) {
+        let refusable = !self.is_silent(lot, now);
+        if refusable && self.expected_wait(lot, &waiter, now) > waiter.deadline.since(now) {
             return Entry::Refused(Reason::Overloaded);
         }
-        self.enqueue(lot, waiter)
+        self.enqueue(lot, waiter, now)
     }
 
     fn waiter(&mut self, request: Request) -> Waiter {
@@ -179,8 +185,8 @@
         }
     }
 
-    fn enqueue(&mut self, lot: Lot, waiter: Waiter) -> Entry {
-        if !self.make_room(lot, waiter.urgency) {
+    fn enqueue(&mut self, lot: Lot, waiter: Waiter, now: Stamp) -> Entry {
+        if !self.make_room(lot, waiter.urgency, now) {
             return Entry::Refused(Reason::Overloaded);
         }
         let ticket = waiter.ticket;
@@ -191,7 +197,7 @@
 
     /// Returns true if a request of the urgency may join the queue, after displacing another one if
     /// need be.
-    fn make_room(&mut self, lot: Lot, urgency: Urgency) -> bool {
+    fn make_room(&mut self, lot: Lot, urgency: Urgency, now: Stamp) -> bool {
         let capacity = self.capacity();
         let len = self.lots.len();
         match urgency {
@@ -199,7 +205,7 @@
             Urgency::Normal | Urgency::Bulk => {
                 let others = len - self.waiting_of(Urgency::Urgent);
                 let room = len < capacity && others < capacity - capacity / URGENT_SHARE;
-                room && self.within_share(lot)
+                room && (self.is_silent(lot, now) || self.within_share(lot))
             }
         }
     }
@@ -212,6 +218,15 @@
         self.fleet.count() < 2 || waiting < self.capacity().div_ceil(2)
     }
 
+    /// Returns true if the shards of a lot's target are about to move.
+    ///
+    /// Its requests wait as held ones do: the target's speed and its share of the queue say nothing
+    /// about what its shards get at their next owners.
+    fn is_silent(&self, lot: Lot, now: Stamp) -> bool {
+        let Lot::Target(member) = lot else { return false };
+        self.fleet.get(member).is_some_and(|target| target.is_silent(now))
+    }
+
     /// Refuses the newest waiting request of an urgency. Returns false if there is none.
     fn displace(&mut self, urgency: Urgency) -> bool {
         let newest = self.queues().filter_map(|queue| queue.newest(urgency)).max();
@@ -338,7 +353,8 @@
             assigned = unit.owner.map(|owner| owner.token);
         }
         let (shard, key) = (waiter.shard, waiter.key.clone());
-        self.permits.insert(waiter.ticket, Out { member, scope, shard, key, epoch, taken: now });
+        let out = Out { member, scope, shard, key, epoch, taken: now, recalled: false };
+        self.permits.insert(waiter.ticket, out);
         let Some(target) = self.fleet.get_mut(member) else {
             unreachable!("a permit is handed out for a known target");
         };
--- a/crates/admission/src/table/control.rs
+++ b/crates/admission/src/table/control.rs
@@ -35,6 +35,11 @@
             let slots = Slots::new(self.options.slots, self.options.warmup, state, now);
             self.fleet.add(target, address, slots);
         }
+        if state == State::Lost
+            && let Some(member) = self.fleet.known(target).map(|target| target.member)
+        {
+            self.recall(|out| out.member == member);
+        }
         self.rehome_all(now);
     }
 
@@ -191,9 +196,28 @@
         }
     }
 
-    /// Refuses all waiting and later requests.
+    /// Marks permits whose requests need not wait for an answer any more.
+    fn recall(&mut self, concerned: impl Fn(&Out) -> bool) {
+        for out in self.permits.values_mut().filter(|out| concerned(out)) {
+            self.recalled |= !out.recalled;
+            out.recalled = true;
+        }
+    }
+
+    /// Returns true if a permit was recalled or is not out.
+    pub fn is_recalled(&self, ticket: u64) -> bool {
+        self.permits.get(&ticket).is_none_or(|out| out.recalled)
+    }
+
+    /// Returns true if permits were recalled since the previous call.
+    pub fn take_recalled(&mut self) -> bool {
+        std::mem::take(&mut self.recalled)
+    }
+
+    /// Refuses all waiting and later requests and recalls the permits that are out.
     pub fn close(&mut self, reason: Reason) {
         self.closed = Some(reason);
+        self.recall(|_| true);
         let tickets: Vec<u64> = self.lots.keys().copied().collect();
         for ticket in tickets {
             self.remove(ticket);
--- a/crates/admission/src/target.rs
+++ b/crates/admission/src/target.rs
@@ -1,6 +1,7 @@
 //! Targets of a lane and the selection among them.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use caraway_core::name;
 use caraway_core::time::Stamp;
@@ -11,6 +12,10 @@
 use crate::scope::Member;
 use crate::slots::Slots;
 
+/// Remaining permission below which a target counts as silent. A grant lasts 600 ms and is renewed
+/// every 150 ms, so at least one renewal was not acknowledged.
+const SILENT: Duration = Duration::from_millis(300);
+
 /// A target of the lane.
 #[derive(Debug)]
 pub struct Target {
@@ -38,6 +43,12 @@
         !self.removed && self.slots.accepts() && now < self.allow_until
     }
 
+    /// Returns true if the permission for the target has ended or ends soon because the target does
+    /// not acknowledge renewals.
+    pub fn is_silent(&self, now: Stamp) -> bool {
+        self.allow_until.since(now) < SILENT
+    }
+
     /// Returns true if the target accepts one more request now.
     pub fn free(&self, now: Stamp) -> bool {
         self.accepts(now) && self.slots.free(now)
--- a/crates/call/src/attempt.rs
+++ b/crates/call/src/attempt.rs
@@ -15,6 +15,9 @@
     Refused(Reason),
     /// The connection failed after a byte was written.
     Lost,
+    /// The wait for the answer was given up after a byte was written, because another target or
+    /// instance owns the key now. It says nothing about the health of the other side.
+    GivenUp,
     /// The caller's body ended early after a byte was written.
     BodyLost,
     /// The answer was truncated or not valid before any of it was passed on.
@@ -31,7 +34,7 @@
     pub fn may_have_run(self) -> bool {
         match self {
             Self::ConnectFailed | Self::Unsent | Self::Refused(_) => false,
-            Self::Lost | Self::BodyLost | Self::BadAnswer => true,
+            Self::Lost | Self::GivenUp | Self::BodyLost | Self::BadAnswer => true,
             Self::TimedOut { written } => written,
         }
     }
@@ -42,7 +45,7 @@
             Self::ConnectFailed => Reason::ConnectFailed,
             Self::Unsent => Reason::NoOwner,
             Self::Refused(reason) => reason,
-            Self::Lost | Self::BodyLost => Reason::ConnectionLost,
+            Self::Lost | Self::GivenUp | Self::BodyLost => Reason::ConnectionLost,
             Self::BadAnswer => Reason::BadAnswer,
             Self::TimedOut { written: false } => Reason::DeadlineBeforeDispatch,
             Self::TimedOut { written: true } => Reason::DeadlineAfterDispatch,
@@ -88,6 +91,12 @@
         self.unknown.is_some()
     }
 
+    /// Returns true if the attempt that is under way may be given up for another one: the request may
+    /// run again, and the class has attempts left.
+    pub fn may_give_up(&self, call: Call) -> bool {
+        call.buffered && call.repeatable && self.ran + 1 < call.attempts
+    }
+
     /// Records how an attempt ended and returns what to do.
     pub fn record(&mut self, event: Event, call: Call) -> Verdict {
         let reason = event.reason();
@@ -113,7 +122,7 @@
         let sendable = call.buffered;
         match event {
             Event::ConnectFailed | Event::Unsent | Event::Refused(_) => sendable,
-            Event::Lost | Event::BadAnswer => {
+            Event::Lost | Event::GivenUp | Event::BadAnswer => {
                 sendable && call.repeatable && self.ran < call.attempts
             }
             Event::BodyLost | Event::TimedOut { .. } => false,
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -77,6 +77,16 @@
     }
 }
 
+/// Sets the status of an answer whose outcome is less certain here than where it was given.
+///
+/// "Did not run" of one attempt is "unknown" for the call if an earlier attempt may have run.
+pub fn restate(response: &mut Response<Body>, outcome: Outcome) {
+    if let Outcome::Unknown(reason) = outcome {
+        let status = StatusCode::from_u16(unknown_status(reason.status()));
+        *response.status_mut() = status.unwrap_or(StatusCode::BAD_GATEWAY);
+    }
+}
+
 /// A reason whose own status means "did not run" can also end a call whose earlier attempt may have
 /// run; such an answer gets the status of an unknown outcome.
 fn unknown_status(status: u16) -> u16 {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -24,6 +24,7 @@
 
 use crate::body::Body;
 use crate::body::Payload;
+use crate::exchange::Recall;
 use crate::explain::Record;
 use crate::fields;
 use crate::observe::Meter;
@@ -84,6 +85,17 @@
         }
     }
 
+    /// Returns what a recall of the next attempt does. It is asked before the body is taken.
+    pub fn recall(&self) -> Recall {
+        if self.payload.bytes().is_none() {
+            Recall::Ignore
+        } else if self.trail.may_give_up(self.permits()) {
+            Recall::GiveUp
+        } else {
+            Recall::Withdraw
+        }
+    }
+
     /// Returns the end of a call for a reason that by itself means "did not run".
     pub fn refuse(&self, reason: Reason) -> Stop {
         Stop::End(self.trail.conclude(reason))
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -108,9 +108,11 @@
 
 /// Returns true if a retry counts against the budget: if the attempt may have cost a target work, or
 /// the target is overloaded. While ownership moves, many requests are not taken without any work
-/// done; the pause between their retries is enough.
+/// done; the pause between their retries is enough. Attempts that were given up are bounded by the
+/// slots of the lost target, which does no more work for them.
 fn costs_budget(event: Event) -> bool {
-    event.may_have_run() || event == Event::Refused(Reason::Overloaded)
+    let cost_work = event.may_have_run() && event != Event::GivenUp;
+    cost_work || event == Event::Refused(Reason::Overloaded)
 }
 
 enum Begun {
@@ -183,24 +185,27 @@
         limit: usize::try_from(run.group.service.connections).unwrap_or(usize::MAX),
         write_before: permit.write_before.min(call.deadline),
         deadline: call.deadline,
+        recall: call.recall(),
     };
     // If the caller goes away during the exchange, the ticket is dropped in this state.
     mark_sent(ticket, true);
-    let event = match exchange::send(&run.router.pool, run.router.clock, &order, request).await {
-        Ok((response, lease)) => match check(run, call, &target, &response) {
-            None => {
-                let held = Held { permit, clearance, ticket: ticket.take() };
-                let response = pass(run, call, response, lease, held);
-                return Ok(Attempt::Answered(Box::new(response)));
+    let recalled = Box::pin(permit.recalled());
+    let event =
+        match exchange::send(&run.router.pool, run.router.clock, &order, request, recalled).await {
+            Ok((response, lease)) => match check(run, call, &target, &response) {
+                None => {
+                    let held = Held { permit, clearance, ticket: ticket.take() };
+                    let response = pass(run, call, response, lease, held);
+                    return Ok(Attempt::Answered(Box::new(response)));
+                }
+                Some(event) => refused(run, event, permit, response, lease).await,
+            },
+            Err(failure) => {
+                let event = call.judge(failure.event);
+                failed(run, &target, event, failure.refused);
+                event
             }
-            Some(event) => refused(run, event, permit, response, lease).await,
-        },
-        Err(failure) => {
-            let event = call.judge(failure.event);
-            failed(run, &target, event, failure.refused);
-            event
-        }
-    };
+        };
     if !event.may_have_run() {
         mark_sent(ticket, false);
     }
@@ -331,6 +336,7 @@
         Event::Lost => suspect(run.router, &group, target, run.fingerprint),
         Event::Unsent
         | Event::Refused(_)
+        | Event::GivenUp
         | Event::BodyLost
         | Event::BadAnswer
         | Event::TimedOut { .. } => {}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,6 +1,7 @@
 //! One request and the head of its answer on one connection.
 
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::time::Duration;
 
 use http_body_util::BodyExt;
@@ -36,8 +37,25 @@
     pub write_before: Stamp,
     /// Moment at which the call ends.
     pub deadline: Stamp,
+    /// What a recall does.
+    pub recall: Recall,
 }
 
+/// What an exchange does when its recall arrives while the answer's head is awaited.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Recall {
+    /// It ends. The request may run again, so nothing depends on the answer.
+    GiveUp,
+    /// It ends if no byte has been written, which shows that the request did not run. Otherwise it
+    /// goes on.
+    Withdraw,
+    /// It goes on, because the body cannot be sent again.
+    Ignore,
+}
+
+/// Future that ends when the other side need not be waited for any more.
+pub type Recalled<'a> = Pin<Box<dyn Future<Output = ()> + Send + 'a>>;
+
 /// How an exchange failed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Failure {
@@ -56,7 +74,7 @@
 /// Sends a request and waits for the head of its answer.
 ///
 /// A request that a pooled connection hands back unsent is sent on a new connection. It is not sent
-/// again in any other case.
+/// again in any other case. `recalled` may end the exchange early, as the order says.
 ///
 /// # Errors
 ///
@@ -66,14 +84,36 @@
     clock: Clock,
     order: &Order,
     mut request: Request<Body>,
+    mut recalled: Recalled<'_>,
 ) -> Result<(Response<Incoming>, Lease), Failure> {
     let mut fresh = false;
+    let mut recallable = order.recall != Recall::Ignore;
     loop {
-        let lease = pool.lease(order.address, order.limit, order.deadline, fresh).await;
+        let lease = tokio::select! {
+            biased;
+            lease = pool.lease(order.address, order.limit, order.deadline, fresh) => lease,
+            () = recalled.as_mut(), if recallable => return Err(Event::Unsent.into()),
+        };
         let mut lease = lease.map_err(unconnected)?;
         lease.gate().arm(order.write_before);
         let left = order.deadline.since(clock.now());
-        let sent = timeout(left, lease.sender().try_send_request(request)).await;
+        let gate = lease.gate().clone();
+        let sent = {
+            let sending = timeout(left, lease.sender().try_send_request(request));
+            tokio::pin!(sending);
+            tokio::select! {
+                biased;
+                sent = sending.as_mut() => sent,
+                () = recalled.as_mut(), if recallable => match (order.recall, gate.withdraw()) {
+                    (_, true) => return Err(Event::Unsent.into()),
+                    (Recall::GiveUp, false) => return Err(Event::GivenUp.into()),
+                    (Recall::Withdraw | Recall::Ignore, false) => {
+                        recallable = false;
+                        sending.await
+                    }
+                },
+            }
+        };
         let mut error = match sent {
             Ok(Ok(response)) => return Ok((response, lease)),
             Ok(Err(error)) => error,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -21,6 +21,8 @@
 use crate::call::Call;
 use crate::call::Stop;
 use crate::directory::Remote;
+use crate::directory::Row;
+use crate::directory::Snapshot;
 use crate::exchange;
 use crate::exchange::Failure;
 use crate::exchange::Order;
@@ -59,7 +61,7 @@
     let now = router.clock.now();
     let left = patience::for_hop(call.deadline, now);
     let left = left.ok_or_else(|| call.refuse(Reason::DeadlineBeforeDispatch))?;
-    let permits = call.permits();
+    let (permits, recall) = (call.permits(), call.recall());
     let mut request = call.request().ok_or_else(|| call.refuse(Reason::NoCoordinator))?;
     let headers = request.headers_mut();
     fields::set(headers, names::GROUP, group.as_str());
@@ -74,12 +76,14 @@
         limit: router.options.peer_connections,
         write_before: call.deadline,
         deadline: call.deadline,
+        recall,
     };
     call.steps.add(now, format!("forwarded to {} for {group}", remote.instance));
     if let Some(meter) = &mut call.meter {
         meter.attempt();
     }
-    let sent = exchange::send(&router.pool, router.clock, &order, request).await;
+    let recalled = Box::pin(superseded(router, remote, group));
+    let sent = exchange::send(&router.pool, router.clock, &order, request, recalled).await;
     let event = match sent {
         Ok((response, lease)) => match check(router, remote, group, call, &response) {
             Ok(outcome) => return Ok(pass(router, call, response, lease, outcome)),
@@ -95,14 +99,36 @@
     }
 }
 
+/// Waits until the directory names another coordinator than `remote` for a group, or a higher term.
+async fn superseded(router: &Router, remote: &Remote, group: &name::Group) {
+    let mut changes = router.directory.changes();
+    let stands = |snapshot: &Option<Arc<Snapshot>>| {
+        snapshot.as_ref().is_none_or(|snapshot| match snapshot.row(group) {
+            Row::Local(_) => false,
+            Row::Remote(row) => {
+                row.term <= remote.term
+                    && row.instance == remote.instance
+                    && row.peer_address == remote.peer_address
+            }
+            Row::Unknown => true,
+        })
+    };
+    // The directory lives as long as the router, so the wait ends only with a change.
+    let _ = changes.wait_for(|snapshot| !stands(snapshot)).await;
+}
+
 /// Offers a call again. A request that was not taken costs no budget: the coordinator changes and
-/// nothing ran.
+/// nothing ran. Nor does one that was given up: those are bounded by what the former coordinator held
+/// when it was replaced. An overloaded coordinator is asked again only within the budget.
 fn again(router: &Router, call: &Call, event: Event) -> Result<Response<Body>, Stop> {
     match event {
-        Event::ConnectFailed | Event::Unsent | Event::Refused(_) => {
-            Err(Stop::Reroute(event.reason()))
-        }
-        Event::Lost | Event::BodyLost | Event::BadAnswer | Event::TimedOut { .. } => {
+        Event::ConnectFailed | Event::Unsent | Event::GivenUp => Err(Stop::Reroute(event.reason())),
+        Event::Refused(reason) if reason != Reason::Overloaded => Err(Stop::Reroute(reason)),
+        Event::Refused(_)
+        | Event::Lost
+        | Event::BodyLost
+        | Event::BadAnswer
+        | Event::TimedOut { .. } => {
             if router.budget().retry(router.clock.now()) {
                 Err(Stop::Reroute(event.reason()))
             } else {
@@ -127,6 +153,10 @@
     let reason = || fields::parsed::<Reason>(headers, names::REASON).ok_or(Event::BadAnswer);
     match fields::text(headers, names::OUTCOME) {
         Some("answered") => Ok(Outcome::Answered),
+        // The coordinator lost the group after an attempt that may have run.
+        Some("unknown") if call.class.repeatable && reason()? == Reason::Misdirected => {
+            Err(Event::GivenUp)
+        }
         Some("unknown") => Ok(Outcome::Unknown(reason()?)),
         Some("refused") => match reason()? {
             Reason::Misdirected => {
@@ -135,6 +165,11 @@
                 Err(Event::Refused(Reason::Misdirected))
             }
             Reason::NotReady => Err(Event::Refused(Reason::NotReady)),
+            // The burst after a takeover can fill the queue for a moment. To end the call here would
+            // make its outcome unknown, because the attempt that was given up may have run.
+            Reason::Overloaded if call.class.repeatable && call.trail.may_have_run() => {
+                Err(Event::Refused(Reason::Overloaded))
+            }
             reason => Ok(call.trail.conclude(reason)),
         },
         Some(_) | None => Err(Event::BadAnswer),
@@ -174,6 +209,7 @@
     };
     let body = answer::relay(body, Box::new(Passed(base)), call.deadline, now);
     let mut response = Response::from_parts(parts, body);
+    answer::restate(&mut response, outcome);
     answer::mark(&mut response, outcome, &call.id);
     response
 }
--- a/crates/relay/src/gate.rs
+++ b/crates/relay/src/gate.rs
@@ -50,6 +50,12 @@
         self.state.swap(SHUT, Ordering::SeqCst) == WRITTEN
     }
 
+    /// Closes the gate if no byte of the exchange has been written, and returns true if it did.
+    pub fn withdraw(&self) -> bool {
+        let swapped = self.state.compare_exchange(ARMED, SHUT, Ordering::SeqCst, Ordering::SeqCst);
+        swapped != Err(WRITTEN)
+    }
+
     /// Passes a write and returns true if it is the first of the exchange.
     fn pass(&self) -> io::Result<bool> {
         if self.state.load(Ordering::SeqCst) == WRITTEN {
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -43,6 +43,10 @@
             match dispatch::run(&router, &local, &group, &mut call).await {
                 Ok(response) => return response,
                 Err(Stop::End(outcome)) => outcome,
+                // The sender offers a repeatable request to the next coordinator even if it may have run.
+                Err(Stop::Reroute(_)) if call.class.repeatable && call.trail.may_have_run() => {
+                    Outcome::Unknown(Reason::Misdirected)
+                }
                 Err(Stop::Reroute(_)) => call.trail.conclude(Reason::Misdirected),
             }
         }
