Let non-repeatable requests go on when their callers leave

Cause: the exchange ran inside the caller's connection, so a caller or forwarding instance that left after the dispatch cancelled it, and the key answered 'earlier attempt unknown' for the whole retention time. The attempts of a call with a ticket now run in a task that owns ticket and permit, reads the answer to its end and records it; the connection only waits for it. A caller that leaves before the dispatch still takes its request out of the queue. A planned stop waits for these tasks. A resubmission during the run waits for the outcome within its own patience; at most 128 of them wait.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -76,6 +77,29 @@
 }
 
 impl Call {
+    /// Moves the call out, for a task that brings it back when it has ended. What stays has no body,
+    /// measurement or history and must not be sent.
+    pub fn detach(&mut self) -> Self {
+        Self {
+            id: self.id.clone(),
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers: std::mem::take(&mut self.headers),
+            payload: std::mem::replace(&mut self.payload, Payload::Buffered(Bytes::new(), None)),
+            key: self.key.clone(),
+            shard: self.shard,
+            tenant: self.tenant.clone(),
+            service: self.service.clone(),
+            class: self.class.clone(),
+            idempotency: self.idempotency.clone(),
+            deadline: self.deadline,
+            declined: self.declined.clone(),
+            trail: std::mem::take(&mut self.trail),
+            steps: self.steps.clone(),
+            meter: self.meter.take(),
+        }
+    }
+
     /// Returns what the call permits at the moment.
     pub fn permits(&self) -> attempt::Call {
         attempt::Call {
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -8,7 +8,9 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header;
+use tokio::sync::watch;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use caraway_admission::lane;
 use caraway_admission::lane::Finish;
@@ -35,6 +37,7 @@
 use crate::call::Stop;
 use crate::contain;
 use crate::contain::Clearance;
+use crate::detach;
 use crate::directory::Local;
 use crate::exchange;
 use crate::exchange::Order;
@@ -59,6 +62,8 @@
     local: &'a Local,
     group: &'a Arc<Group>,
     fingerprint: Fingerprint,
+    /// Closed when the caller has left; nothing if the call is cancelled with the caller anyway.
+    gone: Option<watch::Receiver<()>>,
 }
 
 /// How an attempt ended.
@@ -78,11 +83,27 @@
     group: &Arc<Group>,
     call: &mut Call,
 ) -> Result<Response<Body>, Stop> {
-    let mut ticket = match begin(router, local, group, call).await? {
-        Begun::Run(ticket) => ticket,
-        Begun::Replay(response) => return Ok(*response),
-    };
-    let run = Run { router, local, group, fingerprint: call.fingerprint() };
+    match begin(router, local, group, call).await? {
+        Begun::Run(None) => attempts(router, local, group, call, None, None).await,
+        Begun::Run(Some(ticket)) => detach::run(router, local, group, call, ticket).await,
+        Begun::Replay(response) => Ok(*response),
+    }
+}
+
+/// Sends a call until an attempt is answered. Nothing is sent any more once `gone` is closed.
+///
+/// # Errors
+///
+/// The call has ended, or this instance no longer coordinates the group.
+pub async fn attempts(
+    router: &Arc<Router>,
+    local: &Local,
+    group: &Arc<Group>,
+    call: &mut Call,
+    mut ticket: Option<Ticket>,
+    gone: Option<watch::Receiver<()>>,
+) -> Result<Response<Body>, Stop> {
+    let run = Run { router, local, group, fingerprint: call.fingerprint(), gone };
     let mut pause = FIRST_PAUSE;
     let mut avoid = None;
     loop {
@@ -131,9 +152,8 @@
         Some(key) if !call.class.repeatable => key.clone(),
         Some(_) | None => return Ok(Begun::Run(None)),
     };
+    let decision = decide(router, local, &key, call).await;
     let now = router.clock.now();
-    let digest = call.digest();
-    let decision = local.ledger().begin(&key, digest, now);
     match decision {
         Decision::Run => {
             let ticket = Ticket::new(router, local, &group.name, &key);
@@ -162,6 +182,31 @@
     }
 }
 
+/// Looks a call up in the ledger. While an earlier submission runs, waits for its outcome; the number
+/// of calls that wait is bounded.
+async fn decide(router: &Arc<Router>, local: &Local, key: &Arc<str>, call: &Call) -> Decision {
+    let digest = call.digest();
+    let mut follower = None;
+    loop {
+        let concluded = router.concluded.notified();
+        tokio::pin!(concluded);
+        concluded.as_mut().enable();
+        let now = router.clock.now();
+        let decision = local.ledger().begin(key, digest, now);
+        if decision != Decision::InProgress {
+            return decision;
+        }
+        if follower.is_none() {
+            follower = router.followers.clone().try_acquire_owned().ok();
+            call.steps.add(now, "an earlier submission is running");
+        }
+        let left = patience::remaining(call.deadline, now);
+        let Some(left) = left.filter(|_| follower.is_some()) else { return decision };
+        // The time limit only ends the wait; the next look finds that no time is left.
+        let _ = timeout(left, concluded).await;
+    }
+}
+
 fn unknown(reason: Reason) -> Stop {
     Stop::End(Outcome::Unknown(reason))
 }
@@ -173,7 +218,11 @@
     ticket: &mut Option<Ticket>,
     avoid: Option<name::Target>,
 ) -> Result<Attempt, Stop> {
-    let (permit, clearance) = admit(run, call, avoid).await?;
+    let (permit, clearance) = tokio::select! {
+        biased;
+        () = left(run.gone.clone()) => return Err(call.refuse(Reason::DeadlineBeforeDispatch)),
+        admitted = admit(run, call, avoid) => admitted?,
+    };
     let target = permit.target.clone();
     let request = request(run, call, &permit)?;
     call.steps.add(run.router.clock.now(), format!("sent to {target} with token {}", permit.token));
@@ -187,7 +236,7 @@
         deadline: call.deadline,
         recall: call.recall(),
     };
-    // If the caller goes away during the exchange, the ticket is dropped in this state.
+    // If the exchange is dropped, the ticket is dropped in this state.
     mark_sent(ticket, true);
     let recalled = Box::pin(permit.recalled());
     let event =
@@ -212,6 +261,15 @@
     Ok(Attempt::Failed { event, target })
 }
 
+/// Waits until the caller has left.
+async fn left(gone: Option<watch::Receiver<()>>) {
+    match gone {
+        // Nothing is sent on the channel, so it changes only by being closed.
+        Some(mut gone) => drop(gone.changed().await),
+        None => std::future::pending().await,
+    }
+}
+
 fn mark_sent(ticket: &mut Option<Ticket>, sent: bool) {
     if let Some(ticket) = ticket {
         ticket.sent = sent;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod call;
 pub mod caller;
 pub mod contain;
+pub mod detach;
 pub mod directory;
 pub mod dispatch;
 pub mod errors;
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 
 use caraway_call::budget::Budget;
 use caraway_call::quarantine;
@@ -43,6 +44,8 @@
     pub buffered_bytes: usize,
     /// Requests that can be explained.
     pub explained: usize,
+    /// Requests that may wait for the outcome of their earlier submissions.
+    pub followers: usize,
     /// Settings of the quarantine.
     pub quarantine: quarantine::Options,
 }
@@ -56,6 +59,7 @@
             peer_connections: 256,
             buffered_bytes: 64 * 1024 * 1024,
             explained: 10_000,
+            followers: 128,
             quarantine: quarantine::Options::default(),
         }
     }
@@ -91,6 +95,12 @@
     pub memory: Arc<Semaphore>,
     /// Notified when a suspect has ended.
     pub settled: Notify,
+    /// Notified when a non-repeatable request has ended.
+    pub concluded: Notify,
+    /// One permit for each request that may wait for the outcome of its earlier submission.
+    pub followers: Arc<Semaphore>,
+    /// Number of exchanges that go on without their callers.
+    exchanges: watch::Sender<usize>,
     quarantine: Mutex<Quarantine>,
     budget: Mutex<Budget>,
     incarnations: Mutex<HashMap<name::Target, u64>>,
@@ -98,6 +108,16 @@
     requests: AtomicU64,
 }
 
+/// An exchange that goes on without its caller.
+#[derive(Debug)]
+pub struct Exchange(Arc<Router>);
+
+impl Drop for Exchange {
+    fn drop(&mut self) {
+        self.0.exchanges.send_modify(|count| *count -= 1);
+    }
+}
+
 impl Router {
     /// Makes the data path of an instance. It is not ready before its directory has a snapshot.
     pub fn new(
@@ -115,6 +135,9 @@
             channels,
             memory: Arc::new(Semaphore::new(options.buffered_bytes.min(Semaphore::MAX_PERMITS))),
             settled: Notify::new(),
+            concluded: Notify::new(),
+            followers: Arc::new(Semaphore::new(options.followers.min(Semaphore::MAX_PERMITS))),
+            exchanges: watch::Sender::new(0),
             quarantine: Mutex::new(Quarantine::new(options.quarantine.clone())),
             budget: Mutex::default(),
             incarnations: Mutex::default(),
@@ -134,6 +157,18 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Counts an exchange that goes on without its caller, until the result is dropped.
+    pub fn enter(self: &Arc<Self>) -> Exchange {
+        self.exchanges.send_modify(|count| *count += 1);
+        Exchange(self.clone())
+    }
+
+    /// Waits until no exchange goes on without its caller. Each one ends by its deadline.
+    pub async fn exchanges_ended(&self) {
+        // The sender lives as long as the router, so the wait cannot fail.
+        let _ = self.exchanges.subscribe().wait_for(|count| *count == 0).await;
+    }
+
     /// Merges a report of another instance about a crash.
     pub fn merge_crash(&self, report: quarantine::Report) {
         self.quarantine().merge(report, self.clock.now());
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -65,7 +65,8 @@
     }
 }
 
-/// Serves connections until `stop` becomes true, then finishes the requests in flight.
+/// Serves connections until `stop` becomes true, then finishes the requests in flight, also those
+/// whose callers have left.
 ///
 /// It returns when the last connection has ended. Dropping the future closes all connections.
 pub async fn serve(
@@ -90,6 +91,7 @@
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
+    router.exchanges_ended().await;
 }
 
 /// Waits until `stop` becomes true or nobody can set it any more.
--- a/crates/relay/src/ticket.rs
+++ b/crates/relay/src/ticket.rs
@@ -89,6 +89,13 @@
 
 impl Drop for Ticket {
     fn drop(&mut self) {
+        self.settle();
+        self.router.concluded.notify_waiters();
+    }
+}
+
+impl Ticket {
+    fn settle(&mut self) {
         if !self.open {
             return;
         }
