Pass withdrawals on before refusals, and intents until the deadline

Cause: a refusal after the intent was recorded reached the caller while 'did not run' was still on its way to the holders, so a resubmission through a new coordinator could be answered 'unknown'. And one frozen holder refused the request with 'no-coordinator', although holders are replaced after 350 ms.

Each of the four new tests fails with its part taken out (repetition, end of the term, wait, bound of the wait).

--- a/crates/relay/src/detach.rs
+++ b/crates/relay/src/detach.rs
@@ -55,9 +55,14 @@
     let exchange = router.enter();
     let mut own = call.detach();
     let (router, local, group) = (router.clone(), local.clone(), group.clone());
+    let mut ticket = Some(ticket);
     tokio::spawn(async move {
-        let ran = dispatch::attempts(&router, &local, &group, &mut own, Some(ticket), Some(gone));
-        let (result, pump) = match ran.await {
+        let ran = dispatch::attempts(&router, &local, &group, &mut own, &mut ticket, Some(gone));
+        let ran = ran.await;
+        if let Some(ticket) = ticket.take() {
+            ticket.withdraw().await;
+        }
+        let (result, pump) = match ran {
             Ok(response) => {
                 let ends = Instant::now() + own.deadline.since(router.clock.now());
                 let (response, pump) = pipe(response, ends);
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -84,7 +84,7 @@
     call: &mut Call,
 ) -> Result<Response<Body>, Stop> {
     match begin(router, local, group, call).await? {
-        Begun::Run(None) => attempts(router, local, group, call, None, None).await,
+        Begun::Run(None) => attempts(router, local, group, call, &mut None, None).await,
         Begun::Run(Some(ticket)) => detach::run(router, local, group, call, ticket).await,
         Begun::Replay(response) => Ok(*response),
     }
@@ -100,14 +100,14 @@
     local: &Local,
     group: &Arc<Group>,
     call: &mut Call,
-    mut ticket: Option<Ticket>,
+    ticket: &mut Option<Ticket>,
     gone: Option<watch::Receiver<()>>,
 ) -> Result<Response<Body>, Stop> {
     let run = Run { router, local, group, fingerprint: call.fingerprint(), gone };
     let mut pause = FIRST_PAUSE;
     let mut avoid = None;
     loop {
-        let (event, target) = match attempt(&run, call, &mut ticket, avoid.take()).await? {
+        let (event, target) = match attempt(&run, call, ticket, avoid.take()).await? {
             Attempt::Answered(response) => return Ok(*response),
             Attempt::Failed { event, target } => (event, target),
         };
@@ -157,8 +157,10 @@
     match decision {
         Decision::Run => {
             let ticket = Ticket::new(router, local, &group.name, &key);
-            let replicated = ticket.replicate(call.deadline).await;
-            replicated.map_err(|reason| call.refuse(reason))?;
+            if let Err(reason) = ticket.replicate(call.deadline).await {
+                ticket.withdraw().await;
+                return Err(call.refuse(reason));
+            }
             call.steps.add(router.clock.now(), "intent recorded at other instances");
             Ok(Begun::Run(Some(ticket)))
         }
--- /dev/null
+++ b/crates/relay/tests/replication.rs
@@ -0,0 +1,129 @@
+//! Tests of intents and withdrawals on their way to other instances.
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
+
+mod support;
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+
+use caraway_call::ledger;
+use caraway_core::time::Clock;
+use caraway_relay::observe::Observer;
+use caraway_relay::replication::Job;
+use caraway_relay::router::Channels;
+use caraway_relay::router::Options;
+use caraway_relay::router::Router;
+use caraway_relay::server;
+
+use crate::support::Act;
+use crate::support::Answer;
+use crate::support::Entry;
+use crate::support::POOLED;
+use crate::support::Target;
+use crate::support::fetch;
+use crate::support::ok;
+use crate::support::refusal;
+use crate::support::request;
+
+/// Starts a coordinator whose replication jobs the test answers.
+async fn coordinator(target: &Target) -> (Entry, mpsc::Receiver<Job>) {
+    let plan = Entry::start("entry-2").await.plan;
+    let (reports_in, reports) = mpsc::channel(100);
+    let (replication, queue) = mpsc::channel(100);
+    let channels = Channels { reports: reports_in, replication };
+    let options =
+        Options { instance: "entry-1".into(), domain: "med".into(), ..Options::default() };
+    let router = Router::new(options, Clock, channels, Observer::new());
+    let (stop, stopped) = watch::channel(false);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let caller = listener.local_addr().unwrap();
+    let serving = server::serve(listener, router.clone(), server::Options::default(), stopped);
+    let servers = vec![tokio::spawn(serving)];
+    let (_, jobs) = mpsc::unbounded_channel();
+    let entry = Entry { router, caller, peer: caller, plan, stop, reports, jobs, servers };
+    entry.replace([entry.local(POOLED, &[target])].into());
+    (entry, queue)
+}
+
+async fn submit(entry: &Entry) -> Answer {
+    let fields = [("idempotency-key", "key-1"), ("caraway-patience-ms", "400")];
+    fetch(entry.caller, request("POST", "/ordenes/a", &fields, "x")).await.unwrap()
+}
+
+/// Guards against a refusal because one holder of the intent is frozen: it is replaced shortly.
+#[tokio::test]
+async fn intent_is_passed_on_again() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "done"))).await;
+    let (entry, mut queue) = coordinator(&target).await;
+    let answers = async {
+        for stored in [false, false, false, true] {
+            let job = queue.recv().await.unwrap();
+            assert_eq!(job.entry.state, ledger::State::Open);
+            assert_eq!(target.count(), 0, "sent before the intent is held");
+            job.done.send(stored).unwrap();
+        }
+    };
+    let (answer, ()) = tokio::join!(submit(&entry), answers);
+    assert_eq!(answer.text(), "done");
+}
+
+/// Guards against an instance that tries to record an intent after its term has ended.
+#[tokio::test]
+async fn intent_is_not_passed_on_after_the_term() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "done"))).await;
+    let (entry, mut queue) = coordinator(&target).await;
+    let answers = async {
+        let job = queue.recv().await.unwrap();
+        entry.replace([].into());
+        job.done.send(false).unwrap();
+        let job = queue.recv().await.unwrap();
+        assert_eq!(job.entry.state, ledger::State::Abandoned);
+        job.done.send(true).unwrap();
+    };
+    let (answer, ()) = tokio::join!(submit(&entry), answers);
+    assert_eq!(answer.outcome(), ("refused", "no-coordinator"));
+}
+
+/// Guards against a refusal that arrives before the other instances know that the request did not
+/// run: its next submission would be answered "unknown" by a new coordinator.
+#[tokio::test]
+async fn refusal_waits_for_the_withdrawal() {
+    let target = Target::start(|seen, _| Act::Write(refusal(seen, 503, "draining"))).await;
+    let (entry, mut queue) = coordinator(&target).await;
+    let known = Arc::new(Mutex::new(None));
+    let answers = async {
+        queue.recv().await.unwrap().done.send(true).unwrap();
+        let job = queue.recv().await.unwrap();
+        assert_eq!(job.entry.state, ledger::State::Abandoned);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        *known.lock().unwrap() = Some(Instant::now());
+        job.done.send(true).unwrap();
+    };
+    let submission = async {
+        let answer = submit(&entry).await;
+        assert!(known.lock().unwrap().is_some(), "the refusal came first");
+        answer
+    };
+    let (answer, ()) = tokio::join!(submission, answers);
+    assert_eq!(answer.outcome().0, "refused");
+}
+
+/// Guards against a refusal that waits without end for a holder that does not answer.
+#[tokio::test]
+async fn wait_for_the_withdrawal_is_bounded() {
+    let target = Target::start(|seen, _| Act::Write(refusal(seen, 503, "draining"))).await;
+    let (entry, mut queue) = coordinator(&target).await;
+    let answers = async {
+        queue.recv().await.unwrap().done.send(true).unwrap();
+        (queue.recv().await.unwrap(), Instant::now())
+    };
+    let (answer, (_job, asked)) = tokio::join!(submit(&entry), answers);
+    assert_eq!(answer.outcome().0, "refused");
+    assert!(asked.elapsed() < Duration::from_millis(500), "{:?}", asked.elapsed());
+}
