Give callers notice before a planned stop closes idle connections

For 500 ms after the stop begins the listener still accepts and every answer carries 'connection: close'; then idle connections are closed and the requests in flight finish. The phase is kept inside server::serve, so the process needs no second signal and no change.

The new test fails without the notice and without the header.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -6,6 +6,8 @@
 
 use hyper::Request;
 use hyper::body::Incoming;
+use hyper::header;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -16,6 +18,7 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::sleep;
 
 use crate::caller;
 use crate::peer;
@@ -51,6 +54,10 @@
     pub idle: Duration,
     /// Time after which a connection is closed whose reader takes nothing.
     pub stall: Duration,
+    /// Time after the begin of a stop in which connections are still accepted and every answer asks
+    /// its reader to close the connection. A request that is under way when an idle connection is
+    /// closed gets no answer, so as few connections as possible are closed by this side.
+    pub notice: Duration,
 }
 
 impl Default for Options {
@@ -61,39 +68,59 @@
             header_bytes: 16 * 1024,
             idle: Duration::from_secs(30),
             stall: Duration::from_secs(10),
+            notice: Duration::from_millis(500),
         }
     }
 }
 
-/// Serves connections until `stop` becomes true, then finishes the requests in flight, also those
-/// whose callers have left.
+/// Serves connections until `stop` becomes true. Then gives notice, see [`Options::notice`], closes the
+/// idle connections and finishes the requests in flight, also those whose callers have left.
 ///
 /// It returns when the last connection has ended. Dropping the future closes all connections.
 pub async fn serve(
     listener: TcpListener,
     router: Arc<Router>,
     options: Options,
-    mut stop: watch::Receiver<bool>,
+    stop: watch::Receiver<bool>,
 ) {
+    let (close, closing) = watch::channel(false);
+    let notice = notice(stop.clone(), options.notice);
+    tokio::pin!(notice);
     let slots = Arc::new(Semaphore::new(options.connections.max(1)));
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
-            () = stopped(&mut stop) => break,
+            () = notice.as_mut() => break,
             Some(_) = connections.join_next() => {}
             accepted = accept(&listener, &slots) => {
                 if let Some((stream, slot)) = accepted {
-                    let connection = connection(stream, slot, router.clone(), options.clone(), stop.clone());
+                    let phase = Phase { stop: stop.clone(), closing: closing.clone() };
+                    let connection = connection(stream, slot, router.clone(), options.clone(), phase);
                     connections.spawn(connection);
                 }
             }
         }
     }
     drop(listener);
+    close.send_replace(true);
     while connections.join_next().await.is_some() {}
     router.exchanges_ended().await;
 }
 
+/// How far the stop of a listener is.
+struct Phase {
+    /// True from its begin; answers ask for the end of their connections.
+    stop: watch::Receiver<bool>,
+    /// True from the end of the notice; idle connections are closed.
+    closing: watch::Receiver<bool>,
+}
+
+/// Waits until the notice of a stop has ended.
+async fn notice(mut stop: watch::Receiver<bool>, time: Duration) {
+    stopped(&mut stop).await;
+    sleep(time).await;
+}
+
 /// Waits until `stop` becomes true or nobody can set it any more.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     let _ = stop.wait_for(|stop| *stop).await;
@@ -108,7 +135,7 @@
         Ok((stream, _)) => Some((stream, slot)),
         Err(error) => {
             log::debug!("accept failed: {error}");
-            tokio::time::sleep(ACCEPT_PAUSE).await;
+            sleep(ACCEPT_PAUSE).await;
             None
         }
     }
@@ -119,19 +146,24 @@
     _slot: OwnedSemaphorePermit,
     router: Arc<Router>,
     options: Options,
-    mut stop: watch::Receiver<bool>,
+    phase: Phase,
 ) {
+    let Phase { stop, mut closing } = phase;
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY cannot be set: {error}");
     }
     let side = options.side;
     let service = service_fn(move |request: Request<Incoming>| {
-        let router = router.clone();
+        let (router, stop) = (router.clone(), stop.clone());
         async move {
-            let response = match side {
+            let mut response = match side {
                 Side::Caller => caller::serve(router, request).await,
                 Side::Peer => peer::serve(router, request).await,
             };
+            if *stop.borrow() {
+                let close = HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
             Ok::<_, Infallible>(response)
         }
     });
@@ -144,7 +176,7 @@
     tokio::pin!(serving);
     let result = tokio::select! {
         result = serving.as_mut() => result,
-        () = stopped(&mut stop) => {
+        () = stopped(&mut closing) => {
             serving.as_mut().graceful_shutdown();
             serving.await
         }
--- /dev/null
+++ b/crates/relay/tests/notice.rs
@@ -0,0 +1,61 @@
+//! Tests of the notice that a stopping instance gives to its callers.
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
+
+mod support;
+
+use std::time::Duration;
+use std::time::Instant;
+
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::support::Act;
+use crate::support::Entry;
+use crate::support::Target;
+use crate::support::ok;
+
+const REQUEST: &[u8] = b"GET /lectura/k HTTP/1.1\r\nhost: e\r\n\r\n";
+
+async fn exchange(stream: &mut TcpStream) -> String {
+    stream.write_all(REQUEST).await.unwrap();
+    let mut text = String::new();
+    while !text.ends_with("done") {
+        let mut bytes = [0; 1024];
+        let count =
+            timeout(Duration::from_secs(2), stream.read(&mut bytes)).await.unwrap().unwrap();
+        assert!(count > 0, "closed without an answer after {text:?}");
+        text.push_str(std::str::from_utf8(bytes.get(..count).unwrap()).unwrap());
+    }
+    text
+}
+
+/// Guards against a request on a kept-alive connection that is closed without an answer because a
+/// planned stop begins, and against a refused connection during the notice.
+#[tokio::test]
+async fn callers_are_asked_to_close_before_idle_connections_are_closed() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "done"))).await;
+    let mut entry = Entry::with(&[&target]).await;
+    let mut kept = TcpStream::connect(entry.caller).await.unwrap();
+    let mut idle = TcpStream::connect(entry.caller).await.unwrap();
+    assert!(!exchange(&mut kept).await.contains("connection: close"));
+    exchange(&mut idle).await;
+    entry.stop.send(true).unwrap();
+    let begun = Instant::now();
+    sleep(Duration::from_millis(100)).await;
+    assert!(exchange(&mut kept).await.contains("connection: close"));
+    let mut late = TcpStream::connect(entry.caller).await.unwrap();
+    assert!(exchange(&mut late).await.contains("connection: close"));
+    for mut stream in [kept, late] {
+        assert_eq!(stream.read(&mut [0; 1]).await.unwrap(), 0, "closed after the answer");
+    }
+    assert!(begun.elapsed() < Duration::from_millis(400), "{:?}", begun.elapsed());
+    let end = timeout(Duration::from_secs(2), idle.read(&mut [0; 1])).await.unwrap().unwrap();
+    assert_eq!(end, 0, "an idle connection is closed after the notice");
+    assert!(begun.elapsed() >= Duration::from_millis(450), "{:?}", begun.elapsed());
+    for server in entry.servers.split_off(1) {
+        timeout(Duration::from_secs(2), server).await.unwrap().unwrap();
+    }
+}
