Give every encoding of a key one shard

Cause: the key segment was hashed as it was sent, so a key in two percent-encodings had two shards and two owners. caller::find_route, which the receiving instance and the coordinator share, now decodes the segment once; an invalid encoding or a key that is not UTF-8 is refused with bad-request. The key header carries the decoded key, with control characters, spaces, '%' and non-ASCII encoded so that decoding gives the key again. /explain/key decodes too; caraway-ctl already encoded what it asks for.

--- a/bins/entry/src/admin.rs
+++ b/bins/entry/src/admin.rs
@@ -17,6 +17,7 @@
 use tiny_http::Server;
 
 use caraway_core::time::Clock;
+use caraway_relay::key;
 use caraway_relay::router::Router;
 use caraway_telemetry::event;
 use caraway_telemetry::event::Event as LogEvent;
@@ -112,8 +113,13 @@
             ["status"] => self.ask(request, Question::Status),
             ["directory"] => self.ask(request, Question::Directory),
             ["explain", "key", service, key] => {
+                let Ok(key) = key::decode(key) else {
+                    let problem = "the key is not percent-encoded UTF-8";
+                    respond(request, 400, &json!({ "error": problem }));
+                    return;
+                };
                 let question =
-                    Question::Key { service: (*service).to_owned(), key: (*key).to_owned() };
+                    Question::Key { service: (*service).to_owned(), key: key.into_owned() };
                 self.ask(request, question);
             }
             ["explain", "request", id] => self.explain_request(request, id),
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -43,7 +43,7 @@
     pub headers: HeaderMap,
     /// Body.
     pub payload: Payload,
-    /// Key of the request.
+    /// Key of the request, decoded.
     pub key: Arc<str>,
     /// Shard of the request.
     pub shard: Shard,
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -35,6 +35,7 @@
 use crate::explain::Record;
 use crate::fields;
 use crate::forward;
+use crate::key;
 use crate::observe;
 use crate::observe::Meter;
 use crate::router::Router;
@@ -121,7 +122,7 @@
         headers: parts.headers,
         payload,
         shard: shard::of_key(key.as_bytes(), route.service.shards),
-        key: Arc::from(key),
+        key,
         tenant,
         service: route.service.clone(),
         class: route.class.clone(),
@@ -135,15 +136,20 @@
     })
 }
 
-/// Returns the route of a request and its key. HEAD takes the route of GET if it has none.
+/// Returns the route of a request and its decoded key. HEAD takes the route of GET if it has none.
+///
+/// # Errors
+///
+/// No route matches, or the key is not encoded as it should be.
 pub fn find_route<'a>(
     plan: &'a Plan,
     method: &Method,
-    path: &'a str,
-) -> Result<(&'a Route, &'a str), Reason> {
+    path: &str,
+) -> Result<(&'a Route, Arc<str>), Reason> {
     let route = plan.route(method.as_str(), path);
     let head = || (*method == Method::HEAD).then(|| plan.route("GET", path)).flatten();
-    route.or_else(head).ok_or(Reason::NoRoute)
+    let (route, segment) = route.or_else(head).ok_or(Reason::NoRoute)?;
+    Ok((route, Arc::from(key::decode(segment)?)))
 }
 
 /// Returns the tenant that a request names.
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -42,6 +42,7 @@
 use crate::exchange;
 use crate::exchange::Order;
 use crate::fields;
+use crate::key;
 use crate::pool::Lease;
 use crate::report;
 use crate::router::Router;
@@ -328,7 +329,7 @@
     let headers = request.headers_mut();
     fields::set(headers, names::TOKEN, &permit.token.to_string());
     fields::set(headers, names::SHARD, &call.shard.to_string());
-    fields::set(headers, names::KEY, &call.key);
+    fields::set(headers, names::KEY, &key::to_field(&call.key));
     fields::set(headers, names::DEADLINE, &left.as_millis().to_string());
     Ok(request)
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod fields;
 pub mod forward;
 pub mod gate;
+pub mod key;
 pub mod observe;
 pub mod peer;
 pub mod pool;
--- a/crates/relay/src/peer.rs
+++ b/crates/relay/src/peer.rs
@@ -99,7 +99,7 @@
         headers: parts.headers,
         payload,
         shard,
-        key: Arc::from(key),
+        key,
         tenant,
         service: group.service.clone(),
         class,
