--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use hyper::HeaderMap;
 use hyper::Method;
 use hyper::Request;
@@ -24,6 +25,7 @@
 
 use crate::body::Body;
 use crate::body::Payload;
+use crate::exchange::Recall;
 use crate::explain::Record;
 use crate::fields;
 use crate::observe::Meter;
@@ -41,7 +43,7 @@
     pub headers: HeaderMap,
     /// Body.
     pub payload: Payload,
-    /// Key of the request.
+    /// Key of the request, decoded.
     pub key: Arc<str>,
     /// Shard of the request.
     pub shard: Shard,
@@ -75,6 +77,29 @@
 }
 
 impl Call {
+    /// Moves the call out, for a task that brings it back when it has ended. What stays has no body,
+    /// measurement or history and must not be sent.
+    pub fn detach(&mut self) -> Self {
+        Self {
+            id: self.id.clone(),
+            method: self.method.clone(),
+            path: self.path.clone(),
+            headers: std::mem::take(&mut self.headers),
+            payload: std::mem::replace(&mut self.payload, Payload::Buffered(Bytes::new(), None)),
+            key: self.key.clone(),
+            shard: self.shard,
+            tenant: self.tenant.clone(),
+            service: self.service.clone(),
+            class: self.class.clone(),
+            idempotency: self.idempotency.clone(),
+            deadline: self.deadline,
+            declined: self.declined.clone(),
+            trail: std::mem::take(&mut self.trail),
+            steps: self.steps.clone(),
+            meter: self.meter.take(),
+        }
+    }
+
     /// Returns what the call permits at the moment.
     pub fn permits(&self) -> attempt::Call {
         attempt::Call {
@@ -84,6 +109,17 @@
         }
     }
 
+    /// Returns what a recall of the next attempt does. It is asked before the body is taken.
+    pub fn recall(&self) -> Recall {
+        if self.payload.bytes().is_none() {
+            Recall::Ignore
+        } else if self.trail.may_give_up(self.permits()) {
+            Recall::GiveUp
+        } else {
+            Recall::Withdraw
+        }
+    }
+
     /// Returns the end of a call for a reason that by itself means "did not run".
     pub fn refuse(&self, reason: Reason) -> Stop {
         Stop::End(self.trail.conclude(reason))
--- a/crates/relay/src/caller.rs
+++ b/crates/relay/src/caller.rs
@@ -29,13 +29,13 @@
 use crate::body::Body;
 use crate::call::Call;
 use crate::call::Stop;
-use crate::directory::Changes;
 use crate::directory::Row;
 use crate::directory::Snapshot;
 use crate::dispatch;
 use crate::explain::Record;
 use crate::fields;
 use crate::forward;
+use crate::key;
 use crate::observe;
 use crate::observe::Meter;
 use crate::router::Router;
@@ -122,7 +122,7 @@
         headers: parts.headers,
         payload,
         shard: shard::of_key(key.as_bytes(), route.service.shards),
-        key: Arc::from(key),
+        key,
         tenant,
         service: route.service.clone(),
         class: route.class.clone(),
@@ -136,15 +136,20 @@
     })
 }
 
-/// Returns the route of a request and its key. HEAD takes the route of GET if it has none.
+/// Returns the route of a request and its decoded key. HEAD takes the route of GET if it has none.
+///
+/// # Errors
+///
+/// No route matches, or the key is not encoded as it should be.
 pub fn find_route<'a>(
     plan: &'a Plan,
     method: &Method,
-    path: &'a str,
-) -> Result<(&'a Route, &'a str), Reason> {
+    path: &str,
+) -> Result<(&'a Route, Arc<str>), Reason> {
     let route = plan.route(method.as_str(), path);
     let head = || (*method == Method::HEAD).then(|| plan.route("GET", path)).flatten();
-    route.or_else(head).ok_or(Reason::NoRoute)
+    let (route, segment) = route.or_else(head).ok_or(Reason::NoRoute)?;
+    Ok((route, Arc::from(key::decode(segment)?)))
 }
 
 /// Returns the tenant that a request names.
@@ -175,7 +180,7 @@
     loop {
         let snapshot = changes.borrow_and_update().clone();
         let Some(snapshot) = snapshot else { return Err(call.trail.conclude(Reason::NotReady)) };
-        let (stop, pause) = offer(router, &snapshot, &mut changes, call).await;
+        let (stop, pause) = offer(router, &snapshot, call).await;
         let reason = match stop {
             Ok(response) => return Ok(response),
             Err(Stop::End(outcome)) => return Err(outcome),
@@ -197,7 +202,6 @@
 async fn offer(
     router: &Arc<Router>,
     snapshot: &Arc<Snapshot>,
-    changes: &mut Changes,
     call: &mut Call,
 ) -> (Result<Response<Body>, Stop>, Option<Duration>) {
     let Some(group) = select(&router.options.domain, snapshot, call) else {
@@ -208,7 +212,7 @@
         Row::Local(local) => (dispatch::run(router, local, &group, call).await, None),
         Row::Remote(remote) => {
             let version = snapshot.plan().version;
-            let sent = forward::run(router, remote, &group.name, version, changes, call).await;
+            let sent = forward::run(router, remote, &group.name, version, call).await;
             (sent, Some(REOFFER_PAUSE))
         }
         Row::Unknown => (Err(call.reroute(Reason::NoCoordinator)), None),
--- a/crates/relay/src/dispatch.rs
+++ b/crates/relay/src/dispatch.rs
@@ -8,7 +8,9 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header;
+use tokio::sync::watch;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use caraway_admission::lane;
 use caraway_admission::lane::Finish;
@@ -35,10 +37,12 @@
 use crate::call::Stop;
 use crate::contain;
 use crate::contain::Clearance;
+use crate::detach;
 use crate::directory::Local;
 use crate::exchange;
 use crate::exchange::Order;
 use crate::fields;
+use crate::key;
 use crate::pool::Lease;
 use crate::report;
 use crate::router::Router;
@@ -59,6 +63,8 @@
     local: &'a Local,
     group: &'a Arc<Group>,
     fingerprint: Fingerprint,
+    /// Closed when the caller has left; nothing if the call is cancelled with the caller anyway.
+    gone: Option<watch::Receiver<()>>,
 }
 
 /// How an attempt ended.
@@ -78,15 +84,31 @@
     group: &Arc<Group>,
     call: &mut Call,
 ) -> Result<Response<Body>, Stop> {
-    let mut ticket = match begin(router, local, group, call).await? {
-        Begun::Run(ticket) => ticket,
-        Begun::Replay(response) => return Ok(*response),
-    };
-    let run = Run { router, local, group, fingerprint: call.fingerprint() };
+    match begin(router, local, group, call).await? {
+        Begun::Run(None) => attempts(router, local, group, call, &mut None, None).await,
+        Begun::Run(Some(ticket)) => detach::run(router, local, group, call, ticket).await,
+        Begun::Replay(response) => Ok(*response),
+    }
+}
+
+/// Sends a call until an attempt is answered. Nothing is sent any more once `gone` is closed.
+///
+/// # Errors
+///
+/// The call has ended, or this instance no longer coordinates the group.
+pub async fn attempts(
+    router: &Arc<Router>,
+    local: &Local,
+    group: &Arc<Group>,
+    call: &mut Call,
+    ticket: &mut Option<Ticket>,
+    gone: Option<watch::Receiver<()>>,
+) -> Result<Response<Body>, Stop> {
+    let run = Run { router, local, group, fingerprint: call.fingerprint(), gone };
     let mut pause = FIRST_PAUSE;
     let mut avoid = None;
     loop {
-        let (event, target) = match attempt(&run, call, &mut ticket, avoid.take()).await? {
+        let (event, target) = match attempt(&run, call, ticket, avoid.take()).await? {
             Attempt::Answered(response) => return Ok(*response),
             Attempt::Failed { event, target } => (event, target),
         };
@@ -107,9 +129,11 @@
 
 /// Returns true if a retry counts against the budget: if the attempt may have cost a target work, or
 /// the target is overloaded. While ownership moves, many requests are not taken without any work
-/// done; the pause between their retries is enough.
+/// done; the pause between their retries is enough. Attempts that were given up are bounded by the
+/// slots of the lost target, which does no more work for them.
 fn costs_budget(event: Event) -> bool {
-    event.may_have_run() || event == Event::Refused(Reason::Overloaded)
+    let cost_work = event.may_have_run() && event != Event::GivenUp;
+    cost_work || event == Event::Refused(Reason::Overloaded)
 }
 
 enum Begun {
@@ -129,14 +153,15 @@
         Some(key) if !call.class.repeatable => Arc::from(format!("{} {key}", call.tenant)),
         Some(_) | None => return Ok(Begun::Run(None)),
     };
+    let decision = decide(router, local, &key, call).await;
     let now = router.clock.now();
-    let digest = call.digest();
-    let decision = local.ledger().begin(&key, digest, now);
     match decision {
         Decision::Run => {
             let ticket = Ticket::new(router, local, &group.name, &key);
-            let replicated = ticket.replicate(call.deadline).await;
-            replicated.map_err(|reason| call.refuse(reason))?;
+            if let Err(reason) = ticket.replicate(call.deadline).await {
+                ticket.withdraw().await;
+                return Err(call.refuse(reason));
+            }
             call.steps.add(router.clock.now(), "intent recorded at other instances");
             Ok(Begun::Run(Some(ticket)))
         }
@@ -160,6 +185,31 @@
     }
 }
 
+/// Looks a call up in the ledger. While an earlier submission runs, waits for its outcome; the number
+/// of calls that wait is bounded.
+async fn decide(router: &Arc<Router>, local: &Local, key: &Arc<str>, call: &Call) -> Decision {
+    let digest = call.digest();
+    let mut follower = None;
+    loop {
+        let concluded = router.concluded.notified();
+        tokio::pin!(concluded);
+        concluded.as_mut().enable();
+        let now = router.clock.now();
+        let decision = local.ledger().begin(key, digest, now);
+        if decision != Decision::InProgress {
+            return decision;
+        }
+        if follower.is_none() {
+            follower = router.followers.clone().try_acquire_owned().ok();
+            call.steps.add(now, "an earlier submission is running");
+        }
+        let left = patience::remaining(call.deadline, now);
+        let Some(left) = left.filter(|_| follower.is_some()) else { return decision };
+        // The time limit only ends the wait; the next look finds that no time is left.
+        let _ = timeout(left, concluded).await;
+    }
+}
+
 fn unknown(reason: Reason) -> Stop {
     Stop::End(Outcome::Unknown(reason))
 }
@@ -171,7 +221,11 @@
     ticket: &mut Option<Ticket>,
     avoid: Option<name::Target>,
 ) -> Result<Attempt, Stop> {
-    let (permit, clearance) = admit(run, call, avoid).await?;
+    let (permit, clearance) = tokio::select! {
+        biased;
+        () = left(run.gone.clone()) => return Err(call.refuse(Reason::DeadlineBeforeDispatch)),
+        admitted = admit(run, call, avoid) => admitted?,
+    };
     let target = permit.target.clone();
     let request = request(run, call, &permit)?;
     call.steps.add(run.router.clock.now(), format!("sent to {target} with token {}", permit.token));
@@ -183,32 +237,42 @@
         limit: usize::try_from(run.group.service.connections).unwrap_or(usize::MAX),
         write_before: permit.write_before.min(call.deadline),
         deadline: call.deadline,
+        recall: call.recall(),
     };
-    // If the caller goes away during the exchange, the ticket is dropped in this state.
+    // If the exchange is dropped, the ticket is dropped in this state.
     mark_sent(ticket, true);
-    let event = match exchange::send(&run.router.pool, run.router.clock, &order, request).await {
-        Ok((response, lease)) => match check(run, call, &target, &response) {
-            None => {
-                let held = Held { permit, clearance, ticket: ticket.take() };
-                let response = pass(run, call, response, lease, held);
-                return Ok(Attempt::Answered(Box::new(response)));
-            }
-            Some(event) => refused(run, event, permit, response, lease).await,
-        },
-        Err(failure) => {
-            let event = call.judge(failure.event);
-            if !failure.cut {
+    let recalled = Box::pin(permit.recalled());
+    let event =
+        match exchange::send(&run.router.pool, run.router.clock, &order, request, recalled).await {
+            Ok((response, lease)) => match check(run, call, &target, &response) {
+                None => {
+                    let held = Held { permit, clearance, ticket: ticket.take() };
+                    let response = pass(run, call, response, lease, held);
+                    return Ok(Attempt::Answered(Box::new(response)));
+                }
+                Some(event) => refused(run, event, permit, response, lease).await,
+            },
+            Err(failure) => {
+                let event = call.judge(failure.event);
                 failed(run, &target, event, failure.refused);
+                event
             }
-            event
-        }
-    };
+        };
     if !event.may_have_run() {
         mark_sent(ticket, false);
     }
     Ok(Attempt::Failed { event, target })
 }
 
+/// Waits until the caller has left.
+async fn left(gone: Option<watch::Receiver<()>>) {
+    match gone {
+        // Nothing is sent on the channel, so it changes only by being closed.
+        Some(mut gone) => drop(gone.changed().await),
+        None => std::future::pending().await,
+    }
+}
+
 fn mark_sent(ticket: &mut Option<Ticket>, sent: bool) {
     if let Some(ticket) = ticket {
         ticket.sent = sent;
@@ -265,7 +329,7 @@
     let headers = request.headers_mut();
     fields::set(headers, names::TOKEN, &permit.token.to_string());
     fields::set(headers, names::SHARD, &call.shard.to_string());
-    fields::set(headers, names::KEY, &call.key);
+    fields::set(headers, names::KEY, &key::to_field(&call.key));
     fields::set(headers, names::DEADLINE, &left.as_millis().to_string());
     Ok(request)
 }
@@ -333,6 +397,7 @@
         Event::Lost => suspect(run.router, &group, target, run.fingerprint),
         Event::Unsent
         | Event::Refused(_)
+        | Event::GivenUp
         | Event::BodyLost
         | Event::BadAnswer
         | Event::TimedOut { .. } => {}
