--- a/bins/demo/src/bench.rs
+++ b/bins/demo/src/bench.rs
@@ -143,8 +143,9 @@
         let idle = &self.idle;
         writeln!(
             f,
-            "{} idle callers of one instance: {} KiB before, {} KiB after, {} bytes each, {} ms CPU in {:.0} s",
+            "{} idle callers of one instance, not opened: {:?}: {} KiB before, {} KiB after, {} bytes each, {} ms CPU in {:.0} s",
             idle.opened,
+            idle.failures,
             idle.before.resident_kib,
             idle.after.resident_kib,
             idle.bytes_per_connection,
--- a/bins/load/src/client.rs
+++ b/bins/load/src/client.rs
@@ -1,5 +1,6 @@
 //! One caller connection: opens it, sends one request at a time and never sends a request twice.
 
+use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -165,7 +166,7 @@
             return Some(sender);
         }
         for (index, address) in addresses.order(self.current) {
-            if let Some(sender) = open(address).await {
+            if let Ok(sender) = open(address).await {
                 addresses.connections.fetch_add(1, Ordering::Relaxed);
                 self.current = index;
                 return Some(sender);
@@ -178,12 +179,17 @@
 }
 
 /// Opens a connection and spawns the task that drives it.
-pub async fn open(address: SocketAddr) -> Option<SendRequest<Upload>> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await.ok()?.ok()?;
-    stream.set_nodelay(true).ok()?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+///
+/// # Errors
+///
+/// The connection could not be opened within the time allowed.
+pub async fn open(address: SocketAddr) -> io::Result<SendRequest<Upload>> {
+    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(io::Error::other)?;
     tokio::spawn(connection);
-    Some(sender)
+    Ok(sender)
 }
 
 async fn exchange(
