--- a/bins/entry/src/control.rs
+++ b/bins/entry/src/control.rs
@@ -25,13 +25,13 @@
 use crate::coordination::Coordination;
 use crate::directory::Directory;
 use crate::directory::Member;
-use crate::ledgers::Copies;
 use crate::message::Message;
 use crate::message::Outbox;
 use crate::peers::Caller;
 use crate::storage::Storage;
 use crate::timer::Part;
 use crate::timer::Service;
+use caraway_entry::ledgers::Copies;
 
 pub mod balancing;
 mod configuration;
@@ -74,8 +74,8 @@
     pub caller: Caller,
     /// Calls to the store.
     pub storage: Storage,
-    /// Runtime of the target lines.
-    pub runtime: tokio::runtime::Handle,
+    /// Runtime and metrics of the target lines.
+    pub runtime: crate::target::Shared,
     /// Own messages.
     pub outbox: Outbox,
     /// Told when a planned stop has handed everything over.
--- a/bins/entry/src/control/replication.rs
+++ b/bins/entry/src/control/replication.rs
@@ -10,7 +10,7 @@
 use caraway_wire::peer;
 
 use crate::directory::Member;
-use crate::ledgers;
+use caraway_entry::ledgers;
 
 use super::Control;
 
--- a/crates/store/tests/swap/main.rs
+++ b/crates/store/tests/swap/main.rs
@@ -5,6 +5,7 @@
 
 mod fake;
 
+use caraway_store::client::Observer;
 use caraway_store::errors::Error;
 use caraway_store::record::Domain;
 use caraway_store::swap;
@@ -104,9 +105,48 @@
     assert_eq!(fake.calls(), (1, 0));
 }
 
+/// Guards against a record of a newer version that is overwritten in the old form.
+#[test]
+fn a_record_of_another_form_is_not_changed() {
+    let fake = Fake::start(&[]);
+    let text = r#"{"format":2,"write_id":"other","members":[],"groups":[]}"#;
+    {
+        let mut state = fake.state.lock().unwrap();
+        state.value = Some(text.to_owned());
+        state.revision = 7;
+    }
+    let result = write::change(&fake.client(), "k", None, &mut || "mine".to_owned(), &mut |_| true);
+    assert!(matches!(result, Err(Error::Invalid(_))), "{result:?}");
+    assert_eq!(fake.calls(), (1, 0));
+}
+
 /// Guards against a write ID that two writers have.
 #[test]
 fn write_ids_differ() {
     let ids: std::collections::BTreeSet<_> = (0..1000).map(|_| swap::write_id()).collect();
     assert!(ids.len() == 1000 && ids.iter().all(|id| id.len() == 32));
 }
+
+/// Guards against store calls that are missing in the metrics: every call of a write counts with its own result,
+/// repeated writes and reads after a lost response included.
+#[yare::parameterized(
+    plain = { &[], "Put Done" },
+    lost_response = { &[Fault::Lose], "Put Ambiguous, Get Done" },
+    conflict = { &[Fault::Race], "Put Conflict, Get Done" },
+    dropped = { &[Fault::Drop, Fault::None], "Put Ambiguous, Get Done, Put Done" },
+    too_large = { &[Fault::Status(413)], "Put Failed" },
+    read_fails = { &[Fault::Down], "Put Ambiguous, Get Failed, Put Done" },
+)]
+fn every_call_is_observed(faults: &[Fault], expected: &str) {
+    let fake = Fake::start(faults);
+    let (calls, told) = std::sync::mpsc::channel();
+    let observer = Observer::new(move |kind, conclusion| {
+        let _ = calls.send(format!("{kind:?} {conclusion:?}"));
+    });
+    let client = fake.client().observed(observer);
+    let write = Write { key: "k", text: "{\"write_id\":\"mine\"}", write_id: "mine", expect: 0 };
+    let _ = swap::write(&client, &write, Limits::default());
+    drop(client);
+    let seen: Vec<String> = told.iter().collect();
+    assert_eq!(seen.join(", "), expected);
+}
