Give each target consecutive shards

Vacant shards were dealt out in turn, so each target owned every n-th shard and every grant and answer listed each shard as a range of its own: 77 bytes a second for each shard of a group, with renewals every 150 ms. Choosing the least loaded target also counted all shards again for each shard.

The vacant shards are now divided in runs, with the same number for each target as before. Shards are hash values, so neighbors have no common load.

--- a/crates/ownership/src/group.rs
+++ b/crates/ownership/src/group.rs
@@ -520,16 +520,23 @@
             .filter(|(_, row)| row.stage == Stage::Unowned && (row.free || !blocked))
             .map(|(shard, _)| shard)
             .collect();
+        let mut vacant = Vec::new();
         for shard in open {
             let preferred = self.shards.get(shard).and_then(|row| row.owner);
-            let preferred = preferred.filter(|index| self.is_usable(*index));
-            let Some(owner) = preferred.or_else(|| self.least_loaded()) else { return };
-            if let Some(row) = self.shards.get_mut(shard) {
-                row.owner = Some(owner);
-                row.stage = Stage::Granting;
-                row.free = false;
+            match preferred.filter(|index| self.is_usable(*index)) {
+                Some(owner) => self.shards.begin_grant(shard, owner),
+                None => vacant.push(shard),
             }
         }
+        if vacant.is_empty() {
+            return;
+        }
+        let usable = (0..self.targets.len()).filter(|index| self.is_usable(*index));
+        let loads: Vec<_> = usable.map(|index| (index, self.shards.load(index))).collect();
+        let owners = table::share_out(vacant.len(), &loads);
+        for (shard, owner) in vacant.into_iter().zip(owners) {
+            self.shards.begin_grant(shard, owner);
+        }
     }
 
     fn is_usable(&self, index: usize) -> bool {
--- a/crates/ownership/src/table.rs
+++ b/crates/ownership/src/table.rs
@@ -195,8 +195,40 @@
         }
     }
 
+    /// Chooses the owner of a shard, which gets it with its next grant.
+    pub fn begin_grant(&mut self, shard: shard::Shard, owner: usize) {
+        if let Some(row) = self.get_mut(shard) {
+            row.owner = Some(owner);
+            row.stage = Stage::Granting;
+            row.free = false;
+        }
+    }
+
     fn position(&self, shard: shard::Shard) -> Option<usize> {
         let offset = shard.0.checked_sub(self.first)?;
         usize::try_from(offset).ok().filter(|position| *position < self.rows.len())
     }
 }
+
+/// Returns an owner for each of `count` shards, given targets and their loads. No target ends up with more shards
+/// than it would if each shard went to the least loaded one.
+///
+/// Each owner gets consecutive shards. Grants and their answers list ranges: with shards dealt out in turn, an
+/// answer has a range for each shard, 12 bytes in every renewal.
+pub fn share_out(count: usize, loads: &[(usize, usize)]) -> Vec<usize> {
+    let Some(lowest) = loads.iter().map(|(_, load)| *load).min() else { return Vec::new() };
+    let room =
+        |level: usize| -> usize { loads.iter().map(|(_, load)| level.saturating_sub(*load)).sum() };
+    let mut level = lowest;
+    while room(level) < count {
+        level += 1;
+    }
+    let filled: Vec<_> = loads.iter().filter(|(_, load)| *load < level).collect();
+    // The last ones stay one below the level if the shards do not fill all.
+    let full = filled.len().saturating_sub(room(level) - count);
+    let owners = filled.into_iter().enumerate().flat_map(|(place, (target, load))| {
+        let short = usize::from(place >= full);
+        std::iter::repeat_n(*target, level - load - short)
+    });
+    owners.collect()
+}
