--- a/bins/entry/src/control/replication.rs
+++ b/bins/entry/src/control/replication.rs
@@ -10,7 +10,7 @@
 use caraway_wire::peer;
 
 use crate::directory::Member;
-use crate::ledgers;
+use caraway_entry::ledgers;
 
 use super::Control;
 
@@ -23,7 +23,7 @@
         let replication::Job { group, term, entry, done } = job;
         let current = self.coordinated.get(&group).map(|row| row.origin.term);
         let outcome = entry.state != State::Open;
-        let serving = current == Some(term) && !self.releasing.contains(&group);
+        let serving = current == Some(term);
         if !serving && !outcome {
             let _ = done.send(false);
             return;
--- a/bins/entry/src/main.rs
+++ b/bins/entry/src/main.rs
@@ -5,7 +5,6 @@
 mod admin;
 mod control;
 mod coordination;
-mod ledgers;
 mod message;
 mod peers;
 mod process;
--- a/bins/entry/src/peers.rs
+++ b/bins/entry/src/peers.rs
@@ -28,9 +28,9 @@
 use caraway_wire::peer::peer_client::PeerClient;
 use caraway_wire::peer::peer_server::Peer;
 
-use crate::ledgers::Copies;
 use crate::message::Message;
 use crate::message::Outbox;
+use caraway_entry::ledgers::Copies;
 
 /// Longest time for a heartbeat; an instance that answers later counts as silent.
 const BEAT_TIMEOUT: Duration = Duration::from_millis(300);
--- a/crates/relay/tests/instances.rs
+++ b/crates/relay/tests/instances.rs
@@ -9,6 +9,7 @@
 
 use caraway_core::name;
 use caraway_core::outcome::Reason;
+use caraway_relay::directory::Local;
 use caraway_relay::directory::Remote;
 use caraway_relay::directory::Row;
 use caraway_relay::report::Event;
@@ -167,6 +168,49 @@
     assert_eq!(reading.outcome().0, "unknown");
 }
 
+/// Guards against "did not run" that is true for the second attempt only: the first one may have run.
+#[tokio::test]
+async fn refusal_after_a_lost_attempt_is_unknown() {
+    let peer = Target::start(|seen, number| match number {
+        0 => Act::Crash,
+        _ => {
+            let id = seen.id();
+            let outcome = "caraway-outcome: refused\r\ncaraway-reason: no-target";
+            let head = format!("HTTP/1.1 503 No\r\ncaraway-request-id: {id}\r\n{outcome}");
+            Act::Write(format!("{head}\r\ncontent-length: 0\r\n\r\n").into())
+        }
+    })
+    .await;
+    let entry = Entry::start("entry-2").await;
+    entry.replace([remote(KEYED, peer.address, 2)].into());
+    let answer = entry.get("/lectura/k", &[]).await;
+    assert_eq!((answer.status, answer.outcome()), (502, ("unknown", "connection-lost")));
+    assert_eq!(peer.count(), 2);
+}
+
+/// Guards against a reader who waits for a frozen coordinator although another one has taken over.
+#[tokio::test]
+async fn takeover_frees_the_requests_of_a_frozen_coordinator() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "done"))).await;
+    let frozen = Target::start(|_, _| Act::Hang).await;
+    let (coordinator, entry) = pair(&target).await;
+    let (group, row) = coordinator.local(KEYED, &[&target]);
+    let Row::Local(local) = row else { panic!("the row is local") };
+    coordinator.replace([(group, Row::Local(Local { term: 4, ..local }))].into());
+    entry.replace([remote(KEYED, frozen.address, 2)].into());
+    let change = async {
+        eventually("arrival", || frozen.count() == 1).await;
+        entry.replace([remote(KEYED, frozen.address, 2)].into());
+        sleep(Duration::from_millis(100)).await;
+        entry.replace([remote(KEYED, coordinator.peer, 4)].into());
+    };
+    let start = std::time::Instant::now();
+    let (answer, ()) = tokio::join!(entry.get("/lectura/k", &[]), change);
+    assert_eq!(answer.text(), "done");
+    assert!(start.elapsed() < Duration::from_millis(600), "{:?}", start.elapsed());
+    assert_eq!(frozen.count(), 1, "an unchanged row does not move the request");
+}
+
 /// Guards against a coordinator whose death is noticed only by heartbeats.
 #[tokio::test]
 async fn refused_connection_to_a_coordinator_is_reported() {
--- a/crates/store/src/write.rs
+++ b/crates/store/src/write.rs
@@ -20,12 +20,21 @@
 pub trait Record: Default + Serialize + DeserializeOwned {
     /// Sets the identity of the write.
     fn set_write_id(&mut self, write_id: String);
+
+    /// Returns true if this version understands the form of the record.
+    fn is_supported(&self) -> bool {
+        true
+    }
 }
 
 impl Record for record::Domain {
     fn set_write_id(&mut self, write_id: String) {
         self.write_id = write_id;
     }
+
+    fn is_supported(&self) -> bool {
+        self.format == record::FORMAT
+    }
 }
 
 /// Result of a change.
@@ -123,6 +132,11 @@
 fn decode<T: Record>(found: Option<&Value>) -> Result<(u64, T)> {
     let Some(value) = found else { return Ok((0, T::default())) };
     let text = value.value.as_deref().unwrap_or_default();
-    let record = serde_json::from_str(text).map_err(|error| Error::Invalid(error.to_string()))?;
+    let record: T =
+        serde_json::from_str(text).map_err(|error| Error::Invalid(error.to_string()))?;
+    if !record.is_supported() {
+        // A newer version has written it; a write in the old form would lose what it added.
+        return Err(Error::Invalid("the record has a form of another version".to_owned()));
+    }
     Ok((value.revision, record))
 }
--- a/crates/store/tests/swap/main.rs
+++ b/crates/store/tests/swap/main.rs
@@ -105,6 +105,21 @@
     assert_eq!(fake.calls(), (1, 0));
 }
 
+/// Guards against a record of a newer version that is overwritten in the old form.
+#[test]
+fn a_record_of_another_form_is_not_changed() {
+    let fake = Fake::start(&[]);
+    let text = r#"{"format":2,"write_id":"other","members":[],"groups":[]}"#;
+    {
+        let mut state = fake.state.lock().unwrap();
+        state.value = Some(text.to_owned());
+        state.revision = 7;
+    }
+    let result = write::change(&fake.client(), "k", None, &mut || "mine".to_owned(), &mut |_| true);
+    assert!(matches!(result, Err(Error::Invalid(_))), "{result:?}");
+    assert_eq!(fake.calls(), (1, 0));
+}
+
 /// Guards against a write ID that two writers have.
 #[test]
 fn write_ids_differ() {
