Test the choice of a group and answers that come before the body

Nothing tested which group a reader of a pooled service goes to, nor that a connection ends whose request body was not sent completely.

--- a/crates/relay/tests/faults.rs
+++ b/crates/relay/tests/faults.rs
@@ -354,6 +354,41 @@
     assert_eq!(entry.router.memory.available_permits(), all, "the memory is free again");
 }
 
+/// Guards against a connection that is used again although its request body was not sent completely:
+/// the rest of the body would be read as the next request.
+#[tokio::test]
+async fn early_answer_ends_the_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let target = Target { address, seen: Default::default(), cancelled: Default::default() };
+    let entry = Entry::with(&[&target]).await;
+    let serve = async {
+        for _ in 0..2 {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let mut bytes = Vec::new();
+            while !bytes.ends_with(b"\r\n\r\n") {
+                bytes.push(stream.read_u8().await.unwrap());
+            }
+            let head = String::from_utf8(bytes).unwrap();
+            let seen = crate::support::Seen { connection: 0, head, body: 0 };
+            stream.write_all(&ok(&seen, "early")).await.unwrap();
+            tokio::spawn(async move { stream.read_to_end(&mut Vec::new()).await });
+        }
+    };
+    let requests = async {
+        let mut stream = TcpStream::connect(entry.caller).await.unwrap();
+        let head = "PUT /lectura/k HTTP/1.1\r\nhost: e\r\ncontent-length: 100000\r\n\r\nabc";
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut bytes = [0; 15];
+        stream.read_exact(&mut bytes).await.unwrap();
+        assert_eq!(&bytes, b"HTTP/1.1 200 OK");
+        eventually("close", || entry.router.pool.open_connections(address) == 0).await;
+        entry.get("/lectura/k", &[]).await
+    };
+    let (answer, ()) = tokio::join!(requests, serve);
+    assert_eq!(answer.text(), "early");
+}
+
 /// Guards against a body that is longer than the document allows and is told only by streaming it.
 #[tokio::test]
 async fn lying_chunked_body_is_cut_off() {
--- a/crates/relay/tests/instances.rs
+++ b/crates/relay/tests/instances.rs
@@ -1,5 +1,7 @@
 //! Tests of requests that pass two instances.
 
+#![allow(clippy::unwrap_used, reason = "a panic fails the test")]
+
 mod support;
 
 use std::time::Duration;
@@ -275,3 +277,56 @@
         }
     }
 }
+
+/// A coordinator that only answers.
+async fn answering(name: &'static str) -> Target {
+    Target::start(move |seen, _| {
+        let text = String::from_utf8(ok(seen, name)).unwrap();
+        Act::Write(text.replacen("\r\n", "\r\ncaraway-outcome: answered\r\n", 1).into())
+    })
+    .await
+}
+
+/// Guards against readers who are sent to another failure domain without need, who wait for a full
+/// queue or a lost coordinator although another domain could serve them, and against orders that do
+/// not stay with their group.
+#[yare::parameterized(
+    own = { Some(90), Some(0), "med", "any" },
+    full = { Some(100), Some(0), "bog", "any" },
+    both_full = { Some(100), Some(100), "med", "any" },
+    unknown = { None, Some(50), "bog", "any" },
+    foreign_unknown = { Some(100), None, "med", "any" },
+    lost = { Some(0), Some(0), "bog", "nobody" },
+)]
+#[test_macro(tokio::test)]
+async fn reader_goes_to_the_best_group(own: Option<u32>, other: Option<u32>, best: &str, at: &str) {
+    let (med, bog) = (answering("med").await, answering("bog").await);
+    let nobody = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let mut entry = Entry::start("entry-2").await;
+    let mut plan = caraway_document::plan::Plan::clone(&entry.plan);
+    let mut group = caraway_document::plan::Group::clone(&plan.groups[1]);
+    (group.name, group.domain, group.shards) = ("ordenes/bog/0".into(), "bog".into(), 8..16);
+    let mut own_group = caraway_document::plan::Group::clone(&plan.groups[1]);
+    own_group.shards = 0..8;
+    plan.groups = vec![group.into(), own_group.into()];
+    entry.plan = plan.into();
+    let address = if at == "nobody" { nobody } else { med.address };
+    let row = |group, address, percent: Option<u32>| {
+        let (name, row) = remote(group, address, 2);
+        let Row::Remote(found) = row else { panic!("the row is remote") };
+        let known = |queue_percent| Row::Remote(Remote { queue_percent, ..found });
+        (name, percent.map_or(Row::Unknown, known))
+    };
+    let rows = [row(POOLED, address, own), row("ordenes/bog/0", bog.address, other)];
+    entry.replace(rows.into());
+    for number in 0..8 {
+        let path = format!("/ordenes/{number}");
+        assert_eq!(entry.get(&path, &[]).await.text(), best);
+        let key = format!("key-{number}");
+        let shard = caraway_core::shard::of_key(key.as_bytes(), 16).0;
+        let holder = if shard < 8 { "med" } else { "bog" };
+        if own.is_some() && other.is_some() && at == "any" {
+            assert_eq!(entry.post(&path, &key, "x").await.text(), holder);
+        }
+    }
+}
