Announce a planned stop to callers when it begins

The listener for callers now gets the begin of the stop as a second signal (server::Options::leaving): answers carry 'connection: close' while the control plane hands its groups over, which takes at least 500 ms, and idle connections are closed after that. A stop also waits until no non-repeatable request runs, at most the 5 s of the handover: the control thread passes their outcomes on.

--- a/bins/entry/src/control.rs
+++ b/bins/entry/src/control.rs
@@ -78,6 +78,8 @@
     pub runtime: tokio::runtime::Handle,
     /// Own messages.
     pub outbox: Outbox,
+    /// Told when a planned stop begins.
+    pub leaving: tokio::sync::watch::Sender<bool>,
     /// Told when a planned stop has handed everything over.
     pub stopped: tokio::sync::watch::Sender<bool>,
 }
--- a/bins/entry/src/control/terms.rs
+++ b/bins/entry/src/control/terms.rs
@@ -422,6 +422,7 @@
         if self.stopping.is_none() {
             event::emit(LogEvent::StopRequested { signal });
             self.stopping = Some(now);
+            self.parts.leaving.send_replace(true);
             self.roster.stop();
             self.announce(now);
         }
@@ -434,7 +435,10 @@
         // last naming has to be older than that when the process ends.
         let settled = now.since(since.max(self.last_handover)) >= STOP_NOTICE;
         let left = self.left || !self.store.reachable;
-        (self.coordinated.is_empty() && settled && left) || now.since(since) >= HANDOVER_WAIT
+        // The outcomes of these requests are passed on by this thread.
+        let quiet = self.parts.router.exchanges() == 0;
+        (self.coordinated.is_empty() && settled && left && quiet)
+            || now.since(since) >= HANDOVER_WAIT
     }
 }
 
--- a/bins/entry/src/process.rs
+++ b/bins/entry/src/process.rs
@@ -84,6 +84,7 @@
         router::Channels { reports, replication },
         observer,
     );
+    let (leaving, left) = watch::channel(false);
     let (finish, finishing) = watch::channel(false);
     let listeners = open(&runtime, addresses)?;
     let admin = Admin::try_start(
@@ -94,7 +95,7 @@
         Arc::new(registry),
     )?;
     let service = peers::Service::new(outbox.clone(), copies.clone(), Clock.now());
-    let tasks = serve(&runtime, listeners, &router, service, &finishing);
+    let tasks = serve(&runtime, listeners, &router, service, (left, finishing));
     forward(&runtime, report_queue, outbox.clone(), Message::Report);
     forward(&runtime, replication_queue, outbox.clone(), Message::Replicate);
     let keys =
@@ -116,6 +117,7 @@
         storage,
         runtime: runtime.handle().clone(),
         outbox: outbox.clone(),
+        leaving,
         stopped,
     };
     let signals = signal::watch(outbox)?;
@@ -196,12 +198,15 @@
     listeners: Listeners,
     router: &Arc<Router>,
     service: peers::Service,
-    finishing: &watch::Receiver<bool>,
+    (leaving, finishing): (watch::Receiver<bool>, watch::Receiver<bool>),
 ) -> Vec<tokio::task::JoinHandle<()>> {
-    let callers = server::Options { side: server::Side::Caller, ..server::Options::default() };
-    let forwarded = server::Options { side: server::Side::Peer, ..server::Options::default() };
+    // The control thread gives callers their notice before it ends; peers have stopped forwarding then.
+    let options = server::Options { notice: Duration::ZERO, ..server::Options::default() };
+    let callers =
+        server::Options { side: server::Side::Caller, leaving: Some(leaving), ..options.clone() };
+    let forwarded = server::Options { side: server::Side::Peer, ..options };
     let caller_task = server::serve(listeners.client, router.clone(), callers, finishing.clone());
-    let peer_task = server::serve(listeners.peer, router.clone(), forwarded, finishing.clone());
+    let peer_task = server::serve(listeners.peer, router.clone(), forwarded, finishing);
     let incoming = tonic::transport::server::TcpIncoming::from(listeners.control);
     let incoming = incoming.with_nodelay(Some(true));
     let control_task = async move {
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -163,6 +163,11 @@
         Exchange(self.clone())
     }
 
+    /// Returns how many exchanges go on without depending on their callers.
+    pub fn exchanges(&self) -> usize {
+        *self.exchanges.borrow()
+    }
+
     /// Waits until no exchange goes on without its caller. Each one ends by its deadline.
     pub async fn exchanges_ended(&self) {
         // The sender lives as long as the router, so the wait cannot fail.
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -54,9 +54,12 @@
     pub idle: Duration,
     /// Time after which a connection is closed whose reader takes nothing.
     pub stall: Duration,
-    /// Time after the begin of a stop in which connections are still accepted and every answer asks
-    /// its reader to close the connection. A request that is under way when an idle connection is
-    /// closed gets no answer, so as few connections as possible are closed by this side.
+    /// Becomes true when a stop is announced. From then on every answer asks its reader to close the
+    /// connection: a request that is under way when this side closes an idle connection gets no
+    /// answer. Without it, the announcement is the stop itself.
+    pub leaving: Option<watch::Receiver<bool>>,
+    /// Time after the stop in which connections are still accepted and no idle one is closed. It can
+    /// be zero if the stop was announced long enough before.
     pub notice: Duration,
 }
 
@@ -68,6 +71,7 @@
             header_bytes: 16 * 1024,
             idle: Duration::from_secs(30),
             stall: Duration::from_secs(10),
+            leaving: None,
             notice: Duration::from_millis(500),
         }
     }
@@ -94,7 +98,8 @@
             Some(_) = connections.join_next() => {}
             accepted = accept(&listener, &slots) => {
                 if let Some((stream, slot)) = accepted {
-                    let phase = Phase { stop: stop.clone(), closing: closing.clone() };
+                    let leaving = options.leaving.clone().unwrap_or_else(|| stop.clone());
+                    let phase = Phase { leaving, closing: closing.clone() };
                     let connection = connection(stream, slot, router.clone(), options.clone(), phase);
                     connections.spawn(connection);
                 }
@@ -109,8 +114,8 @@
 
 /// How far the stop of a listener is.
 struct Phase {
-    /// True from its begin; answers ask for the end of their connections.
-    stop: watch::Receiver<bool>,
+    /// True from its announcement; answers ask for the end of their connections.
+    leaving: watch::Receiver<bool>,
     /// True from the end of the notice; idle connections are closed.
     closing: watch::Receiver<bool>,
 }
@@ -148,19 +153,19 @@
     options: Options,
     phase: Phase,
 ) {
-    let Phase { stop, mut closing } = phase;
+    let Phase { leaving, mut closing } = phase;
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("TCP_NODELAY cannot be set: {error}");
     }
     let side = options.side;
     let service = service_fn(move |request: Request<Incoming>| {
-        let (router, stop) = (router.clone(), stop.clone());
+        let (router, leaving) = (router.clone(), leaving.clone());
         async move {
             let mut response = match side {
                 Side::Caller => caller::serve(router, request).await,
                 Side::Peer => peer::serve(router, request).await,
             };
-            if *stop.borrow() {
+            if *leaving.borrow() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
--- a/crates/relay/tests/notice.rs
+++ b/crates/relay/tests/notice.rs
@@ -8,10 +8,14 @@
 
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use caraway_relay::server;
+
 use crate::support::Act;
 use crate::support::Entry;
 use crate::support::Target;
@@ -59,3 +63,29 @@
         timeout(Duration::from_secs(2), server).await.unwrap().unwrap();
     }
 }
+
+/// Guards against a stop that is announced but not told to the callers, and against one that closes
+/// the listener when it is announced.
+#[tokio::test]
+async fn announced_stop_is_told_before_it_begins() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "done"))).await;
+    let entry = Entry::with(&[&target]).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (announce, leaving) = watch::channel(false);
+    let (stop, stopped) = watch::channel(false);
+    let options = server::Options {
+        leaving: Some(leaving),
+        notice: Duration::ZERO,
+        ..server::Options::default()
+    };
+    let serving = tokio::spawn(server::serve(listener, entry.router.clone(), options, stopped));
+    let mut kept = TcpStream::connect(address).await.unwrap();
+    assert!(!exchange(&mut kept).await.contains("connection: close"));
+    announce.send(true).unwrap();
+    assert!(exchange(&mut kept).await.contains("connection: close"));
+    let mut late = TcpStream::connect(address).await.unwrap();
+    assert!(exchange(&mut late).await.contains("connection: close"));
+    stop.send(true).unwrap();
+    timeout(Duration::from_millis(400), serving).await.unwrap().unwrap();
+}
