--- a/bins/entry/src/admin.rs
+++ b/bins/entry/src/admin.rs
@@ -1,21 +1,33 @@
 //! The admin interface: health checks, metrics and the questions of the operator's tool.
 
-use std::net::SocketAddr;
+use std::convert::Infallible;
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
-use std::sync::mpsc::channel;
-use std::thread::JoinHandle;
 use std::time::Duration;
 
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Method;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use prometheus_client::registry::Registry;
 use serde_json::Value;
 use serde_json::json;
-use tiny_http::Header;
-use tiny_http::Method;
-use tiny_http::Request;
-use tiny_http::Response;
-use tiny_http::Server;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
 
+use crate::message::Message;
+use crate::message::Outbox;
+use crate::message::Question;
 use caraway_core::time::Clock;
 use caraway_relay::key;
 use caraway_relay::router::Router;
@@ -23,133 +35,104 @@
 use caraway_telemetry::event::Event as LogEvent;
 use caraway_telemetry::metric::Metrics;
 
-use crate::errors::Error;
-use crate::errors::Result;
-use crate::message::Message;
-use crate::message::Outbox;
-use crate::message::Question;
-
-/// Time between two looks at whether the process ends.
-const POLL: Duration = Duration::from_millis(100);
-
 /// Longest time that the control thread may take to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The admin thread.
-#[derive(Debug)]
-pub struct Admin {
-    handle: JoinHandle<()>,
-    stop: Arc<AtomicBool>,
-}
+/// Time after which a connection without a request is closed.
+const IDLE: Duration = Duration::from_secs(30);
 
-struct Desk {
-    server: Server,
-    outbox: Outbox,
-    router: Arc<Router>,
-    metrics: Arc<Metrics>,
-    data_path: Arc<prometheus_client::registry::Registry>,
-    stop: Arc<AtomicBool>,
-}
+/// Connections that are open at once; further ones wait.
+const CONNECTIONS: usize = 64;
 
-impl Admin {
-    /// Opens the listener and starts the thread.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the address cannot be listened on or the thread cannot be started.
-    pub fn try_start(
-        address: SocketAddr,
-        outbox: Outbox,
-        router: Arc<Router>,
-        metrics: Arc<Metrics>,
-        data_path: Arc<prometheus_client::registry::Registry>,
-    ) -> Result<Self> {
-        let listen = |error: Box<dyn std::error::Error + Send + Sync>| Error::Listen {
-            address,
-            problem: error.to_string(),
-        };
-        let server = Server::http(address).map_err(listen)?;
-        let stop = Arc::new(AtomicBool::new(false));
-        let desk = Desk { server, outbox, router, metrics, data_path, stop: stop.clone() };
-        let failed =
-            |error: std::io::Error| Error::Start { what: "admin", problem: error.to_string() };
-        let builder = std::thread::Builder::new().name("admin".to_owned());
-        let handle = builder.spawn(move || desk.serve()).map_err(failed)?;
-        Ok(Self { handle, stop })
-    }
+type Answer = Response<Full<Bytes>>;
 
-    /// Ends the thread.
-    pub fn join(self) {
-        self.stop.store(true, Ordering::Release);
-        if self.handle.join().is_err() {
-            log::error!("the admin thread panicked");
-        }
-    }
+/// What the admin interface answers from.
+#[derive(Debug)]
+pub struct Desk {
+    /// Control thread.
+    pub outbox: Outbox,
+    /// Data path, for explained requests.
+    pub router: Arc<Router>,
+    /// Metrics of the control plane.
+    pub metrics: Arc<Metrics>,
+    /// Metrics of the data path.
+    pub data_path: Registry,
 }
 
-impl Desk {
-    fn serve(&self) {
-        while !self.stop.load(Ordering::Acquire) {
-            match self.server.recv_timeout(POLL) {
-                Ok(Some(request)) => self.answer(request),
-                Ok(None) => {}
-                Err(error) => log::debug!("the admin listener failed: {error}"),
+/// Serves the admin interface until the runtime ends.
+pub async fn serve(listener: TcpListener, desk: Arc<Desk>) {
+    let slots = Arc::new(Semaphore::new(CONNECTIONS));
+    loop {
+        let Ok(slot) = slots.clone().acquire_owned().await else { return };
+        let Ok((stream, _)) = listener.accept().await else { continue };
+        let desk = desk.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let desk = desk.clone();
+                async move { Ok::<_, Infallible>(desk.answer(&request).await) }
+            });
+            let serving = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = serving.await {
+                log::debug!("an admin connection ended: {error}");
             }
-        }
+            drop(slot);
+        });
     }
+}
 
-    fn answer(&self, request: Request) {
-        let path = request.url().split('?').next().unwrap_or("").to_owned();
-        if *request.method() != Method::Get {
+impl Desk {
+    async fn answer(&self, request: &Request<Incoming>) -> Answer {
+        let path = request.uri().path().to_owned();
+        if request.method() != Method::GET {
             event::emit(LogEvent::AdminRefused { path, problem: "not a GET".to_owned() });
-            respond(request, 405, &json!({ "error": "only GET is allowed" }));
-            return;
+            return respond(405, &json!({ "error": "only GET is allowed" }));
         }
         let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
         match parts.as_slice() {
-            ["healthz"] => respond(request, 200, &json!({ "running": true })),
-            ["readyz"] => self.ready(request),
-            ["metrics"] => self.metrics(request),
-            ["status"] => self.ask(request, Question::Status),
-            ["directory"] => self.ask(request, Question::Directory),
+            ["healthz"] => respond(200, &json!({ "running": true })),
+            ["readyz"] => self.ready().await,
+            ["metrics"] => self.metrics(),
+            ["status"] => self.ask(Question::Status).await,
+            ["directory"] => self.ask(Question::Directory).await,
             ["explain", "key", service, key] => {
                 let Ok(key) = key::decode(key) else {
                     let problem = "the key is not percent-encoded UTF-8";
-                    respond(request, 400, &json!({ "error": problem }));
-                    return;
+                    return respond(400, &json!({ "error": problem }));
                 };
-                let question =
-                    Question::Key { service: (*service).to_owned(), key: key.into_owned() };
-                self.ask(request, question);
+                let (service, key) = ((*service).to_owned(), key.into_owned());
+                self.ask(Question::Key { service, key }).await
             }
-            ["explain", "request", id] => self.explain_request(request, id),
+            ["explain", "request", id] => self.explain_request(id),
             _ => {
                 event::emit(LogEvent::AdminRefused { path, problem: "unknown path".to_owned() });
-                respond(request, 404, &json!({ "error": "unknown path" }));
+                respond(404, &json!({ "error": "unknown path" }))
             }
         }
     }
 
-    fn question(&self, question: Question) -> Option<Option<Value>> {
-        let (reply, answer) = channel();
+    async fn question(&self, question: Question) -> Option<Option<Value>> {
+        let (reply, answer) = oneshot::channel();
         self.outbox.send(Message::Admin { question, reply });
-        answer.recv_timeout(ANSWER_TIMEOUT).ok()
+        timeout(ANSWER_TIMEOUT, answer).await.ok()?.ok()
     }
 
-    fn ask(&self, request: Request, question: Question) {
-        match self.question(question) {
-            Some(Some(value)) => respond(request, 200, &value),
-            Some(None) => respond(request, 404, &json!({ "error": "not known here" })),
-            None => respond(request, 503, &json!({ "error": "the control thread is busy" })),
+    async fn ask(&self, question: Question) -> Answer {
+        match self.question(question).await {
+            Some(Some(value)) => respond(200, &value),
+            Some(None) => respond(404, &json!({ "error": "not known here" })),
+            None => respond(503, &json!({ "error": "the control thread is busy" })),
         }
     }
 
-    fn ready(&self, request: Request) {
-        let ready = self.question(Question::Ready) == Some(Some(json!(true)));
-        respond(request, if ready { 200 } else { 503 }, &json!({ "ready": ready }));
+    async fn ready(&self) -> Answer {
+        let ready = self.question(Question::Ready).await == Some(Some(json!(true)));
+        respond(if ready { 200 } else { 503 }, &json!({ "ready": ready }))
     }
 
-    fn metrics(&self, request: Request) {
+    fn metrics(&self) -> Answer {
         let mut text = self.metrics.render();
         // Both registries end with the end marker; only the last one may stay.
         if let Some(cut) = text.strip_suffix("# EOF\n") {
@@ -159,13 +142,12 @@
             log::debug!("the metrics of the data path cannot be encoded");
         }
         let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
-        send(request, 200, kind, text);
+        answer(200, kind, text)
     }
 
-    fn explain_request(&self, request: Request, id: &str) {
+    fn explain_request(&self, id: &str) -> Answer {
         let Some(record) = self.router.explain.find(id) else {
-            respond(request, 404, &json!({ "error": "not known here" }));
-            return;
+            return respond(404, &json!({ "error": "not known here" }));
         };
         let now = Clock.now();
         let steps: Vec<Value> = record
@@ -176,20 +158,17 @@
                 json!({ "at_ms": age, "text": step.text })
             })
             .collect();
-        respond(request, 200, &json!({ "id": id, "steps": steps }));
+        respond(200, &json!({ "id": id, "steps": steps }))
     }
 }
 
-fn respond(request: Request, status: u16, value: &Value) {
-    send(request, status, "application/json", format!("{value}\n"));
+fn respond(status: u16, value: &Value) -> Answer {
+    answer(status, "application/json", format!("{value}\n"))
 }
 
-fn send(request: Request, status: u16, kind: &str, body: String) {
-    let mut response = Response::from_string(body).with_status_code(status);
-    if let Ok(header) = Header::from_bytes("content-type", kind) {
-        response.add_header(header);
-    }
-    if let Err(error) = request.respond(response) {
-        log::debug!("an admin client went away: {error}");
-    }
+fn answer(status: u16, kind: &'static str, body: String) -> Answer {
+    let mut response = Response::new(Full::new(Bytes::from(body)));
+    *response.status_mut() = StatusCode::from_u16(status).unwrap_or_default();
+    response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(kind));
+    response
 }
--- a/bins/entry/src/control/groups.rs
+++ b/bins/entry/src/control/groups.rs
@@ -150,7 +150,7 @@
         let router = &self.parts.router;
         router.learn_incarnation(target, reply.incarnation);
         let alive = Crash { target: target.clone(), incarnation: reply.incarnation };
-        router.quarantine().absolve(&alive);
+        router.absolve(&alive);
     }
 
     /// Updates the set of held groups in the roster and the metrics.
@@ -195,6 +195,7 @@
 
     pub(super) fn update_metrics(&mut self, _now: Stamp) {
         event::flush();
+        self.parts.router.tick();
         for (group, row) in &self.coordinated {
             let waiting = usize::try_from(row.lane.queue_percent()).unwrap_or(0);
             self.parts.metrics.set_queue_depth(group, waiting);
--- a/bins/entry/src/control/membership.rs
+++ b/bins/entry/src/control/membership.rs
@@ -181,7 +181,7 @@
             self.dirty |= self.directory.take(row, now);
             self.notice_term(&name::Group::new(&row.group), row.term, &row.holder, now);
         }
-        self.take_crashes(&beat.crashes, now);
+        self.take_crashes(&beat.crashes);
         if own_domain {
             self.take_domain_beat(&sender, beat, now);
         }
@@ -206,8 +206,7 @@
         }
     }
 
-    fn take_crashes(&mut self, crashes: &[peer::Crash], now: Stamp) {
-        let mut quarantine = self.parts.router.quarantine();
+    fn take_crashes(&self, crashes: &[peer::Crash]) {
         for crash in crashes {
             let report = quarantine::Report {
                 fingerprint: quarantine::Fingerprint(crash.fingerprint),
@@ -217,7 +216,7 @@
                 },
                 age: Duration::from_millis(crash.age_ms),
             };
-            quarantine.merge(report, now);
+            self.parts.router.merge_crash(report);
         }
     }
 
--- a/bins/entry/src/message.rs
+++ b/bins/entry/src/message.rs
@@ -84,7 +84,7 @@
         /// What it asks.
         question: Question,
         /// Takes the answer; none if the thing is not known.
-        reply: Sender<Option<serde_json::Value>>,
+        reply: oneshot::Sender<Option<serde_json::Value>>,
     },
     /// A planned stop begins.
     Stop {
--- a/bins/entry/src/process.rs
+++ b/bins/entry/src/process.rs
@@ -30,7 +30,7 @@
 use caraway_telemetry::event::Event as LogEvent;
 use caraway_telemetry::metric::Metrics;
 
-use crate::admin::Admin;
+use crate::admin;
 use crate::control::Control;
 use crate::control::Parts;
 use crate::directory::Member;
@@ -85,17 +85,18 @@
         router::Channels { reports, replication },
         observer,
     );
+    let (leaving, left) = watch::channel(false);
     let (finish, finishing) = watch::channel(false);
-    let listeners = open(&runtime, addresses)?;
-    let admin = Admin::try_start(
-        addresses.admin,
-        outbox.clone(),
-        router.clone(),
-        metrics.clone(),
-        Arc::new(registry),
-    )?;
+    let (listeners, admin_listener) = open(&runtime, addresses)?;
+    let desk = admin::Desk {
+        outbox: outbox.clone(),
+        router: router.clone(),
+        metrics: metrics.clone(),
+        data_path: registry,
+    };
     let service = peers::Service::new(outbox.clone(), copies.clone(), metrics.clone(), Clock.now());
-    let tasks = serve(&runtime, listeners, &router, service, &finishing);
+    runtime.spawn(admin::serve(admin_listener, Arc::new(desk)));
+    let tasks = serve(&runtime, listeners, &router, service, (left, finishing));
     forward(&runtime, report_queue, outbox.clone(), Message::Report);
     forward(&runtime, replication_queue, outbox.clone(), Message::Replicate);
     let keys =
@@ -122,6 +123,7 @@
         storage,
         runtime: target::Shared { runtime: runtime.handle().clone(), metrics },
         outbox: outbox.clone(),
+        leaving,
         stopped,
     };
     let signals = signal::watch(outbox)?;
@@ -146,7 +148,6 @@
     let stop_ms = u64::try_from(began.elapsed().as_millis()).unwrap_or(u64::MAX);
     join(control, "control");
     threads.join();
-    admin.join();
     signals.join();
     event::emit(LogEvent::ProcessStopped { stop_ms });
     event::flush();
@@ -185,16 +186,18 @@
     control: TcpListener,
 }
 
-fn open(runtime: &Runtime, addresses: Addresses) -> Result<Listeners> {
+/// Opens the listeners; the last one is that of the admin interface.
+fn open(runtime: &Runtime, addresses: Addresses) -> Result<(Listeners, TcpListener)> {
     let listen = |address: std::net::SocketAddr| {
         let failed = |error: std::io::Error| Error::Listen { address, problem: error.to_string() };
         runtime.block_on(TcpListener::bind(address)).map_err(failed)
     };
-    Ok(Listeners {
+    let listeners = Listeners {
         client: listen(addresses.client)?,
         peer: listen(addresses.peer)?,
         control: listen(addresses.control)?,
-    })
+    };
+    Ok((listeners, listen(addresses.admin)?))
 }
 
 fn serve(
@@ -202,12 +205,15 @@
     listeners: Listeners,
     router: &Arc<Router>,
     service: peers::Service,
-    finishing: &watch::Receiver<bool>,
+    (leaving, finishing): (watch::Receiver<bool>, watch::Receiver<bool>),
 ) -> Vec<tokio::task::JoinHandle<()>> {
-    let callers = server::Options { side: server::Side::Caller, ..server::Options::default() };
-    let forwarded = server::Options { side: server::Side::Peer, ..server::Options::default() };
+    // The control thread gives callers their notice before it ends; peers have stopped forwarding then.
+    let options = server::Options { notice: Duration::ZERO, ..server::Options::default() };
+    let callers =
+        server::Options { side: server::Side::Caller, leaving: Some(leaving), ..options.clone() };
+    let forwarded = server::Options { side: server::Side::Peer, ..options };
     let caller_task = server::serve(listeners.client, router.clone(), callers, finishing.clone());
-    let peer_task = server::serve(listeners.peer, router.clone(), forwarded, finishing.clone());
+    let peer_task = server::serve(listeners.peer, router.clone(), forwarded, finishing);
     let incoming = tonic::transport::server::TcpIncoming::from(listeners.control);
     let incoming = incoming.with_nodelay(Some(true));
     let control_task = async move {
