Send no order that a successor may not know of

Now an intent must be at two instances with a full copy of the ledger (or at the only other process that is not proved gone), and a new coordinator counts only answers of instances with such a copy: at most one may lack it. Copies are kept by process, so a restarted holder gets the ledger again. Processes that have been gone for 10 min leave the record.

--- a/bins/entry/src/control.rs
+++ b/bins/entry/src/control.rs
@@ -202,11 +202,9 @@
                 let _ = reply.send(self.own_beat(now));
             }
             Message::BeatAnswer(answer) => self.take_beat_answer(answer, now),
-            Message::History { group, term, from, entries } => {
-                self.take_history(&group, term, &from, entries, now);
-            }
+            Message::History(history) => self.take_history(history, now),
             Message::Outcomes { group, entries } => self.take_outcomes(&group, entries, now),
-            Message::Copied { group, to, stored } => self.take_copied(&group, &to, stored),
+            Message::Copied { group, to, stored } => self.take_copied(&group, to, stored),
             Message::Handover { request, reply } => {
                 let answer = self.take_handover(&request, now);
                 let _ = reply.send(answer);
--- a/bins/entry/src/control/explain.rs
+++ b/bins/entry/src/control/explain.rs
@@ -105,7 +105,7 @@
             }
             if row.lock_ledger().incomplete_until() > now {
                 let missing: Vec<&str> =
-                    row.history_missing.iter().map(name::Instance::as_str).collect();
+                    row.history.missing().into_iter().map(name::Instance::as_str).collect();
                 let what = format!("the ledger of {name} may have gaps");
                 add(what, Some(row.origin.claimed), &missing.join(", "));
             }
--- a/bins/entry/src/control/groups.rs
+++ b/bins/entry/src/control/groups.rs
@@ -163,10 +163,8 @@
 
     /// Publishes the directory to the data path if something changed.
     pub(super) fn publish(&mut self, now: Stamp) {
-        let newly_served = self
-            .coordinated
-            .values()
-            .any(|row| !row.history_missing.is_empty() && row.is_served(now));
+        let newly_served =
+            self.coordinated.values().any(|row| !row.history.is_complete() && row.is_served(now));
         let due = self.dirty || newly_served || now.since(self.published) >= REFRESH;
         let Some(plan) = self.plan.clone().filter(|_| due) else { return };
         self.dirty = false;
--- a/bins/entry/src/control/replication.rs
+++ b/bins/entry/src/control/replication.rs
@@ -1,22 +1,19 @@
 //! Ledger entries at other instances: copies of the own groups, and histories after a takeover.
 
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use super::Control;
+use crate::directory::Member;
+use crate::peers;
+use caraway_call::history::holders_needed;
 use caraway_call::ledger::State;
 use caraway_core::name;
 use caraway_core::time::Stamp;
+use caraway_entry::ledgers;
+use caraway_ownership::roster::Process;
 use caraway_relay::replication;
 use caraway_wire::peer;
 
-use crate::directory::Member;
-use caraway_entry::ledgers;
-
-use super::Control;
-
-/// Other instances that hold each ledger entry.
-const HOLDERS: usize = 2;
-
 impl Control {
     /// Records an entry at the instances that hold the ledger of its group.
     pub(super) fn replicate(&mut self, job: replication::Job, now: Stamp) {
@@ -28,15 +25,19 @@
             let _ = done.send(false);
             return;
         }
-        let mut addresses: Vec<SocketAddr> =
-            self.holders(now).into_iter().map(|member| member.control).collect();
-        if !serving {
+        let addresses = if serving {
+            self.intent_addresses(&group, now)
+        } else {
             // The new coordinator has to know that the request ended, or it answers a repeated one
             // with "outcome unknown".
-            addresses = self.coordinator_address(&group).into_iter().collect();
-        }
+            Some(self.coordinator_address(&group).into_iter().collect())
+        };
+        let Some(addresses) = addresses else {
+            let _ = done.send(false);
+            return;
+        };
         let entries = vec![ledgers::to_wire(entry)];
-        let request = peer::RecordRequest { group: group.to_string(), term, entries };
+        let request = peer::RecordRequest { group: group.to_string(), term, entries, full: false };
         self.parts.caller.record(addresses, request, done);
     }
 
@@ -61,8 +62,27 @@
         }
     }
 
-    /// Returns the live instances of the failure domain that hold this instance's ledgers.
-    fn holders(&self, now: Stamp) -> Vec<Member> {
+    /// Returns where an entry of a group has to be recorded; none if too few instances hold a full copy.
+    ///
+    /// A copy that is on its way may lack the entry, so it is recorded there too.
+    fn intent_addresses(&self, group: &name::Group, now: Stamp) -> Option<Vec<SocketAddr>> {
+        let row = self.coordinated.get(group)?;
+        let needed = holders_needed(self.roster.others_not_gone());
+        let peers = self.live_peers(now);
+        let held = peers.iter().filter(|member| row.copies.contains(&member.process));
+        let mut addresses: Vec<SocketAddr> =
+            held.take(needed).map(|member| member.control).collect();
+        if addresses.len() < needed {
+            return None;
+        }
+        let coming = peers.iter().filter(|member| row.copying.contains(&member.process));
+        addresses.extend(coming.map(|member| member.control));
+        Some(addresses)
+    }
+
+    /// Returns the live instances of the failure domain, from the next one in name order, so that the
+    /// copies of different coordinators are spread.
+    fn live_peers(&self, now: Stamp) -> Vec<Member> {
         let alive = self.roster.alive(now);
         let mut members: Vec<Member> = self
             .directory
@@ -71,28 +91,25 @@
             .filter(|member| alive.contains(&member.process))
             .cloned()
             .collect();
-        // The next instances in name order, so that the copies are spread over the failure domain.
         let me = self.parts.me.process.instance.clone();
         members.sort_by_key(|member| {
             let name = member.process.instance.clone();
             (name < me, name)
         });
-        members.truncate(HOLDERS);
         members
     }
 
-    /// Copies ledgers to holders that lack them, and asks again for histories that are missing.
+    /// Copies ledgers to live instances that lack them, and asks again for histories that are missing.
     pub(super) fn turn_ledgers(&mut self, now: Stamp) {
-        let holders = self.holders(now);
-        let names: BTreeSet<name::Instance> =
-            holders.iter().map(|member| member.process.instance.clone()).collect();
-        let mut copies: Vec<(name::Instance, SocketAddr, peer::RecordRequest)> = Vec::new();
+        let peers = self.live_peers(now);
+        let mut copies: Vec<(Process, SocketAddr, peer::RecordRequest)> = Vec::new();
         let mut asks: Vec<(name::Instance, name::Group, u64)> = Vec::new();
         for (group, row) in &mut self.coordinated {
-            row.copies.retain(|name| names.contains(name));
-            for member in &holders {
-                let name = member.process.instance.clone();
-                if row.copies.contains(&name) || !row.copying.insert(name.clone()) {
+            // An instance that was out of reach has missed entries and gets a full copy again.
+            row.copies.retain(|process| peers.iter().any(|member| member.process == *process));
+            for member in &peers {
+                let process = member.process.clone();
+                if row.copies.contains(&process) || !row.copying.insert(process.clone()) {
                     continue;
                 }
                 let entries = row.lock_ledger().export(now);
@@ -100,15 +117,16 @@
                     group: group.to_string(),
                     term: row.origin.term,
                     entries: entries.into_iter().map(ledgers::to_wire).collect(),
+                    full: true,
                 };
-                copies.push((name, member.control, request));
+                copies.push((process, member.control, request));
             }
-            for name in &row.history_missing {
+            for name in row.history.missing() {
                 asks.push((name.clone(), group.clone(), row.origin.term));
             }
         }
-        for (name, address, request) in copies {
-            self.parts.caller.copy(name, address, request);
+        for (process, address, request) in copies {
+            self.parts.caller.copy(process, address, request);
         }
         for (name, group, term) in asks {
             if let Some(member) = self.directory.member(&name) {
@@ -117,36 +135,30 @@
         }
     }
 
-    pub(super) fn take_copied(&mut self, group: &name::Group, to: &name::Instance, stored: bool) {
+    pub(super) fn take_copied(&mut self, group: &name::Group, to: Process, stored: bool) {
         let Some(row) = self.coordinated.get_mut(group) else { return };
-        row.copying.remove(to);
+        row.copying.remove(&to);
         if stored {
-            row.copies.insert(to.clone());
+            row.copies.insert(to);
         }
     }
 
-    pub(super) fn take_history(
-        &mut self,
-        group: &name::Group,
-        term: u64,
-        from: &name::Instance,
-        entries: Vec<peer::Entry>,
-        now: Stamp,
-    ) {
-        if let Some(row) = self.coordinated.get_mut(group)
+    pub(super) fn take_history(&mut self, history: peers::History, now: Stamp) {
+        let peers::History { group, term, from, entries, copy_term } = history;
+        if let Some(row) = self.coordinated.get_mut(&group)
             && row.origin.term == term
         {
-            row.take_history(from, entries, now);
+            row.take_history(&from, entries, copy_term, now);
             self.dirty = true;
         }
     }
 
     /// Takes the entries that this instance held for the former coordinator.
     pub(super) fn take_own_history(&mut self, group: &name::Group, term: u64, now: Stamp) {
-        let entries = self.parts.copies.history(group, term, now);
+        let (entries, copy_term) = self.parts.copies.history(group, term, now);
         let me = self.parts.me.process.instance.clone();
         if let Some(row) = self.coordinated.get_mut(group) {
-            row.take_history(&me, entries, now);
+            row.take_history(&me, entries, copy_term, now);
         }
     }
 }
--- a/bins/entry/src/control/terms.rs
+++ b/bins/entry/src/control/terms.rs
@@ -4,9 +4,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::Control;
+use crate::coordination::Coordination;
+use crate::coordination::Origin;
+use crate::domain;
+use crate::domain::Change;
+use crate::storage::Done;
+use crate::timer::Part;
+use caraway_call::history::History;
 use caraway_core::name;
 use caraway_core::time::Stamp;
 use caraway_document::plan;
+use caraway_entry::ledgers;
 use caraway_ownership::event::Event;
 use caraway_ownership::roster::Former;
 use caraway_ownership::roster::Intent;
@@ -16,16 +25,6 @@
 use caraway_telemetry::metric::Takeover;
 use caraway_wire::peer;
 
-use crate::coordination::Coordination;
-use crate::coordination::Origin;
-use crate::directory::Member;
-use crate::domain;
-use crate::domain::Change;
-use crate::storage::Done;
-use caraway_entry::ledgers;
-
-use super::Control;
-
 /// Longest time that a planned stop waits for the handover of all groups.
 const HANDOVER_WAIT: Duration = Duration::from_secs(5);
 
@@ -48,6 +47,7 @@
                 Intent::HandOver { group, to } => {
                     changes.extend(self.hand_over(&group, &to));
                 }
+                Intent::Remove(process) => changes.push(Change::Leave(process)),
                 Intent::Rename { group, successor } => {
                     let holder = self.parts.me.process.clone();
                     changes.push(Change::Rename { group, holder, successor });
@@ -237,7 +237,7 @@
                     self.start(&group, origin, now);
                 }
             }
-            Change::Leave(_) => self.left = true,
+            Change::Leave(process) => self.left |= process == self.parts.me.process,
             Change::HandOver { .. } | Change::Register(_) | Change::Rename { .. } => {}
         }
     }
@@ -332,7 +332,7 @@
         self.start(&group, origin, now);
         if let Some(row) = self.coordinated.get_mut(&group) {
             // The former coordinator sent its whole ledger, so no history has to be collected.
-            row.history_missing.clear();
+            row.history = History::default();
             let mut ledger = row.lock_ledger();
             ledger.set_incomplete_until(now + Duration::from_millis(request.incomplete_ms));
             for entry in &request.entries {
@@ -347,11 +347,11 @@
         let Some(plan) = self.plan.as_ref().and_then(|plan| plan.group(group)).cloned() else {
             return;
         };
-        let peers = self.history_peers(origin.former.as_ref());
+        let instances = self.history_instances(origin.former.as_ref());
         let started = Coordination::try_start(
             plan,
             origin.clone(),
-            peers.iter().map(|member| member.process.instance.clone()).collect(),
+            instances,
             &self.parts.runtime,
             &self.parts.outbox,
             now,
@@ -360,10 +360,7 @@
         self.set_aside(group, now);
         self.coordinated.insert(group.clone(), row);
         self.take_own_history(group, origin.term, now);
-        for member in peers {
-            let instance = member.process.instance.clone();
-            self.parts.caller.history(instance, member.control, group.clone(), origin.term);
-        }
+        self.timer.hasten(Part::Ledgers, now);
         event::emit(LogEvent::GroupAcquired {
             group: group.clone(),
             term: origin.term,
@@ -375,26 +372,16 @@
         self.announce(now);
     }
 
-    /// Returns the instances that may hold ledger entries of a group: all of the domain but this one and the former holder.
-    fn history_peers(&self, former: Option<&Former>) -> Vec<Member> {
-        if former.is_none() {
-            return Vec::new();
+    /// Returns the instances that may hold ledger entries of a group: all that are listed but the former holder, this one
+    /// included. One that is gone counts too, because its entries are lost.
+    fn history_instances(&self, former: Option<&Former>) -> BTreeSet<name::Instance> {
+        let Some(former) = former else { return BTreeSet::new() };
+        let mut names = self.roster.listed();
+        names.insert(self.parts.me.process.instance.clone());
+        if former.holder.instance != self.parts.me.process.instance {
+            names.remove(&former.holder.instance);
         }
-        let holder = former.map(|former| former.holder.clone());
-        let listed: BTreeSet<Process> = self
-            .roster
-            .alive(self.clock.now())
-            .into_iter()
-            .chain(self.roster.silent(self.clock.now()))
-            .collect();
-        self.directory
-            .of_domain(&self.parts.me.domain)
-            .into_iter()
-            .filter(|member| member.process != self.parts.me.process)
-            .filter(|member| Some(&member.process) != holder.as_ref())
-            .filter(|member| listed.contains(&member.process))
-            .cloned()
-            .collect()
+        names
     }
 
     /// Applies a plan to the coordinated groups and the roster.
--- a/bins/entry/src/coordination.rs
+++ b/bins/entry/src/coordination.rs
@@ -14,6 +14,7 @@
 use caraway_admission::lane;
 use caraway_admission::lane::Lane;
 use caraway_balance::rule::Rule;
+use caraway_call::history::History;
 use caraway_call::ledger;
 use caraway_call::ledger::Ledger;
 use caraway_core::name;
@@ -33,6 +34,7 @@
 use caraway_ownership::group;
 use caraway_ownership::group::Machine;
 use caraway_ownership::roster::Former;
+use caraway_ownership::roster::Process;
 
 use crate::control::balancing;
 use crate::message::Outbox;
@@ -106,14 +108,12 @@
     pub lane: Arc<Lane>,
     /// Record of non-repeatable requests.
     pub ledger: Arc<Mutex<Ledger>>,
-    /// Instances whose ledger history has not arrived.
-    pub history_missing: BTreeSet<name::Instance>,
-    /// Instances whose ledger history has arrived.
-    pub history_held: BTreeSet<name::Instance>,
-    /// Instances that hold a copy of the whole ledger.
-    pub copies: BTreeSet<name::Instance>,
-    /// Instances that a copy is on its way to.
-    pub copying: BTreeSet<name::Instance>,
+    /// Answers of the instances that may hold entries of the ledger.
+    pub history: History,
+    /// Processes that hold a full copy of the ledger.
+    pub copies: BTreeSet<Process>,
+    /// Processes that a full copy is on its way to.
+    pub copying: BTreeSet<Process>,
     /// Latest changes of ownership.
     pub changes: VecDeque<Change>,
     /// Placement rule of a keyed group.
@@ -164,8 +164,8 @@
             warmup: service.warmup,
         });
         let mut ledger = Ledger::new(ledger::Options::default(), origin.term);
-        let history_missing = if first { BTreeSet::new() } else { peers };
-        if !history_missing.is_empty() {
+        let history = History::new(peers);
+        if !history.is_complete() {
             ledger.set_incomplete_until(now + HISTORY_GAP);
         }
         let mut coordination = Self {
@@ -173,8 +173,7 @@
             origin,
             lane,
             ledger: Arc::new(Mutex::new(ledger)),
-            history_missing,
-            history_held: BTreeSet::new(),
+            history,
             copies: BTreeSet::new(),
             copying: BTreeSet::new(),
             changes: VecDeque::new(),
@@ -232,7 +231,7 @@
 
     /// Returns true once the data path may use the group: the histories have arrived or were waited for.
     pub fn is_served(&self, now: Stamp) -> bool {
-        self.history_missing.is_empty() || now.since(self.origin.claimed) >= HISTORY_WAIT
+        self.history.is_complete() || now.since(self.origin.claimed) >= HISTORY_WAIT
     }
 
     /// Locks the ledger.
@@ -240,20 +239,16 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes the ledger entries of another instance.
-    ///
-    /// The history is complete when at most one instance is missing and two hold one: entries are recorded at two
-    /// instances besides the coordinator, so one of them has answered.
+    /// Takes the ledger entries of an instance, with the term of the full copy that it holds.
     pub fn take_history(
         &mut self,
         from: &name::Instance,
         entries: Vec<caraway_wire::peer::Entry>,
+        copy_term: u64,
         now: Stamp,
     ) {
-        self.history_missing.remove(from);
-        self.history_held.insert(from.clone());
-        let complete = self.history_missing.is_empty()
-            || (self.history_missing.len() == 1 && self.history_held.len() >= 2);
+        self.history.answer(from, copy_term);
+        let complete = self.history.is_complete();
         let mut ledger = self.lock_ledger();
         for entry in entries {
             ledger.import(ledgers::from_wire(entry), now);
--- a/bins/entry/src/domain.rs
+++ b/bins/entry/src/domain.rs
@@ -16,7 +16,7 @@
 pub enum Change {
     /// List the own process.
     Register(Member),
-    /// Remove the own process, at the end of a planned stop.
+    /// Remove a process: the own one at the end of a planned stop, or one that has been gone for long.
     Leave(Process),
     /// Take a group.
     Claim {
--- a/bins/entry/src/ledgers.rs
+++ b/bins/entry/src/ledgers.rs
@@ -21,12 +21,14 @@
 #[derive(Debug)]
 struct Table {
     term: u64,
+    /// Term of the coordinator whose full ledger was stored.
+    copy_term: u64,
     ledger: Ledger,
 }
 
 impl Default for Table {
     fn default() -> Self {
-        Self { term: 0, ledger: Ledger::new(Options::default(), 0) }
+        Self { term: 0, copy_term: 0, ledger: Ledger::new(Options::default(), 0) }
     }
 }
 
@@ -67,13 +69,30 @@
         (now >= table.ledger.incomplete_until(), table.term)
     }
 
-    /// Returns the entries of a group for a new coordinator, and refuses lower terms from then on.
-    pub fn history(&self, group: &name::Group, term: u64, now: Stamp) -> Vec<peer::Entry> {
+    /// Stores the whole ledger of a group, as [`Copies::record`] stores entries.
+    pub fn record_full(
+        &self,
+        group: &name::Group,
+        term: u64,
+        entries: Vec<peer::Entry>,
+        now: Stamp,
+    ) -> (bool, u64) {
+        let (stored, known) = self.record(group, term, entries, now);
+        if stored && known == term {
+            self.lock().entry(group.clone()).or_default().copy_term = term;
+        }
+        (stored, known)
+    }
+
+    /// Returns the entries of a group for a new coordinator with the term of the full copy among them, and
+    /// refuses lower terms from then on.
+    pub fn history(&self, group: &name::Group, term: u64, now: Stamp) -> (Vec<peer::Entry>, u64) {
         let mut tables = self.lock();
         let table = tables.entry(group.clone()).or_default();
         table.term = table.term.max(term);
         table.ledger.expire(now);
-        table.ledger.export(now).into_iter().map(to_wire).collect()
+        let entries = table.ledger.export(now).into_iter().map(to_wire).collect();
+        (entries, table.copy_term)
     }
 
     fn lock(&self) -> MutexGuard<'_, BTreeMap<name::Group, Table>> {
--- a/bins/entry/src/message.rs
+++ b/bins/entry/src/message.rs
@@ -5,6 +5,7 @@
 use tokio::sync::oneshot;
 
 use caraway_core::name;
+use caraway_ownership::roster::Process;
 use caraway_relay::replication;
 use caraway_relay::report;
 use caraway_wire::peer;
@@ -28,22 +29,13 @@
     /// A heartbeat that this instance sent was answered, or not.
     BeatAnswer(peers::BeatAnswer),
     /// An instance answered a request for ledger entries.
-    History {
-        /// The group.
-        group: name::Group,
-        /// Term under which the entries were asked for.
-        term: u64,
-        /// Instance that answered.
-        from: name::Instance,
-        /// Its entries.
-        entries: Vec<peer::Entry>,
-    },
+    History(peers::History),
     /// A full set of ledger entries was stored at an instance, or not.
     Copied {
         /// The group.
         group: name::Group,
         /// The instance.
-        to: name::Instance,
+        to: Process,
         /// True if it holds them now.
         stored: bool,
     },
--- a/bins/entry/src/peers.rs
+++ b/bins/entry/src/peers.rs
@@ -74,6 +74,21 @@
     Unknown,
 }
 
+/// Ledger entries that an instance holds for a group.
+#[derive(Debug)]
+pub struct History {
+    /// The group.
+    pub group: name::Group,
+    /// Term under which the entries were asked for.
+    pub term: u64,
+    /// Instance that answered.
+    pub from: name::Instance,
+    /// Its entries.
+    pub entries: Vec<peer::Entry>,
+    /// Term of the full copy that it holds, zero if it holds none.
+    pub copy_term: u64,
+}
+
 /// Calls to other instances. Each call is a task of its own that reports by message.
 #[derive(Clone, Debug)]
 pub struct Caller {
@@ -141,7 +156,7 @@
     }
 
     /// Stores the whole ledger of a group at another instance.
-    pub fn copy(&self, to: name::Instance, address: SocketAddr, request: peer::RecordRequest) {
+    pub fn copy(&self, to: Process, address: SocketAddr, request: peer::RecordRequest) {
         let caller = self.clone();
         self.runtime.spawn(async move {
             let group = name::Group::new(&request.group);
@@ -179,8 +194,9 @@
             count(&caller.metrics, metric::Message::History, &request);
             let call = timeout(BULK_TIMEOUT, client.history(Request::new(request))).await;
             if let Ok(Ok(answer)) = call {
-                let entries = answer.into_inner().entries;
-                caller.outbox.send(Message::History { group, term, from, entries });
+                let peer::HistoryReply { entries, copy_term } = answer.into_inner();
+                let history = History { group, term, from, entries, copy_term };
+                caller.outbox.send(Message::History(history));
             }
         });
     }
@@ -253,13 +269,12 @@
     outbox: Outbox,
     copies: Copies,
     metrics: Arc<Metrics>,
-    started: Stamp,
 }
 
 impl Service {
     /// Makes the service.
-    pub fn new(outbox: Outbox, copies: Copies, metrics: Arc<Metrics>, started: Stamp) -> Self {
-        Self { outbox, copies, metrics, started }
+    pub fn new(outbox: Outbox, copies: Copies, metrics: Arc<Metrics>) -> Self {
+        Self { outbox, copies, metrics }
     }
 
     /// Counts an answer and makes the response of it.
@@ -297,11 +312,16 @@
         &self,
         request: Request<peer::RecordRequest>,
     ) -> Result<Response<peer::RecordReply>, Status> {
-        let peer::RecordRequest { group, term, entries } = request.into_inner();
+        let peer::RecordRequest { group, term, entries, full } = request.into_inner();
         let group = name::Group::new(&group);
         let outcomes: Vec<peer::Entry> =
             entries.iter().filter(|entry| entry.state() != peer::State::Open).cloned().collect();
-        let (accepted, known) = self.copies.record(&group, term, entries, Clock.now());
+        let now = Clock.now();
+        let (accepted, known) = if full {
+            self.copies.record_full(&group, term, entries, now)
+        } else {
+            self.copies.record(&group, term, entries, now)
+        };
         if term < known && !outcomes.is_empty() {
             self.outbox.send(Message::Outcomes { group, entries: outcomes });
         }
@@ -315,9 +335,8 @@
     ) -> Result<Response<peer::HistoryReply>, Status> {
         let peer::HistoryRequest { group, term } = request.into_inner();
         let now = Clock.now();
-        let entries = self.copies.history(&name::Group::new(&group), term, now);
-        let uptime_ms = u64::try_from(now.since(self.started).as_millis()).unwrap_or(u64::MAX);
-        let reply = peer::HistoryReply { entries, uptime_ms };
+        let (entries, copy_term) = self.copies.history(&name::Group::new(&group), term, now);
+        let reply = peer::HistoryReply { entries, copy_term };
         Ok(self.answer(metric::Message::History, reply))
     }
 
--- a/bins/entry/src/process.rs
+++ b/bins/entry/src/process.rs
@@ -94,7 +94,7 @@
         metrics: metrics.clone(),
         data_path: registry,
     };
-    let service = peers::Service::new(outbox.clone(), copies.clone(), metrics.clone(), Clock.now());
+    let service = peers::Service::new(outbox.clone(), copies.clone(), metrics.clone());
     runtime.spawn(admin::serve(admin_listener, Arc::new(desk)));
     let tasks = serve(&runtime, listeners, &router, service, (left, finishing));
     forward(&runtime, report_queue, outbox.clone(), Message::Report);
--- a/bins/entry/tests/history/world.rs
+++ b/bins/entry/tests/history/world.rs
@@ -9,6 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use caraway_call::history::History;
+use caraway_call::history::holders_needed;
 use caraway_call::ledger::Decision;
 use caraway_call::ledger::Ledger;
 use caraway_call::ledger::Options as LedgerOptions;
@@ -53,8 +55,8 @@
     former: Option<Former>,
     claimed: Stamp,
     ledger: Ledger,
-    missing: BTreeSet<usize>,
-    answered: usize,
+    history: History,
+    copies: BTreeSet<Process>,
     allowed: BTreeMap<name::Target, Stamp>,
 }
 
@@ -318,6 +320,8 @@
         self.notice_pause(index);
         self.step(index, Event::Tick);
         self.resolve_former(index);
+        self.collect_history(index);
+        self.copy_ledger(index);
         let now = self.now;
         if now.since(self.entries[index].last_beat) >= BEAT {
             self.entries[index].last_beat = now;
@@ -389,6 +393,9 @@
             Intent::Rename { group, successor } => {
                 self.change(index, &Change::Rename { group, holder: me, successor });
             }
+            Intent::Remove(process) => {
+                self.change(index, &Change::Leave(process));
+            }
         }
     }
 
@@ -454,7 +461,7 @@
         self.begin(to, term, Some(Former { holder: from, released: true, successor }));
         let now = self.now;
         if let Some(received) = &mut self.entries[to].held {
-            received.missing.clear();
+            received.history = History::default();
             received.ledger.set_incomplete_until(held.ledger.incomplete_until());
             for entry in held.ledger.export(now) {
                 received.ledger.import(entry, now);
@@ -475,15 +482,22 @@
         };
         let now = self.now;
         let mut ledger = Ledger::new(LedgerOptions::default(), term);
-        let mut missing = BTreeSet::new();
+        let mut names = BTreeSet::new();
         if let Some(former) = &former {
-            let holder = entry_index_of(&former.holder);
-            missing =
-                (0..ENTRIES).filter(|other| *other != index && Some(*other) != holder).collect();
+            names = self.entries[index].roster.listed();
+            names.insert(self.entries[index].process.instance.clone());
+            if former.holder.instance != self.entries[index].process.instance {
+                names.remove(&former.holder.instance);
+            }
+        }
+        let mut history = History::new(names);
+        if !history.is_complete() {
             ledger.set_incomplete_until(now + HISTORY_GAP);
         }
         let entry = &mut self.entries[index];
-        for copy in entry.copies.history(&group(), term, now) {
+        let (copies, copy_term) = entry.copies.history(&group(), term, now);
+        history.answer(&entry.process.instance, copy_term);
+        for copy in copies {
             ledger.import(ledgers::from_wire(copy), now);
         }
         entry.held = Some(Held {
@@ -492,8 +506,8 @@
             former,
             claimed: now,
             ledger,
-            missing,
-            answered: 1,
+            history,
+            copies: BTreeSet::new(),
             allowed: BTreeMap::new(),
         });
         entry.note_mine();
@@ -505,26 +519,53 @@
     fn collect_history(&mut self, index: usize) {
         let Some(held) = &self.entries[index].held else { return };
         let term = held.term;
-        let missing: Vec<usize> = held.missing.iter().copied().collect();
-        for other in missing {
+        let missing: Vec<name::Instance> = held.history.missing().into_iter().cloned().collect();
+        for name in missing {
+            let other = (0..ENTRIES).find(|other| self.entries[*other].process.instance == name);
+            let Some(other) = other.filter(|other| *other != index) else { continue };
             if !self.connected(index, other) || !self.entries[other].runs() {
                 continue;
             }
-            let copies = self.entries[other].copies.history(&group(), term, self.now);
+            let (copies, copy_term) = self.entries[other].copies.history(&group(), term, self.now);
             let now = self.now;
             let Some(held) = &mut self.entries[index].held else { return };
-            held.missing.remove(&other);
-            held.answered += 1;
+            held.history.answer(&name, copy_term);
             for copy in copies {
                 held.ledger.import(ledgers::from_wire(copy), now);
             }
         }
         let Some(held) = &mut self.entries[index].held else { return };
-        if held.missing.is_empty() || (held.missing.len() == 1 && held.answered >= 2) {
+        if held.history.is_complete() {
             held.ledger.set_incomplete_until(Stamp::default());
         }
     }
 
+    /// Gives the whole ledger to the live instances that lack it.
+    fn copy_ledger(&mut self, index: usize) {
+        let now = self.now;
+        let alive = self.entries[index].roster.alive(now);
+        let Some(held) = &mut self.entries[index].held else { return };
+        held.copies.retain(|process| alive.contains(process));
+        let term = held.term;
+        let entries: Vec<_> = held.ledger.export(now).into_iter().map(ledgers::to_wire).collect();
+        for process in alive {
+            let other = entry_index(&process);
+            let reached = self.connected(index, other)
+                && self.entries[other].runs()
+                && self.entries[other].process == process;
+            if !reached {
+                continue;
+            }
+            let copies = &self.entries[other].copies;
+            let stored = copies.record_full(&group(), term, entries.clone(), now).0;
+            if let Some(held) = &mut self.entries[index].held
+                && stored
+            {
+                held.copies.insert(process);
+            }
+        }
+    }
+
     fn connected(&self, one: usize, other: usize) -> bool {
         !self.cuts.contains(&(one.min(other), one.max(other)))
     }
@@ -594,14 +635,20 @@
         self.packets.push(order);
     }
 
-    /// Stores an intent at the live instances, at most two; true if all of them hold it.
+    /// Stores an intent where it has to be; false if too few instances hold it.
     fn replicate(&mut self, index: usize, term: u64, intent: &caraway_wire::peer::Entry) -> bool {
         let now = self.now;
-        let alive: Vec<usize> =
-            self.entries[index].roster.alive(now).iter().map(entry_index).take(2).collect();
-        let mut stored = true;
-        for other in alive {
-            let reached = self.connected(index, other) && self.entries[other].runs();
+        let needed = holders_needed(self.entries[index].roster.others_not_gone());
+        let Some(held) = &self.entries[index].held else { return false };
+        let alive = self.entries[index].roster.alive(now);
+        let holders = held.copies.iter().filter(|process| alive.contains(process)).take(needed);
+        let holders: Vec<Process> = holders.cloned().collect();
+        let mut stored = holders.len() >= needed;
+        for process in holders {
+            let other = entry_index(&process);
+            let reached = self.connected(index, other)
+                && self.entries[other].runs()
+                && self.entries[other].process == process;
             let copies = &self.entries[other].copies;
             stored &= reached && copies.record(&group(), term, vec![intent.clone()], now).0;
         }
@@ -736,7 +783,3 @@
         self.runs.len()
     }
 }
-
-fn entry_index_of(process: &Process) -> Option<usize> {
-    process.instance.as_str().strip_prefix('e')?.parse().ok()
-}
--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod attempt;
 pub mod budget;
+pub mod history;
 pub mod ledger;
 pub mod patience;
 pub mod quarantine;
--- a/crates/ownership/src/roster.rs
+++ b/crates/ownership/src/roster.rs
@@ -4,6 +4,7 @@
 //! plane turns each [`Intent`] into a compare-and-swap or a message.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use caraway_core::name;
@@ -18,6 +19,9 @@
 /// Least time between two groups that an instance hands over to even out the coordination load.
 const EVEN_OUT: Duration = Duration::from_millis(500);
 
+/// Time for which a process that is gone stays listed: the retention of the ledger entries that it held.
+const REMOVAL: Duration = Duration::from_secs(600);
+
 /// Time since the start during which an instance hands nothing over, because others still start.
 const EVEN_OUT_START: Duration = Duration::from_secs(1);
 
@@ -116,6 +120,8 @@
         /// The receiving instance.
         to: name::Instance,
     },
+    /// Remove a process from the domain record that has been gone for so long that nothing depends on it.
+    Remove(Process),
     /// Name another successor in the domain record.
     Rename {
         /// The group.
@@ -360,6 +366,16 @@
             .collect()
     }
 
+    /// Returns the names of the listed instances.
+    pub fn listed(&self) -> BTreeSet<name::Instance> {
+        self.members.keys().cloned().collect()
+    }
+
+    /// Returns how many other processes may be running: those that are listed or were heard from, and not proved gone.
+    pub fn others_not_gone(&self) -> usize {
+        self.rows.values().filter(|row| row.peer.gone.is_none()).count()
+    }
+
     /// Returns the highest term known for a group, from the record or from heartbeats.
     pub fn highest_term(&self, group: &name::Group) -> u64 {
         let recorded = self.holdings.get(group).map_or(0, |holding| holding.term);
@@ -400,11 +416,25 @@
         if self.registered && !self.stopping {
             self.decide_claims(now, &mut intents);
         }
+        self.decide_removals(now, &mut intents);
         self.decide_successors(now, &mut intents);
         self.decide_handover(now, &mut intents);
         intents
     }
 
+    /// Removes what is gone from the record; the first live instance in name order does it for all.
+    fn decide_removals(&self, now: Stamp, intents: &mut Vec<Intent>) {
+        let earlier = |process: &Process| process.instance < self.me.instance;
+        if !self.store_reachable || self.alive(now).iter().any(earlier) {
+            return;
+        }
+        let listed =
+            |process: &Process| self.members.get(&process.instance) == Some(&process.incarnation);
+        let over = |row: &Row| row.peer.gone.is_some_and(|at| now.since(at) >= REMOVAL);
+        let gone = self.rows.iter().filter(|(process, row)| listed(process) && over(row));
+        intents.extend(gone.map(|(process, _)| Intent::Remove(process.clone())));
+    }
+
     fn decide_claims(&mut self, now: Stamp, intents: &mut Vec<Intent>) {
         let candidates = self.candidates(now);
         for group in self.groups.clone() {
