--- a/bins/demo/src/bench.rs
+++ b/bins/demo/src/bench.rs
@@ -19,6 +19,8 @@
 use caraway_load::profile::Arrival;
 use caraway_load::profile::Distribution;
 use caraway_load::profile::Profile;
+use caraway_load::report::Report;
+use caraway_load::run;
 
 /// Size of the large body.
 const LARGE_BYTES: u64 = 64 * 1024 * 1024;
@@ -49,6 +51,10 @@
     pub half: Comparison,
     /// Rate of the open loop in requests per second.
     pub half_rate: f64,
+    /// Request bodies of the largest size that is buffered.
+    pub buffered: Report,
+    /// Request bodies that are one byte longer and are streamed.
+    pub streamed: Report,
     /// Memory of one entry instance with idle callers.
     pub idle: Idle,
     /// Answers of 64 MB.
@@ -80,13 +86,28 @@
     let arrival = Arrival::Open { rate: half_rate, connections: 256, poisson: true };
     let half = bench::compare(&profile(&environment, options, 0, arrival), &direct, &pids)?;
 
+    let limit = environment.document().limits.buffered_body_bytes;
+    let buffered = bodies(&environment, options, limit)?;
+    let streamed = bodies(&environment, options, limit + 1)?;
+
     let (address, pid) = one_entry(&environment)?;
     let idle = bench::idle(&[address], IDLE_CALLERS, IDLE_HOLD, &[pid])?;
     let download = bench::large(&large(&environment, options, address, "GET /caja/"), &pids)?;
     let upload = bench::large(&large(&environment, options, address, "POST /orden/"), &pids)?;
     let store_calls = environment.platform().counts()?;
     let unoptimized = cfg!(debug_assertions);
-    Ok(Results { closed, half, half_rate, idle, download, upload, store_calls, unoptimized })
+    Ok(Results {
+        closed,
+        half,
+        half_rate,
+        buffered,
+        streamed,
+        idle,
+        download,
+        upload,
+        store_calls,
+        unoptimized,
+    })
 }
 
 /// Makes the profile of one route of the environment.
@@ -106,6 +127,15 @@
     profile
 }
 
+/// Runs a closed loop with request bodies of one size.
+fn bodies(environment: &Environment, options: &Options, bytes: u64) -> Result<Report> {
+    let arrival = Arrival::Closed { connections: CALLERS };
+    let mut profile = profile(environment, options, 0, arrival);
+    profile.kinds.iter_mut().for_each(|kind| kind.body_bytes = bytes);
+    let record = run::complete(profile.clone())?;
+    Ok(Report::new(&profile, &record, &[], 0, None))
+}
+
 /// Makes the profile of large bodies: downloads for a GET route, uploads for the others.
 fn large(environment: &Environment, options: &Options, address: SocketAddr, name: &str) -> Profile {
     let arrival = Arrival::Closed { connections: LARGE_CALLERS };
@@ -140,6 +170,16 @@
         }
         writeln!(f, "Closed loop, {CALLERS} callers:\n{}", self.closed)?;
         writeln!(f, "Open loop, {:.0} requests/s:\n{}", self.half_rate, self.half)?;
+        for (name, report) in [("buffered", &self.buffered), ("streamed", &self.streamed)] {
+            writeln!(
+                f,
+                "64 KiB request bodies, {name}: {:.0} answers/s, p50 {:.2} ms, p99 {:.2} ms, {:?}",
+                report.answered_per_second,
+                report.overall.p50_ms,
+                report.overall.p99_ms,
+                report.outcomes
+            )?;
+        }
         let idle = &self.idle;
         writeln!(
             f,
--- a/bins/demo/src/fault.rs
+++ b/bins/demo/src/fault.rs
@@ -31,6 +31,8 @@
     StoreSlow(u64),
     /// Lets the store apply some writes without an answer.
     LoseAnswers(u64),
+    /// Cuts off failure domains from the platform; none ends it.
+    CutOff(Vec<String>),
     /// Promotes the same document again, as a new version.
     Promote,
 }
@@ -54,6 +56,9 @@
             Self::LoseAnswers(count) => {
                 environment.platform().fault(&json!({ "lose_answers": count }))
             }
+            Self::CutOff(domains) => {
+                environment.platform().fault(&json!({ "cut_domains": domains }))
+            }
             Self::Promote => environment.promote_again(),
         }
     }
@@ -65,7 +70,8 @@
                 Some(name)
             }
             Self::Stop(name) | Self::Replace(name) | Self::Drain(name) => Some(name),
-            Self::StoreDown(_) | Self::StoreSlow(_) | Self::LoseAnswers(_) | Self::Promote => None,
+            Self::StoreDown(_) | Self::StoreSlow(_) | Self::LoseAnswers(_) => None,
+            Self::CutOff(_) | Self::Promote => None,
         }
     }
 
@@ -80,7 +86,10 @@
             Self::StoreDown(true) => Some((after(2500), Self::StoreDown(false))),
             Self::StoreSlow(ms) if *ms > 0 => Some((after(2500), Self::StoreSlow(0))),
             Self::LoseAnswers(count) if *count > 0 => Some((after(2500), Self::LoseAnswers(0))),
-            Self::Resume(_) | Self::Restart(_) | Self::Replace(_) => None,
+            Self::CutOff(domains) if !domains.is_empty() => {
+                Some((after(2500), Self::CutOff(Vec::new())))
+            }
+            Self::Resume(_) | Self::Restart(_) | Self::Replace(_) | Self::CutOff(_) => None,
             Self::StoreDown(_) | Self::StoreSlow(_) | Self::LoseAnswers(_) | Self::Promote => None,
         }
     }
@@ -102,6 +111,12 @@
             Self::StoreSlow(ms) => write!(f, "store slow, {ms} ms"),
             Self::LoseAnswers(0) => write!(f, "store answers every write again"),
             Self::LoseAnswers(count) => write!(f, "store loses {count} answers"),
+            Self::CutOff(domains) if domains.is_empty() => {
+                write!(f, "no domain cut off from the platform")
+            }
+            Self::CutOff(domains) => {
+                write!(f, "{} cut off from the platform", domains.join(" and "))
+            }
             Self::Promote => write!(f, "document promoted again"),
         }
     }
--- a/bins/demo/src/recovery.rs
+++ b/bins/demo/src/recovery.rs
@@ -52,6 +52,8 @@
     coordinator: String,
     /// Another entry instance of the same failure domain.
     peer: String,
+    /// Failure domain of the group.
+    domain: String,
     /// Targets of the probed group.
     target: String,
     second: String,
@@ -59,6 +61,7 @@
 
 /// Returns all scenarios.
 pub fn scenarios() -> Vec<Scenario> {
+    use Action::CutOff;
     use Action::Drain;
     use Action::Freeze;
     use Action::Kill;
@@ -104,6 +107,9 @@
         scenario("coordinator killed while the store is down", |r| {
             (vec![StoreDown(true)], vec![Kill(r.coordinator.clone())])
         }),
+        scenario("coordinator killed, domain cut off from the platform", |r| {
+            (vec![CutOff(vec![r.domain.clone()])], vec![Kill(r.coordinator.clone())])
+        }),
         scenario("coordinator killed, store 500 ms slow", |r| {
             (vec![StoreSlow(500)], vec![Kill(r.coordinator.clone())])
         }),
@@ -244,7 +250,7 @@
             let target = group.targets.get(index).map(|target| target.name.to_string());
             target.ok_or_else(|| Error::Unknown("target".to_owned()))
         };
-        Ok(Self { coordinator, peer, target: target(0)?, second: target(1)? })
+        Ok(Self { coordinator, peer, domain, target: target(0)?, second: target(1)? })
     }
 }
 
--- a/bins/demo/src/schedule.rs
+++ b/bins/demo/src/schedule.rs
@@ -9,6 +9,8 @@
 
 /// Time before the first fault.
 const LEAD: Duration = Duration::from_millis(1500);
+/// Number of different faults.
+const FAULTS: u64 = 10;
 /// Time between two faults of the demo. Each fault is undone within this time.
 const DEMO_GAP: Duration = Duration::from_millis(2800);
 /// Time without new faults at the end of a run, so that everything is served again.
@@ -30,12 +32,18 @@
     pub entries: Vec<String>,
     /// Targets.
     pub targets: Vec<String>,
+    /// Failure domains.
+    pub domains: Vec<String>,
 }
 
 impl Cast {
     /// Returns the processes of an environment.
     pub fn new(environment: &Environment) -> Self {
-        Self { entries: environment.names(Kind::Entry), targets: environment.names(Kind::Target) }
+        Self {
+            entries: environment.names(Kind::Entry),
+            targets: environment.names(Kind::Target),
+            domains: environment.plan().domains.iter().map(ToString::to_string).collect(),
+        }
     }
 }
 
@@ -60,10 +68,10 @@
     let mut steps = Vec::new();
     let mut at = LEAD;
     while at + TAIL <= length {
-        let number = random.below(9);
+        let number = random.below(FAULTS);
         let mut faults = numbered(cast, number, &mut random);
         if random.below(3) == 0 {
-            let number = random.below(9);
+            let number = random.below(FAULTS);
             faults.extend(numbered(cast, number, &mut random));
         }
         for action in faults {
@@ -78,7 +86,7 @@
 /// Returns fault number `number`, some of which are pairs.
 fn numbered(cast: &Cast, number: u64, random: &mut Random) -> Vec<Action> {
     let mut entry = || pick(&cast.entries, random);
-    match number % 9 {
+    match number % FAULTS {
         0 => vec![Action::Kill(entry())],
         2 => vec![Action::Freeze(entry())],
         6 => vec![Action::Stop(entry())],
@@ -87,6 +95,10 @@
         3 => vec![Action::Freeze(pick(&cast.targets, random))],
         4 => vec![Action::StoreDown(true), Action::Kill(pick(&cast.targets, random))],
         5 => vec![Action::StoreSlow(800), Action::Kill(pick(&cast.entries, random))],
+        8 => vec![
+            Action::CutOff(vec![pick(&cast.domains, random)]),
+            Action::Kill(pick(&cast.entries, random)),
+        ],
         _ => vec![Action::Promote, Action::Drain(pick(&cast.targets, random))],
     }
 }
--- a/bins/demo/tests/soak.rs
+++ b/bins/demo/tests/soak.rs
@@ -37,7 +37,7 @@
 #[test]
 fn a_seed_always_gives_the_same_schedule() {
     let names = |prefix: &str| (0..5).map(|n| format!("{prefix}{n}")).collect();
-    let cast = Cast { entries: names("e"), targets: names("t") };
+    let cast = Cast { entries: names("e"), targets: names("t"), domains: names("d") };
     let length = Duration::from_secs(60);
     assert_eq!(schedule::random(&cast, 3, length), schedule::random(&cast, 3, length));
     assert_ne!(schedule::random(&cast, 3, length), schedule::random(&cast, 4, length));
--- a/bins/demo/tests/store.rs
+++ b/bins/demo/tests/store.rs
@@ -44,6 +44,27 @@
     scene.finish();
 }
 
+/// Guards against a failure domain that stops serving its own groups when it is cut off from the
+/// platform, also when it loses a coordinator and a target meanwhile.
+#[test]
+fn a_domain_cut_off_from_the_platform_serves_its_groups() {
+    let mut scene = Scene::new();
+    let (victim, target) = (scene.coordinator(), scene.target(0));
+    scene.load(&[&victim]);
+    pause(1500);
+    scene.apply(Action::CutOff(vec!["d1".to_owned()]));
+    pause(1000);
+    scene.apply(Action::Kill(target.clone()));
+    pause(1500);
+    scene.apply(Action::Kill(victim.clone()));
+    scene.wait_for_takeover(&victim);
+    pause(1500);
+    scene.apply(Action::CutOff(Vec::new()));
+    scene.apply(Action::Restart(target));
+    pause(2000);
+    scene.finish();
+}
+
 /// Guards against a takeover that is done twice or not at all because the answer to its write is lost.
 #[test]
 fn a_takeover_survives_lost_answers_of_the_store() {
