Serve connections that are new when a listener stops

Cause: callers that are told to close connect again, and a connection that was accepted but had not sent its first request, or was still in the accept queue, was closed or reset when the listener stopped. The listener now empties its accept queue before it is closed, and a connection without a request is given 250 ms for its first one.

The new test fails without the time for the first request; it does not notice that the queue is not emptied.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -18,7 +18,9 @@
 use tokio::sync::Semaphore;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::caller;
 use crate::peer;
@@ -31,6 +33,16 @@
 /// Pause after an error of accept, such as too many open files, which would otherwise repeat at once.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time without a new connection after which the accept queue of a stopping listener is empty.
+const BACKLOG_PAUSE: Duration = Duration::from_millis(1);
+
+/// Longest time for which a stopping listener empties its accept queue.
+const BACKLOG_LIMIT: Duration = Duration::from_millis(100);
+
+/// Time within which the first request must arrive on a connection that was opened before a stop. A
+/// caller that has just connected sends its request at once, so closing would lose it.
+const FIRST_REQUEST: Duration = Duration::from_millis(250);
+
 /// Who connects to a listener.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Side {
@@ -92,20 +104,29 @@
     tokio::pin!(notice);
     let slots = Arc::new(Semaphore::new(options.connections.max(1)));
     let mut connections = JoinSet::new();
+    let leaving = options.leaving.clone().unwrap_or_else(|| stop.clone());
+    let start = |(stream, slot)| {
+        let phase = Phase { leaving: leaving.clone(), closing: closing.clone() };
+        connection(stream, slot, router.clone(), options.clone(), phase)
+    };
     loop {
         tokio::select! {
             () = notice.as_mut() => break,
             Some(_) = connections.join_next() => {}
             accepted = accept(&listener, &slots) => {
-                if let Some((stream, slot)) = accepted {
-                    let leaving = options.leaving.clone().unwrap_or_else(|| stop.clone());
-                    let phase = Phase { leaving, closing: closing.clone() };
-                    let connection = connection(stream, slot, router.clone(), options.clone(), phase);
-                    connections.spawn(connection);
+                if let Some(accepted) = accepted {
+                    connections.spawn(start(accepted));
                 }
             }
         }
     }
+    // Connections that are not accepted yet would be reset with the listener.
+    let ends = Instant::now() + BACKLOG_LIMIT;
+    while Instant::now() < ends
+        && let Ok(Some(accepted)) = timeout(BACKLOG_PAUSE, accept(&listener, &slots)).await
+    {
+        connections.spawn(start(accepted));
+    }
     drop(listener);
     close.send_replace(true);
     while connections.join_next().await.is_some() {}
@@ -158,8 +179,10 @@
         log::debug!("TCP_NODELAY cannot be set: {error}");
     }
     let side = options.side;
+    let (first, mut requested) = watch::channel(false);
     let service = service_fn(move |request: Request<Incoming>| {
         let (router, leaving) = (router.clone(), leaving.clone());
+        first.send_replace(true);
         async move {
             let mut response = match side {
                 Side::Caller => caller::serve(router, request).await,
@@ -179,9 +202,13 @@
         .max_buf_size(options.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(io, service);
     tokio::pin!(serving);
+    let due = async {
+        stopped(&mut closing).await;
+        let _ = timeout(FIRST_REQUEST, requested.wait_for(|requested| *requested)).await;
+    };
     let result = tokio::select! {
         result = serving.as_mut() => result,
-        () = stopped(&mut closing) => {
+        () = due => {
             serving.as_mut().graceful_shutdown();
             serving.await
         }
--- a/crates/relay/tests/notice.rs
+++ b/crates/relay/tests/notice.rs
@@ -89,3 +89,22 @@
     stop.send(true).unwrap();
     timeout(Duration::from_millis(400), serving).await.unwrap().unwrap();
 }
+
+/// Guards against a caller that is cut off because it has just connected when the listener closes.
+#[tokio::test]
+async fn new_connection_is_served_once_after_the_notice() {
+    let target = Target::start(|seen, _| Act::Write(ok(seen, "done"))).await;
+    let entry = Entry::with(&[&target]).await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (_stop, stopped) = watch::channel(true);
+    // The connection is still in the accept queue when the stop begins.
+    let mut new = TcpStream::connect(address).await.unwrap();
+    let options = server::Options { notice: Duration::ZERO, ..server::Options::default() };
+    let serving = tokio::spawn(server::serve(listener, entry.router.clone(), options, stopped));
+    sleep(Duration::from_millis(100)).await;
+    assert!(TcpStream::connect(address).await.is_err(), "the listener is closed");
+    assert!(exchange(&mut new).await.contains("connection: close"));
+    let silent = timeout(Duration::from_millis(500), serving).await;
+    silent.unwrap().unwrap();
+}
