Read requests that have arrived before closing idle connections

Cause: select polls its branches in random order, so a connection could be closed as idle although its next request could already be read. The connection is now polled first.

Run: the tests of caraway-relay.

--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -206,7 +206,9 @@
         stopped(&mut closing).await;
         let _ = timeout(FIRST_REQUEST, requested.wait_for(|requested| *requested)).await;
     };
+    // A request that has arrived is read before the connection can count as idle.
     let result = tokio::select! {
+        biased;
         result = serving.as_mut() => result,
         () = due => {
             serving.as_mut().graceful_shutdown();
