Check the term before a target without a grant gets one

Only a target that still holds a grant proves that it remembers; for any other first contact the term is checked. A check is asked for at once when something begins to wait for it.

--- a/crates/ownership/src/group.rs
+++ b/crates/ownership/src/group.rs
@@ -287,19 +287,23 @@
         let restarted = self.targets.get(index).is_some_and(|row| row.seen);
         let exposed = self.targets.get(index).is_some_and(|row| row.exposed);
         let in_force = reply.valid_until_ms > reply.clock_ms;
+        let remembers = exposed && in_force && !reply.shards.is_empty();
         if exposed && in_force && !self.pooled {
             for shard in &reply.shards {
                 self.keep(index, Shard(*shard));
             }
         }
+        let pooled = self.pooled;
+        self.next_check = now;
         let Some(row) = self.targets.get_mut(index) else { return };
         row.contact = Some(contact);
         row.seen = true;
         row.sent = None;
         row.next_call = now;
-        // A later incarnation has no memory of this term. A former coordinator that wakes up could
-        // grant to it, so the term is checked once more before this coordinator does.
-        row.unconfirmed_since = restarted.then_some(now);
+        // A process without a grant may have started after a coordinator of a higher term fenced the one before
+        // it, and has no memory of that term. So the own term is checked once more before this one gets a grant.
+        let unconfirmed = !pooled && (restarted || !remembers);
+        row.unconfirmed_since = unconfirmed.then_some(now);
     }
 
     fn keep(&mut self, index: usize, shard: Shard) {
@@ -398,6 +402,7 @@
 
     /// Ends contact with a target whose grant is proved to be no longer in force.
     fn release_all(&mut self, index: usize, cause: Cause, now: Stamp, effects: &mut Vec<Effect>) {
+        self.next_check = now;
         let Some(row) = self.targets.get_mut(index) else { return };
         row.reset();
         row.next_call = now + grant::RETRY;
