Let orders go on while one of three instances is frozen or stops

A stopping instance still holds copies. Listeners follow the document only where asked to, so that a test's own limits hold.

--- a/bins/entry/src/control/replication.rs
+++ b/bins/entry/src/control/replication.rs
@@ -83,7 +83,7 @@
     /// Returns the live instances of the failure domain, from the next one in name order, so that the
     /// copies of different coordinators are spread.
     fn live_peers(&self, now: Stamp) -> Vec<Member> {
-        let alive = self.roster.alive(now);
+        let alive = self.roster.reachable(now);
         let mut members: Vec<Member> = self
             .directory
             .of_domain(&self.parts.me.domain)
--- a/bins/entry/src/process.rs
+++ b/bins/entry/src/process.rs
@@ -209,9 +209,13 @@
 ) -> Vec<tokio::task::JoinHandle<()>> {
     // The control thread gives callers their notice before it ends; peers have stopped forwarding then.
     let options = server::Options { notice: Duration::ZERO, ..server::Options::default() };
-    let callers =
-        server::Options { side: server::Side::Caller, leaving: Some(leaving), ..options.clone() };
-    let forwarded = server::Options { side: server::Side::Peer, ..options };
+    let callers = server::Options {
+        follow: true,
+        side: server::Side::Caller,
+        leaving: Some(leaving),
+        ..options.clone()
+    };
+    let forwarded = server::Options { follow: true, side: server::Side::Peer, ..options };
     let caller_task = server::serve(listeners.client, router.clone(), callers, finishing.clone());
     let peer_task = server::serve(listeners.peer, router.clone(), forwarded, finishing);
     let incoming = tonic::transport::server::TcpIncoming::from(listeners.control);
--- a/crates/ownership/src/roster.rs
+++ b/crates/ownership/src/roster.rs
@@ -353,6 +353,14 @@
         alive.map(|(process, _)| process.clone()).collect()
     }
 
+    /// Returns the processes that were heard from lately, those in a planned stop included.
+    pub fn reachable(&self, now: Stamp) -> Vec<Process> {
+        let heard =
+            |row: &Row| row.peer.gone.is_none() && now.since(row.peer.heard) <= claim::SUSPICION;
+        let reachable = self.rows.iter().filter(|(_, row)| heard(row));
+        reachable.map(|(process, _)| process.clone()).collect()
+    }
+
     /// Returns the listed processes that are neither heard from nor proved gone.
     pub fn silent(&self, now: Stamp) -> Vec<Process> {
         let listed =
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -65,6 +65,8 @@
 pub struct Options {
     /// Who connects.
     pub side: Side,
+    /// True if new connections use the limits of the document in force.
+    pub follow: bool,
     /// Largest number of connections; further ones wait in the accept queue.
     pub connections: usize,
     /// Longest header section in bytes.
@@ -91,8 +93,10 @@
     /// be used.
     pub fn in_force(&self, router: &Router) -> Self {
         let options = self.clone();
-        let Some(snapshot) = router.directory.current() else { return options };
-        options.with(&snapshot.plan().limits)
+        match router.directory.current().filter(|_| self.follow) {
+            Some(snapshot) => options.with(&snapshot.plan().limits),
+            None => options,
+        }
     }
 
     /// Returns the options with the limits of a document.
@@ -109,6 +113,7 @@
     fn default() -> Self {
         Self {
             side: Side::Caller,
+            follow: false,
             connections: 4096,
             header_bytes: 16 * 1024,
             idle: Duration::from_secs(30),
