Copy a ledger to others only when it is complete

Cause: a new coordinator sent its ledger as a full copy before it had collected the histories, so the other instance's copy counted as newer and the own one as missing; in a domain of three, orders stayed refused after a takeover (360 history-incomplete in one process test). A ledger with gaps must not pass for a full copy at all.

--- a/bins/entry/src/control/replication.rs
+++ b/bins/entry/src/control/replication.rs
@@ -5,6 +5,7 @@
 use super::Control;
 use crate::directory::Member;
 use crate::peers;
+use crate::timer::Part;
 use caraway_call::history::holders_needed;
 use caraway_call::ledger::State;
 use caraway_core::name;
@@ -105,6 +106,13 @@
         let mut copies: Vec<(Process, SocketAddr, peer::RecordRequest)> = Vec::new();
         let mut asks: Vec<(name::Instance, name::Group, u64)> = Vec::new();
         for (group, row) in &mut self.coordinated {
+            for name in row.history.missing() {
+                asks.push((name.clone(), group.clone(), row.origin.term));
+            }
+            if row.lock_ledger().incomplete_until() > now {
+                // A copy of a ledger with gaps would pass for a full one.
+                continue;
+            }
             // An instance that was out of reach has missed entries and gets a full copy again.
             row.copies.retain(|process| peers.iter().any(|member| member.process == *process));
             for member in &peers {
@@ -121,9 +129,6 @@
                 };
                 copies.push((process, member.control, request));
             }
-            for name in row.history.missing() {
-                asks.push((name.clone(), group.clone(), row.origin.term));
-            }
         }
         for (process, address, request) in copies {
             self.parts.caller.copy(process, address, request);
@@ -150,6 +155,7 @@
         {
             row.take_history(&from, entries, copy_term, now);
             self.dirty = true;
+            self.timer.hasten(Part::Ledgers, now);
         }
     }
 
--- a/bins/entry/tests/history/world.rs
+++ b/bins/entry/tests/history/world.rs
@@ -545,6 +545,10 @@
         let now = self.now;
         let alive = self.entries[index].roster.alive(now);
         let Some(held) = &mut self.entries[index].held else { return };
+        if held.ledger.incomplete_until() > now {
+            // A copy of a ledger with gaps would pass for a full one.
+            return;
+        }
         held.copies.retain(|process| alive.contains(process));
         let term = held.term;
         let entries: Vec<_> = held.ledger.export(now).into_iter().map(ledgers::to_wire).collect();
