--- a/bins/entry/src/control/groups.rs
+++ b/bins/entry/src/control/groups.rs
@@ -140,12 +140,24 @@
                 self.note_incarnation(&target, &reply);
                 Event::Reply { target, sent, reply }
             }
-            Err(Failure::Refused) => Event::Gone { target, sent },
+            Err(Failure::Refused) => {
+                self.log_gone(&group, &target);
+                Event::Gone { target, sent }
+            }
             Err(Failure::Silent) => Event::Failed(target),
         };
         self.step(&group, event, now);
     }
 
+    fn log_gone(&self, group: &name::Group, target: &name::Target) {
+        let row = self.coordinated.get(group);
+        if row.is_some_and(|row| row.machine().incarnation(target).is_some()) {
+            let (target, group) = (target.clone(), group.clone());
+            let proof = "its address refuses connections".to_owned();
+            event::emit(LogEvent::TargetGone { target, group, proof });
+        }
+    }
+
     fn note_incarnation(&self, target: &name::Target, reply: &Reply) {
         let router = &self.parts.router;
         router.learn_incarnation(target, reply.incarnation);
@@ -163,8 +175,10 @@
 
     /// Publishes the directory to the data path if something changed.
     pub(super) fn publish(&mut self, now: Stamp) {
-        let newly_served =
-            self.coordinated.values().any(|row| !row.history.is_complete() && row.is_served(now));
+        let newly_served = self
+            .coordinated
+            .values()
+            .any(|row| row.is_served(now) && !row.is_served(self.published));
         let due = self.dirty || newly_served || now.since(self.published) >= REFRESH;
         let Some(plan) = self.plan.clone().filter(|_| due) else { return };
         self.dirty = false;
--- a/bins/entry/src/control/membership.rs
+++ b/bins/entry/src/control/membership.rs
@@ -337,7 +337,9 @@
             self.known_alive.iter().filter(|process| !alive.contains(process)).cloned().collect();
         for process in silent {
             self.known_alive.remove(&process);
-            if self.roster.gone_at(&process).is_none() {
+            if self.roster.is_stopping(&process) {
+                event::emit(LogEvent::MemberStopping { instance: process.instance });
+            } else if self.roster.gone_at(&process).is_none() {
                 let silent_ms = u64::try_from(caraway_ownership::claim::SUSPICION.as_millis());
                 event::emit(LogEvent::MemberSuspected {
                     instance: process.instance,
--- a/crates/ownership/src/roster.rs
+++ b/crates/ownership/src/roster.rs
@@ -355,6 +355,11 @@
         alive.map(|(process, _)| process.clone()).collect()
     }
 
+    /// Returns true if a process has announced a planned stop.
+    pub fn is_stopping(&self, process: &Process) -> bool {
+        self.rows.get(process).is_some_and(|row| row.peer.stopping)
+    }
+
     /// Returns the processes that were heard from lately, those in a planned stop included.
     pub fn reachable(&self, now: Stamp) -> Vec<Process> {
         let heard =
