Stop taking requests early enough to answer them before the kill

Cause: a stopping instance accepted connections until 2 s before the platform's kill, and a request that arrived on one of them later was cut off.

Change: the listener closes and idle connections end at 45% of the time between the signal and the kill; what is under way has the rest. Connections learn of it through a channel instead of a poll.

--- a/bins/edge/src/feed.rs
+++ b/bins/edge/src/feed.rs
@@ -20,9 +20,6 @@
 use crate::state::State;
 use crate::store::send;
 
-/// Prefix of the project's own keys in the store.
-pub const OWN: &str = "caraway/";
-
 /// Prefix of the keys under which instances register; the value is the address for others.
 pub const INSTANCES: &str = "caraway/instance/";
 
--- a/bins/edge/src/ingress.rs
+++ b/bins/edge/src/ingress.rs
@@ -33,6 +33,7 @@
 use socket2::TcpKeepalive;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch::Receiver;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
@@ -60,6 +61,12 @@
 /// Longest time that a caller whose connection has broken without notice occupies it.
 const LOST_CALLER: Duration = Duration::from_secs(8);
 
+/// Time between looks at idle connections; limits are stated in seconds.
+const IDLE_TICK: Duration = Duration::from_secs(1);
+
+/// Time without accepting connections after a failure to accept one.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
 /// What a connection is doing.
 #[derive(Debug)]
 struct Activity {
@@ -143,15 +150,13 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Serves callers until `closing` is set and all connections have ended.
-pub async fn callers(state: Rc<State>, listener: TcpListener, closing: Rc<Cell<bool>>) {
+/// Serves callers until `closing` is true, then refuses connections and returns when all have
+/// ended.
+pub async fn callers(state: Rc<State>, listener: TcpListener, closing: Receiver<bool>) {
     let mut connections = JoinSet::new();
+    let mut stop = closing.clone();
     loop {
         while connections.try_join_next().is_some() {}
-        if closing.get() && connections.is_empty() {
-            return;
-        }
-        let pause = Instant::now() + Duration::from_millis(100);
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => {
@@ -163,15 +168,20 @@
                         address: state.settings.callers.to_string(),
                         error: error.to_string(),
                     });
-                    sleep_until(pause).await;
+                    sleep_until(Instant::now() + ACCEPT_PAUSE).await;
                 }
             },
-            () = sleep_until(pause), if closing.get() => {}
+            // The sender lives as long as the process; its end would mean the same.
+            _ = stop.wait_for(|closing| *closing) => break,
         }
     }
+    // A connection that is made from here on is reset, so that its caller turns elsewhere at once
+    // instead of having a request taken that there is no time to answer.
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
-async fn serve(state: Rc<State>, stream: TcpStream, closing: Rc<Cell<bool>>) {
+async fn serve(state: Rc<State>, stream: TcpStream, mut closing: Receiver<bool>) {
     if let Err(error) = prepare(&stream) {
         emit(Event::CallerInvalid { address: String::new(), problem: error.to_string() });
         return;
@@ -194,10 +204,14 @@
     let mut connection = std::pin::pin!(connection);
     let mut leaving = false;
     loop {
-        let wake = Instant::now() + Duration::from_millis(250);
+        let wake = Instant::now() + IDLE_TICK;
         tokio::select! {
             // An error means that the caller left or sent no HTTP; hyper has answered if it could.
             _ = connection.as_mut() => return,
+            _ = closing.wait_for(|closing| *closing), if !leaving => {
+                leaving = true;
+                connection.as_mut().graceful_shutdown();
+            }
             () = sleep_until(wake) => {}
         }
         if activity.running.get() > 0 {
@@ -209,12 +223,10 @@
         let default = caraway_fleet::configuration::Limits::default();
         let (head_time, idle_time) = limits.unwrap_or((default.head_time, default.idle_time));
         let now = Instant::now();
-        let slow = activity.head.get().is_some_and(|since| now - since > head_time);
-        let idle = now - activity.last.get() > idle_time;
-        if slow {
+        if activity.head.get().is_some_and(|since| now - since > head_time) {
             return;
         }
-        if (idle || closing.get()) && !leaving {
+        if now - activity.last.get() > idle_time && !leaving {
             leaving = true;
             connection.as_mut().graceful_shutdown();
         }
--- a/bins/edge/src/process.rs
+++ b/bins/edge/src/process.rs
@@ -1,6 +1,5 @@
 //! Life of the process: start, settings that change, stop.
 
-use std::cell::Cell;
 use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
@@ -11,6 +10,7 @@
 use tokio::runtime::Builder;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::watch;
 use tokio::task::JoinSet;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
@@ -37,13 +37,13 @@
 use crate::state::State;
 use crate::store::send;
 
-/// Time for which a stopping instance accepts connections: the platform asks once a second and
-/// takes it out after two misses.
-const LINGER: Duration = Duration::from_millis(2500);
+/// Part of the time between the stop signal and the kill in which a stopping instance still takes
+/// requests. The platform asks once a second and takes it out after two misses; callers whose
+/// connections are open need the rest of the time for their last answers.
+const OPEN_SHARE: f64 = 0.45;
 
-/// Time before the platform's kill at which idle connections of callers are closed and only
-/// requests under way go on.
-const LAST_CALL: Duration = Duration::from_millis(2000);
+/// Time before the platform's kill at which the process ends whatever is still under way.
+const LAST_MOMENT: Duration = Duration::from_millis(250);
 
 /// Time between looks at the settings file, which may change without a signal.
 const RELOAD: Duration = Duration::from_secs(5);
@@ -96,7 +96,7 @@
     });
     let state = Rc::new(State::new(settings));
     let reports = Rc::new(RefCell::new(Reports::default()));
-    let closing = Rc::new(Cell::new(false));
+    let (closing, closed) = watch::channel(false);
     let mut tasks = JoinSet::new();
     tasks.spawn_local(ingress::readiness(state.clone(), readiness));
     tasks.spawn_local(ingress::instances(state.clone(), reports.clone(), instances));
@@ -106,8 +106,7 @@
     tasks.spawn_local(peers::run(state.clone(), reports.clone()));
     tasks.spawn_local(housekeeping(state.clone(), dropped));
     let coordinate = tokio::task::spawn_local(leader::run(state.clone(), reports));
-    let serving =
-        tokio::task::spawn_local(ingress::callers(state.clone(), callers, closing.clone()));
+    let serving = tokio::task::spawn_local(ingress::callers(state.clone(), callers, closed));
     let mut text = std::fs::read_to_string(path).unwrap_or_default();
     let name = loop {
         tokio::select! {
@@ -136,18 +135,19 @@
 }
 
 /// Stops: out of rotation first, then no idle connections, then no requests.
-async fn stop(state: &State, closing: &Cell<bool>, ended: impl Future<Output = ()>) {
+async fn stop(state: &State, closing: &watch::Sender<bool>, ended: impl Future<Output = ()>) {
     state.stopping.set(true);
     state.leader_changed.notify_waiters();
     let grace = state.settings.grace;
-    let open = grace.saturating_sub(LAST_CALL).max(LINGER.min(grace / 2));
-    let left = grace.saturating_sub(open).saturating_sub(Duration::from_millis(300));
+    let open = grace.mul_f64(OPEN_SHARE);
+    let left = grace.saturating_sub(open).saturating_sub(LAST_MOMENT);
     let mut ended = std::pin::pin!(ended);
     tokio::select! {
         () = sleep(open) => {}
         () = ended.as_mut() => return,
     }
-    closing.set(true);
+    // The receivers are the connections; there may be none.
+    let _ = closing.send(true);
     // Requests that are still under way then are cut by the platform's kill in any case.
     let _ = timeout(left, ended).await;
 }
