--- a/bins/edge/src/feed.rs
+++ b/bins/edge/src/feed.rs
@@ -26,9 +26,13 @@
 /// Key of the coordinator's record.
 pub const LEADER: &str = "caraway/coordinator";
 
-/// Longest wait of a watch. Changes end it sooner; a connection that has gone silent is found
-/// earlier by comparing revisions with other instances.
-const WAIT: Duration = Duration::from_secs(10);
+/// Longest wait of a watch. Changes end it sooner. A watch that hears nothing although there are
+/// changes is found by comparing revisions with the coordinator.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// Longest wait of the coordinator's watch. The store may keep a watch without telling it anything;
+/// with the reports of the instances, this still leaves time to apply a configuration.
+const COORDINATOR_WAIT: Duration = Duration::from_millis(1000);
 
 /// Time between two watches, in which changes gather: each watch that returns is a priced call.
 const GATHER: Duration = Duration::from_millis(250);
@@ -66,21 +70,17 @@
     state.failing.set(false);
     state.revision.set(state.revision.get().max(revision));
     let mut after = revision;
-    let mut failures = 0;
     loop {
-        let call = store::watch("", after, WAIT);
+        let wait = if state.leading.get() { COORDINATOR_WAIT } else { WAIT };
+        let call = store::watch("", after, wait);
         let answer = tokio::select! {
-            answer = send(state, &call, "watch", WAIT) => answer,
+            answer = send(state, &call, "watch", wait) => answer,
             () = state.rewatch.notified() => return Ok(()),
         };
         let page = match answer {
             Ok((status, body)) => store::page_answer(status, &body),
-            // A watch that was cut says nothing about the store; the second failure does.
-            Err(_) if failures == 0 => {
-                failures += 1;
-                continue;
-            }
-            Err(error) => return Err(error.to_string()),
+            // A watch that was cut says nothing about the store; the reading that follows does.
+            Err(_) => return Ok(()),
         };
         let page = match page {
             Ok(page) => page,
@@ -88,7 +88,6 @@
             Err(caraway_adapter::errors::Error::Refused(410)) => return Ok(()),
             Err(error) => return Err(error.to_string()),
         };
-        failures = 0;
         apply(state, &page);
         after = page.revision.max(after);
         state.revision.set(state.revision.get().max(after));
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -158,6 +158,8 @@
     next_repair: Stamp,
     next_balance: Stamp,
     renewing: bool,
+    /// Whether the holdings have tokens of this term.
+    renumbered: bool,
     tell: UnboundedSender<Outcome>,
     work: JoinSet<()>,
 }
@@ -175,10 +177,7 @@
             let _ = timeout(Duration::from_millis(500), state.leader_changed.notified()).await;
             continue;
         }
-        let keyed = |configuration: &caraway_fleet::configuration::Configuration| {
-            configuration.services.values().any(|service| service.keyed)
-        };
-        if !state.configuration().is_some_and(|configuration| keyed(&configuration)) {
+        if state.configuration().is_none() {
             sleep(REPAIR).await;
             continue;
         }
@@ -192,6 +191,8 @@
                 let (number, holdings) = (term.term, term.holdings());
                 emit(Event::CoordinatorElected { term: number, holdings });
                 state.leading.set(true);
+                // The coordinator's watch waits less.
+                state.rewatch.notify_waiters();
                 let reason = lead(term, outcomes).await;
                 state.leading.set(false);
                 emit(Event::CoordinatorEnded { term: number, reason });
@@ -244,6 +245,7 @@
         next_repair: now,
         next_balance: now + BALANCE,
         renewing: false,
+        renumbered: false,
         tell,
         work: JoinSet::new(),
     };
@@ -403,14 +405,41 @@
 
     /// Writes changes of ownership to the store.
     async fn plan(&mut self, now: Stamp) {
+        if !self.renumbered {
+            let tables = self.coordinator.renumber();
+            self.renumbered = tables.is_empty() || self.write(tables).await.is_some();
+            return;
+        }
         let moves = self.moves(now);
         if moves.is_empty() {
             return;
         }
         let steps: Vec<(Arc<str>, Move)> =
             moves.iter().map(|(service, step, _)| (service.clone(), step.clone())).collect();
-        let tables = self.coordinator.propose(&steps);
-        let Ok(value) = serde_json::to_vec(&tables) else { return };
+        let Some(revision) = self.write(self.coordinator.propose(&steps)).await else { return };
+        for (service, step, reason) in moves {
+            self.state.metrics.moved.inc();
+            emit(Event::KeysMoved {
+                service: service.to_string(),
+                first: step.first.into(),
+                last: step.last.into(),
+                to: step.to.id.to_string(),
+                reason: reason.to_owned(),
+                revision,
+            });
+        }
+    }
+
+    /// Writes tables and takes them over; returns their revision, or none if that failed.
+    async fn write(&mut self, tables: Tables) -> Option<u64> {
+        let value = match serde_json::to_vec(&tables) {
+            Ok(value) => value,
+            Err(error) => {
+                let (key, error) = (TABLES.to_owned(), error.to_string());
+                emit(Event::RecordInvalid { key, error });
+                return None;
+            }
+        };
         let conditions = vec![(LEADER, self.term), (TABLES, self.written)];
         let puts = vec![(TABLES, value.as_slice(), 0)];
         let transaction = Transaction { conditions, puts, removals: vec![] };
@@ -424,18 +453,8 @@
             Some(store::Change::Made(revision)) => {
                 self.written = revision;
                 self.coordinator.adopt(tables);
-                for (service, step, reason) in moves {
-                    self.state.metrics.moved.inc();
-                    emit(Event::KeysMoved {
-                        service: service.to_string(),
-                        first: step.first.into(),
-                        last: step.last.into(),
-                        to: step.to.id.to_string(),
-                        reason: reason.to_owned(),
-                        revision,
-                    });
-                }
                 self.publish();
+                return Some(revision);
             }
             // Another write was made, perhaps an earlier one of this term without an answer.
             Some(store::Change::Conflict | store::Change::LeaseEnded) => self.reread().await,
@@ -444,6 +463,7 @@
                 emit(Event::WriteAmbiguous { key, write_id });
             }
         }
+        None
     }
 
     async fn reread(&mut self) {
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -19,7 +19,6 @@
 use tokio::time::sleep;
 
 use caraway_core::time::Clock;
-use caraway_core::time::Stamp;
 use caraway_fleet::membership::Target;
 use caraway_fleet::view::Version;
 use caraway_fleet::view::View;
@@ -47,7 +46,7 @@
 
 /// Time for which another instance may know a newer revision before the watch starts anew. It
 /// covers the time in which changes gather and a slow answer.
-const BEHIND: Duration = Duration::from_millis(900);
+const BEHIND: Duration = Duration::from_millis(600);
 
 /// A report to the coordinator.
 #[derive(Debug, Default, Deserialize, Serialize)]
@@ -78,7 +77,6 @@
 
 /// Reports until the process ends.
 pub async fn run(state: Rc<State>, reports: Rc<RefCell<Reports>>) {
-    let mut behind: Option<Stamp> = None;
     let mut failed: Option<Arc<str>> = None;
     loop {
         sleep(PERIOD.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
@@ -101,15 +99,7 @@
         let (Some(peer), Some(address)) = (peer, address) else { continue };
         match call::<Knowledge>(&state, address, REPORT, &report).await {
             Ok(knowledge) => {
-                let ahead = knowledge.revision > state.revision.get();
-                let since = if ahead { behind.or(Some(Clock.now())) } else { None };
-                behind = since;
-                if since.is_some_and(|since| Clock.now().since(since) > BEHIND) && !stale {
-                    let (revision, peer_revision) = (state.revision.get(), knowledge.revision);
-                    emit(Event::WatchBehind { revision, peer_revision });
-                    behind = None;
-                    state.rewatch.notify_waiters();
-                }
+                compare(&state, knowledge.revision);
                 learn(&state, knowledge, &peer, stale);
             }
             // The next report goes to another instance.
@@ -118,6 +108,23 @@
     }
 }
 
+/// Starts the watch anew if another instance has known a newer revision for [`BEHIND`].
+fn compare(state: &State, other: u64) {
+    let (revision, now) = (state.revision.get(), Clock.now());
+    match state.behind.get() {
+        _ if other <= revision => {}
+        // The revision has moved on since, so the watch works.
+        Some((known, since)) if known == revision => {
+            if now.since(since) > BEHIND && !state.failing.get() {
+                emit(Event::WatchBehind { revision, peer_revision: other });
+                state.behind.set(None);
+                state.rewatch.notify_waiters();
+            }
+        }
+        _ => state.behind.set(Some((revision, now))),
+    }
+}
+
 fn is_stale(state: &State) -> bool {
     let now = Clock.now();
     let age = state.heard.get().map(|heard| now.since(heard));
@@ -159,6 +166,7 @@
 /// Records a report and returns what the reporting instance does not know.
 pub fn respond(state: &State, reports: &RefCell<Reports>, report: Report) -> Knowledge {
     let now = Clock.now();
+    compare(state, report.revision);
     let mut knowledge = Knowledge { revision: state.revision.get(), ..Knowledge::default() };
     if state.leading.get() {
         let mut reports = reports.borrow_mut();
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -71,6 +71,8 @@
     pub revision: Cell<u64>,
     /// When the store last answered.
     pub heard: Cell<Option<Stamp>>,
+    /// The own revision when another instance was first seen to know a newer one, and when.
+    pub behind: Cell<Option<(u64, Stamp)>>,
     /// Whether the store does not answer this instance.
     pub failing: Cell<bool>,
     /// Addresses of targets that are no longer listed and may still hold keys.
@@ -116,6 +118,7 @@
             registry: RefCell::default(),
             revision: Cell::new(0),
             heard: Cell::new(None),
+            behind: Cell::new(None),
             failing: Cell::new(false),
             former: RefCell::default(),
             view: RefCell::default(),
--- a/bins/edge/src/store.rs
+++ b/bins/edge/src/store.rs
@@ -30,6 +30,10 @@
     let address = state.settings.store;
     let request = http::request(call.method, &call.path, address, &call.body);
     let answer = state.pool.exchange(address, &request, CALL + wait).await;
+    if answer.is_err() && kind != "watch" {
+        // A watch that waits on a connection to a store that was lost would wait in vain.
+        state.rewatch.notify_waiters();
+    }
     let result = match &answer {
         Ok((head, _)) if head.status < 400 || head.status == 404 || head.status == 412 => {
             state.heard.set(Some(Clock.now()));
--- /dev/null
+++ b/bins/edge/tests/process/answers.rs
@@ -0,0 +1,175 @@
+//! What callers get.
+
+use std::thread;
+use std::time::Duration;
+
+use caraway_production::caller::Caller;
+
+use crate::world::World;
+use crate::world::wait;
+
+const DEADLINE: (&str, &str) = ("carawayscale-deadline-ms", "2000");
+
+/// Guards against an answer that is changed, or loses its proof, on the way.
+#[test]
+fn an_answer_is_passed_on_unchanged() {
+    let world = World::start(2, 0, 1);
+    let answer = world.get(0, "/read/a?b=c", "a1");
+    assert_eq!(answer.status, 200, "{answer:?}");
+    assert_eq!(answer.header("carawayscale-response-signature"), Some("proof"));
+    assert!(answer.body.ends_with(":a1"), "{answer:?}");
+    let run = world.journal.runs().pop().unwrap();
+    assert_eq!(run.path, "/read/a?b=c");
+}
+
+/// Guards against a route that is found by the wrong host or prefix, and against a request without
+/// an id.
+#[test]
+fn requests_without_route_or_id_are_told_so() {
+    let world = World::start(1, 0, 1);
+    assert_eq!(world.get(0, "/unknown/x", "a").status, 404);
+    let mut stream = world.caller(0);
+    let answer = stream.call("GET", "/read/x", "", &[("connection", "close")]).unwrap();
+    assert_eq!(answer.status, 200, "an empty id is an id");
+}
+
+/// Guards against a forged header that makes a target believe what this system did not say.
+#[test]
+fn forged_headers_do_not_reach_a_target() {
+    let world = World::start(1, 0, 1);
+    let forged = [
+        DEADLINE,
+        ("carawayscale-target-instance", "other"),
+        ("carawayscale-not-executed", "1"),
+        ("x-kept", "yes"),
+        ("connection", "x-hop"),
+        ("x-hop", "no"),
+    ];
+    let answer = world.caller(0).call("GET", "/read/x", "f1", &forged).unwrap();
+    assert_eq!(answer.status, 200);
+    let run = world.journal.runs().pop().unwrap();
+    let header = |name: &str| run.headers.iter().find(|(known, _)| known == name);
+    assert_eq!(header("carawayscale-target-instance").unwrap().1, "p0");
+    assert!(header("carawayscale-not-executed").is_none());
+    assert!(header("x-hop").is_none());
+    assert!(header("x-kept").is_some());
+    let left: u64 = header("carawayscale-deadline-ms").unwrap().1.parse().unwrap();
+    assert!(left <= 2000 && left > 1500, "{left}");
+}
+
+/// Guards against a second answer, or bytes beyond one, that reach the next request.
+#[yare::parameterized(
+    at_once = { "/read/twice" },
+    later = { "/read/late-second" },
+)]
+fn bytes_beyond_an_answer_reach_nobody(path: &str) {
+    let world = World::start(1, 0, 1);
+    for index in 0..20 {
+        let attempt = format!("a{index}");
+        let answer = world.get(0, path, &attempt);
+        assert_eq!((answer.status, answer.body.as_str()), (200, format!("p0:{attempt}").as_str()));
+        thread::sleep(Duration::from_millis(if index % 2 == 0 { 0 } else { 35 }));
+    }
+}
+
+/// Guards against an answer without a length that is taken for broken, or passed on without an end.
+#[test]
+fn an_answer_that_ends_with_its_connection_is_whole() {
+    let world = World::start(1, 0, 1);
+    let mut caller = world.caller(0);
+    for attempt in ["a", "b"] {
+        let answer = caller.call("GET", "/read/unframed", attempt, &[DEADLINE]).unwrap();
+        assert_eq!((answer.status, answer.body), (200, format!("p0:{attempt}")));
+    }
+}
+
+/// Guards against a request that may run once and is sent again, and against an untrue "not run".
+#[yare::parameterized(
+    before = { "/order/break-before" },
+    midway = { "/order/break-midway" },
+)]
+fn an_order_whose_answer_is_lost_is_not_sent_again(path: &str) {
+    let world = World::start(2, 0, 1);
+    let answer = world.caller(0).call("POST", path, "o1", &[DEADLINE]).unwrap();
+    assert_eq!(answer.status, 502, "{answer:?}");
+    assert_eq!(world.runs("o1"), 1);
+}
+
+/// Guards against a repeatable request that is given up after one broken answer, and against more
+/// targets than the route allows.
+#[test]
+fn a_read_is_sent_to_two_targets_at_most() {
+    let world = World::start(3, 0, 1);
+    let answer = world.get(0, "/read/break-midway", "r1");
+    assert_eq!(answer.status, 502, "{answer:?}");
+    assert_eq!(world.runs("r1"), 2);
+}
+
+/// Guards against a refusal without the promise that the request has not run, or without the time
+/// to come back.
+#[test]
+fn an_order_that_targets_turn_away_is_refused_as_not_run() {
+    let world = World::start(2, 0, 1);
+    let answer = world.caller(0).call("POST", "/order/shed-always", "o2", &[DEADLINE]).unwrap();
+    assert_eq!(answer.status, 503, "{answer:?}");
+    let retry: f64 = answer.header("retry-after").unwrap().parse().unwrap();
+    assert!(retry > 0.0 && retry < 1.0);
+    assert_eq!(world.runs("o2"), 0);
+}
+
+/// Guards against work that goes on for a caller who has left.
+#[test]
+fn a_caller_who_leaves_ends_the_work() {
+    let world = World::start(1, 0, 1);
+    let mut caller = world.caller(0);
+    caller.send("GET", "/read/wait-800", "g1", &[DEADLINE], "").unwrap();
+    wait(Duration::from_secs(2), "running", || world.runs("g1") == 1);
+    drop(caller);
+    wait(Duration::from_secs(2), "heard of", || world.journal.runs().iter().any(|run| !run.heard));
+}
+
+/// Guards against a request that is kept waiting beyond its deadline.
+#[test]
+fn a_request_is_answered_at_its_deadline() {
+    let world = World::start(1, 0, 1);
+    let headers = [("carawayscale-deadline-ms", "300")];
+    let began = std::time::Instant::now();
+    let answer = world.caller(0).call("GET", "/read/wait-1500", "d1", &headers).unwrap();
+    assert_eq!(answer.status, 504);
+    assert!(began.elapsed() < Duration::from_millis(700), "{:?}", began.elapsed());
+}
+
+/// Guards against a target that cannot be reached and costs the request its answer.
+#[test]
+fn a_target_that_crashed_costs_no_answer() {
+    let world = World::start(2, 0, 1);
+    world.targets[0].crash();
+    for index in 0..20 {
+        let answer = world.caller(0).call("POST", "/order/x", &format!("c{index}"), &[DEADLINE]);
+        assert_eq!(answer.unwrap().status, 200);
+    }
+}
+
+/// Guards against a body that is larger than the operator allows.
+#[test]
+fn a_body_over_the_limit_is_refused() {
+    let world = World::start(1, 0, 1);
+    let mut caller = world.caller(0);
+    let body = "x".repeat(100_001);
+    caller.send("POST", "/order/x", "b1", &[DEADLINE], &body).unwrap();
+    assert_eq!(caller.receive().unwrap().status, 413);
+    assert_eq!(world.runs("b1"), 0);
+}
+
+/// Guards against an idle connection that is closed while callers still use it, and one that is
+/// never closed.
+#[test]
+fn idle_connections_live_as_long_as_the_operator_says() {
+    let world = World::start(1, 0, 1);
+    let mut caller: Caller = world.caller(0);
+    assert_eq!(caller.call("GET", "/read/x", "i1", &[DEADLINE]).unwrap().status, 200);
+    thread::sleep(Duration::from_millis(2400));
+    assert_eq!(caller.call("GET", "/read/x", "i2", &[DEADLINE]).unwrap().status, 200);
+    thread::sleep(Duration::from_millis(5200));
+    assert!(caller.call("GET", "/read/x", "i3", &[DEADLINE]).is_err());
+}
--- /dev/null
+++ b/bins/edge/tests/process/life.rs
@@ -0,0 +1,91 @@
+//! Start, stop and settings of the process.
+
+use std::process::Command;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use caraway_production::caller::Caller;
+
+use crate::world::World;
+use crate::world::wait;
+
+const DEADLINE: (&str, &str) = ("carawayscale-deadline-ms", "2000");
+
+/// Guards against a planned stop that cuts a request, or takes one too late to answer it.
+#[test]
+fn a_planned_stop_cuts_nothing() {
+    let mut world = World::start(1, 0, 1);
+    let mut kept = world.caller(0);
+    assert_eq!(kept.call("GET", "/read/x", "k0", &[DEADLINE]).unwrap().status, 200);
+    let mut running = world.caller(0);
+    running.send("GET", "/read/wait-1500", "w", &[DEADLINE], "").unwrap();
+    world.instances[0].signal("TERM");
+    wait(Duration::from_secs(1), "out of rotation", || !world.ready(0));
+    let answer = kept.call("GET", "/read/x", "k1", &[DEADLINE]).unwrap();
+    assert_eq!((answer.status, answer.header("connection")), (200, Some("close")));
+    assert_eq!(running.receive().unwrap().status, 200);
+    let address = world.instances[0].callers;
+    let began = Instant::now();
+    // Every request that is read is answered, up to the moment at which connections are refused.
+    while let Ok(mut caller) = Caller::open(address) {
+        match caller.call("GET", "/read/wait-300", "late", &[DEADLINE]) {
+            Ok(answer) => assert_eq!(answer.status, 200),
+            Err(_) => assert_eq!(world.runs("late") as u128, 0, "cut after it was passed on"),
+        }
+        if began.elapsed() > Duration::from_secs(8) {
+            panic!("connections are still taken");
+        }
+        if Caller::open(address).is_err() {
+            break;
+        }
+        thread::sleep(Duration::from_millis(50));
+        if world.runs("late") > 0 && began.elapsed() > Duration::from_secs(4) {
+            panic!("requests are taken too late");
+        }
+    }
+    let status = world.instances[0].wait(Duration::from_secs(6)).unwrap();
+    assert_eq!(status.code(), Some(0));
+    assert!(world.instances[0].log().contains("process-stopped"));
+}
+
+/// Guards against a second signal that does not end the process.
+#[test]
+fn a_second_signal_ends_at_once() {
+    let mut world = World::start(1, 0, 1);
+    let mut running = world.caller(0);
+    running.send("GET", "/read/wait-1900", "w", &[DEADLINE], "").unwrap();
+    wait(Duration::from_secs(1), "running", || world.runs("w") == 1);
+    world.instances[0].signal("TERM");
+    wait(Duration::from_secs(1), "stopping", || world.instances[0].log().contains("stop-requested"));
+    world.instances[0].signal("TERM");
+    assert!(world.instances[0].wait(Duration::from_secs(1)).is_some());
+}
+
+/// Guards against settings that are taken although fields are missing or wrong, and against a
+/// check that stops at the first finding.
+#[test]
+fn all_findings_of_the_settings_are_told() {
+    let path = std::env::temp_dir().join(format!("caraway-check-{}", std::process::id()));
+    std::fs::write(&path, "self.ip=not-an-address\nunknown.field=1\nself.zone=a\n").unwrap();
+    let program = env!("CARGO_BIN_EXE_caraway-edge");
+    let run = Command::new(program).arg("--settings").arg(&path).arg("--check").output().unwrap();
+    let text = String::from_utf8(run.stderr).unwrap();
+    assert_eq!(run.status.code(), Some(2));
+    for name in ["self.node_name", "self.ip", "platform.platform.address", "terms.bounds.grace_s"] {
+        assert!(text.contains(name), "{name} in {text}");
+    }
+    assert!(!text.contains("unknown.field"), "{text}");
+    std::fs::remove_file(&path).unwrap();
+}
+
+/// Guards against metrics that nobody can read.
+#[test]
+fn metrics_are_served() {
+    let world = World::start(1, 0, 1);
+    assert_eq!(world.get(0, "/read/x", "m").status, 200);
+    let mut caller = Caller::open(world.instances[0].metrics).unwrap();
+    let answer = caller.call("GET", "/metrics", "m", &[]).unwrap();
+    assert!(answer.body.contains("caraway_answered_total{service=\"pool\"} 1"), "{}", answer.body);
+    assert!(answer.body.contains("caraway_latency_seconds_bucket"));
+}
--- /dev/null
+++ b/bins/edge/tests/process/world.rs
@@ -0,0 +1,131 @@
+//! A store, targets and instances.
+
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+
+use caraway_production::caller::Answer;
+use caraway_production::caller::Caller;
+use caraway_production::instance::Instance;
+use caraway_production::store::Store;
+use caraway_production::target::Journal;
+use caraway_production::target::Target;
+
+/// Everything that a test needs; it ends with the test.
+pub struct World {
+    pub store: Store,
+    pub journal: Journal,
+    pub targets: Vec<Target>,
+    pub instances: Vec<Instance>,
+}
+
+/// Returns a configuration with a keyed, a repeatable and a non-repeatable route.
+pub fn configuration(version: u64) -> Value {
+    let route = |name: &str, prefix: &str, kind: &str, service: &str| {
+        json!({
+            "name": name, "prefix": prefix, "route_type": kind, "timeout_ms": 2000,
+            "target_latency_ms": 500, "priority": 1, "service": service, "max_attempts": 2,
+        })
+    };
+    json!({
+        "version": version,
+        "services": [
+            { "name": "keyed", "max_connections": 100, "sharded": true, "warm_s": 1.0 },
+            { "name": "pool", "max_connections": 100 },
+        ],
+        "limits": {
+            "max_header_bytes": 16384, "max_body_bytes": 100_000,
+            "header_timeout_ms": 1000, "idle_timeout_ms": 3000,
+        },
+        "virtual_hosts": [{ "hostname": "shop.example", "paths": [
+            route("read", "/read/", "idempotent", "pool"),
+            route("order", "/order/", "non_idempotent", "pool"),
+            route("key", "/key/", "idempotent", "keyed"),
+            route("version", &format!("/version-{version}/"), "idempotent", "pool"),
+        ]}],
+    })
+}
+
+impl World {
+    /// Starts a store with a configuration, targets, and instances that are ready.
+    pub fn start(pool: usize, keyed: usize, instances: usize) -> Self {
+        let store = Store::start().unwrap();
+        store.put("op/config", &configuration(1));
+        let mut world = Self { store, journal: Journal::default(), targets: vec![], instances: vec![] };
+        for index in 0..pool {
+            world.add_target(&format!("p{index}"), "pool", false);
+        }
+        for index in 0..keyed {
+            world.add_target(&format!("k{index}"), "keyed", true);
+        }
+        for _ in 0..instances {
+            world.add_instance();
+        }
+        for index in 0..instances {
+            world.wait_ready(index);
+        }
+        world
+    }
+
+    pub fn add_target(&mut self, id: &str, service: &str, keyed: bool) {
+        let target = Target::start(id, service, keyed, &self.journal).unwrap();
+        self.store.put(&target.key(), &target.entry("ready"));
+        self.targets.push(target);
+    }
+
+    pub fn add_instance(&mut self) {
+        let program = Path::new(env!("CARGO_BIN_EXE_caraway-edge"));
+        let instance = Instance::start(program, "a", self.store.address).unwrap();
+        self.instances.push(instance);
+    }
+
+    pub fn ready(&self, index: usize) -> bool {
+        let Ok(mut caller) = Caller::open(self.instances[index].readiness) else { return false };
+        caller.call("GET", "/v1/readyz", "q", &[]).is_ok_and(|answer| answer.status == 200)
+    }
+
+    pub fn wait_ready(&self, index: usize) {
+        wait(Duration::from_secs(10), "ready", || self.ready(index));
+    }
+
+    pub fn caller(&self, index: usize) -> Caller {
+        Caller::open(self.instances[index].callers).unwrap()
+    }
+
+    pub fn get(&self, index: usize, path: &str, attempt: &str) -> Answer {
+        let headers = [("carawayscale-deadline-ms", "2000")];
+        self.caller(index).call("GET", path, attempt, &headers).unwrap()
+    }
+
+    pub fn get_key(&self, index: usize, key: u16, attempt: &str) -> Answer {
+        let key = key.to_string();
+        let headers = [("carawayscale-deadline-ms", "2000"), ("carawayscale-shard-key", &key)];
+        self.caller(index).call("GET", "/key/x", attempt, &headers).unwrap()
+    }
+
+    /// Waits until all keys are served through an instance.
+    pub fn wait_owned(&self, index: usize) {
+        for key in [0, 20_000, 40_000, 65_535] {
+            wait(Duration::from_secs(10), "keys with owners", || {
+                self.get_key(index, key, "warm").status == 200
+            });
+        }
+    }
+
+    pub fn runs(&self, attempt: &str) -> usize {
+        self.journal.runs().iter().filter(|run| run.attempt == attempt).count()
+    }
+}
+
+/// Waits until a condition holds.
+pub fn wait(limit: Duration, what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + limit;
+    while !holds() {
+        assert!(Instant::now() < end, "not {what} after {limit:?}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -4,10 +4,13 @@
 //! a new owner only when each earlier owner has released them, has started a new life, or can no
 //! longer hold them because every grant that was ever sent to it has run out. A grant never ends
 //! later than [`Options::reach`] after the coordinator's leadership was last confirmed, so a
-//! successor that waits this long after its takeover cannot meet a hold it does not know of.
+//! successor that waits this long after its takeover cannot meet a hold it does not know of. It
+//! need not wait for a target that confirms grants with the tokens of the new term: they replace
+//! those of its predecessor.
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -119,6 +122,8 @@
     sent: Option<Stamp>,
     /// Whether the owner has confirmed the grant.
     granted: bool,
+    /// Whether the owner is taken to hold the keys because it did so under an earlier token.
+    assumed: bool,
     /// What the last owner handed over.
     handover: Option<Arc<str>>,
 }
@@ -152,6 +157,10 @@
     confirmed: Stamp,
     domains: BTreeMap<Arc<str>, Domain>,
     contacts: HashMap<Life, Contact>,
+    /// Lives that may hold keys under grants of earlier coordinators.
+    inherited: HashSet<Life>,
+    /// Highest token of each service at the takeover.
+    base: BTreeMap<Arc<str>, u64>,
 }
 
 /// Tables of all services, as the store keeps them.
@@ -161,10 +170,36 @@
     /// Starts a term with the tables that the store has. `confirmed` is when the call that took
     /// the leadership was sent, `now` when its success was known.
     pub fn new(options: Options, tables: Tables, confirmed: Stamp, now: Stamp) -> Self {
-        let domain = |table| Domain { table, ..Domain::default() };
+        let holdings = tables.values().flat_map(|table| &table.holdings);
+        let lives = holdings.flat_map(|holding| {
+            std::iter::once(&holding.owner).chain(&holding.earlier).cloned()
+        });
+        let inherited = lives.collect();
+        let base = tables.iter().map(|(service, table)| (service.clone(), table.fence)).collect();
+        let domain = |table: Table| {
+            // A holding that waits for an earlier owner was not granted yet.
+            let settled = table.holdings.iter().filter(|holding| holding.earlier.is_empty());
+            let work = |holding: &Holding| {
+                let id = (holding.first, holding.last, holding.fence);
+                (id, Work { assumed: true, ..Work::default() })
+            };
+            let work = settled.map(work).collect();
+            Domain { table, work, ..Domain::default() }
+        };
         let domains = tables.into_iter().map(|(service, table)| (service, domain(table)));
         let domains = domains.collect();
-        Self { options, since: now, confirmed, domains, contacts: HashMap::new() }
+        let contacts = HashMap::new();
+        Self { options, since: now, confirmed, domains, contacts, inherited, base }
+    }
+
+    /// Returns the tables with the same owners under new tokens, to be written at the begin of a
+    /// term. Neighboring holdings of one owner become one.
+    pub fn renumber(&self) -> Tables {
+        let mut tables = self.tables();
+        for table in tables.values_mut() {
+            table.renumber();
+        }
+        tables
     }
 
     /// Records a confirmation of the leadership that was sent at `sent`.
@@ -196,6 +231,22 @@
         for (service, table) in tables {
             let domain = self.domains.entry(service).or_default();
             let old = std::mem::take(&mut domain.work);
+            let before = std::mem::take(&mut domain.table);
+            // The same owner under a new token goes on with the keys until it gets that token.
+            let goes_on = |holding: &Holding| {
+                let parts = before.holdings.iter().filter(|part| {
+                    part.first <= holding.last && holding.first <= part.last
+                });
+                let held = |part: &Holding| {
+                    let id = (part.first, part.last, part.fence);
+                    let work = old.get(&id);
+                    part.owner == holding.owner
+                        && work.is_some_and(|work| work.granted || work.assumed)
+                };
+                let mut count = 0_u32;
+                let all = parts.inspect(|part| count += part.len()).all(held);
+                all && count >= holding.len()
+            };
             for holding in &table.holdings {
                 let id = (holding.first, holding.last, holding.fence);
                 // A holding that was cut smaller keeps what is known of the whole.
@@ -203,7 +254,8 @@
                     *fence == holding.fence && *first <= holding.first && holding.last <= *last
                 });
                 let work = whole.map(|(_, work)| Work { busy: false, ..work.clone() });
-                domain.work.insert(id, work.unwrap_or_default());
+                let new = || Work { assumed: goes_on(holding), ..Work::default() };
+                domain.work.insert(id, work.unwrap_or_else(new));
             }
             domain.table = table;
         }
@@ -216,12 +268,12 @@
         self.domains.iter().map(table).collect()
     }
 
-    /// Returns each service's holdings, each with whether its owner has confirmed the grant.
+    /// Returns each service's holdings, each with whether its owner serves the keys.
     pub fn view(&self) -> Vec<(Arc<str>, Vec<(Holding, bool)>)> {
         let holdings = |domain: &Domain| {
             let granted = |holding: &Holding| {
                 let id = (holding.first, holding.last, holding.fence);
-                domain.work.get(&id).is_some_and(|work| work.granted)
+                domain.work.get(&id).is_some_and(|work| work.granted || work.assumed)
             };
             let with = |holding: &Holding| (holding.clone(), granted(holding));
             domain.table.holdings.iter().map(with).collect()
@@ -241,7 +293,7 @@
             return true;
         }
         // Earlier coordinators may have sent grants that reach until then.
-        if now <= self.since + self.options.reach {
+        if self.inherited.contains(life) && now <= self.since + self.options.reach {
             return false;
         }
         let Some(contact) = self.contacts.get(life) else { return true };
@@ -370,13 +422,30 @@
         work.busy = false;
         let done = matches!(reply, Reply::Done { .. });
         let fresh = done && !work.granted;
+        work.assumed = false;
         if done {
             work.granted = true;
             work.handover = None;
         }
+        if fresh && self.inherited.contains(&call.life) && self.replaced(&call.life) {
+            self.inherited.remove(&call.life);
+        }
         fresh
     }
 
+    /// Returns whether grants of this term have replaced all that a life may hold.
+    fn replaced(&self, life: &Life) -> bool {
+        self.domains.iter().all(|(service, domain)| {
+            let base = self.base.get(service).copied().unwrap_or(0);
+            domain.table.holdings.iter().all(|holding| {
+                let id = (holding.first, holding.last, holding.fence);
+                let granted = || domain.work.get(&id).is_some_and(|work| work.granted);
+                let owner = holding.owner == *life;
+                !holding.earlier.contains(life) && (!owner || holding.fence > base && granted())
+            })
+        })
+    }
+
     fn release_ended(&mut self, call: &Call, reply: &Reply) {
         let Some(domain) = self.domains.get_mut(&call.service) else { return };
         let fence = call.fence + 1;
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -99,6 +99,24 @@
         self.holdings = kept;
     }
 
+    /// Gives every holding a new token and joins neighboring ones of the same owner.
+    pub fn renumber(&mut self) {
+        let mut joined: Vec<Holding> = Vec::with_capacity(self.holdings.len());
+        for holding in self.holdings.drain(..) {
+            if let Some(before) = joined.last_mut()
+                && before.last.checked_add(1) == Some(holding.first)
+                && before.owner == holding.owner
+                && before.earlier == holding.earlier
+            {
+                before.last = holding.last;
+                continue;
+            }
+            self.fence += 2;
+            joined.push(Holding { fence: self.fence, ..holding });
+        }
+        self.holdings = joined;
+    }
+
     /// Forgets an earlier owner that is known to hold no key between `first` and `last` any more
     /// under a token below `fence`.
     pub fn settle(&mut self, first: u16, last: u16, fence: u64, life: &Life) {
--- /dev/null
+++ b/standins/production/src/http.rs
@@ -0,0 +1,77 @@
+//! Requests as the stand-ins read them.
+
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Read;
+use std::net::TcpStream;
+
+/// A request.
+#[derive(Clone, Debug, Default)]
+pub struct Request {
+    /// Method.
+    pub method: String,
+    /// Path with query.
+    pub path: String,
+    /// Header fields with names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Request {
+    /// Returns the value of a header field.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut found = self.headers.iter().filter(|(known, _)| known == name);
+        found.next().map(|(_, value)| value.as_str())
+    }
+
+    /// Returns a parameter of the query.
+    pub fn parameter(&self, name: &str) -> Option<&str> {
+        let query = self.path.split_once('?')?.1;
+        let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|(known, _)| *known == name).map(|(_, value)| value)
+    }
+}
+
+/// Reads the next request; none if the connection ended.
+///
+/// # Errors
+///
+/// Fails if the connection breaks or what comes is no request.
+pub fn read(stream: &mut BufReader<TcpStream>) -> io::Result<Option<Request>> {
+    let mut line = String::new();
+    if stream.read_line(&mut line)? == 0 {
+        return Ok(None);
+    }
+    let mut words = line.split_whitespace();
+    let mut request = Request {
+        method: words.next().unwrap_or_default().to_owned(),
+        path: words.next().unwrap_or_default().to_owned(),
+        ..Request::default()
+    };
+    loop {
+        let mut line = String::new();
+        if stream.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let Some((name, value)) = line.trim_end().split_once(':') else { break };
+        request.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+    }
+    let length = request.header("content-length").and_then(|text| text.parse().ok());
+    request.body = vec![0; length.unwrap_or(0)];
+    stream.read_exact(&mut request.body)?;
+    Ok(Some(request))
+}
+
+/// Returns an answer with a body.
+pub fn answer(status: u16, headers: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let mut text = format!("HTTP/1.1 {status} Status\r\ncontent-length: {}\r\n", body.len());
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str("\r\n");
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
--- /dev/null
+++ b/standins/production/src/instance.rs
@@ -0,0 +1,153 @@
+//! Instances of the router as processes of their own, each at a loopback address of its own.
+
+use std::fs;
+use std::io;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+static NEXT: AtomicU8 = AtomicU8::new(1);
+
+/// A process of the router.
+#[derive(Debug)]
+pub struct Instance {
+    child: Child,
+    program: PathBuf,
+    /// Directory with the settings and the log.
+    pub directory: PathBuf,
+    /// Name of the instance.
+    pub name: String,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address of the question whether it is ready.
+    pub readiness: SocketAddr,
+    /// Address of the metrics.
+    pub metrics: SocketAddr,
+}
+
+/// Returns settings of an instance.
+pub fn settings(name: &str, domain: &str, ip: Ipv4Addr, port: u16, store: SocketAddr) -> String {
+    let last = port + 3;
+    format!(
+        "grants=api_call\nself.node_name={name}\nself.zone={domain}\nself.ip={ip}\n\
+         self.limits.max_fds=2000\nself.bootstrap=true\n\
+         network.bind_addresses.frontend={ip}:{port}\n\
+         network.bind_addresses.readiness={ip}:{}\n\
+         network.internal_ports={},{last}\n\
+         platform.heartbeat_ms=500\nplatform.platform.address={store}\n\
+         terms.bounds.hold_max_ms=10000\nterms.bounds.grace_s=6\n\
+         terms.bounds.drain_ms=2000\nterms.bounds.retry_budget_ratio=0.2\n\
+         terms.bounds.budget_slack=100\nterms.bounds.budget_window_s=10\n",
+        port + 1,
+        port + 2
+    )
+}
+
+impl Instance {
+    /// Starts a process of `program`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process cannot be started.
+    pub fn start(program: &Path, domain: &str, store: SocketAddr) -> io::Result<Self> {
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        let process = std::process::id().to_le_bytes();
+        // An address of its own for each test process and instance keeps the ports apart.
+        let ip = Ipv4Addr::new(127, process[0].max(1), process[1], number);
+        let port = (20_000_u16..60_000)
+            .step_by(8)
+            .find(|port| (0..4).all(|add| TcpListener::bind((ip, port + add)).is_ok()))
+            .ok_or_else(|| io::Error::other("no free ports"))?;
+        let name = format!("edge-{number}");
+        let directory =
+            std::env::temp_dir().join(format!("caraway-{}-{name}", std::process::id()));
+        fs::create_dir_all(&directory)?;
+        fs::write(directory.join("settings"), settings(&name, domain, ip, port, store))?;
+        let child = spawn(program, &directory)?;
+        Ok(Self {
+            child,
+            program: program.to_owned(),
+            directory,
+            name,
+            callers: (ip, port).into(),
+            readiness: (ip, port + 1).into(),
+            metrics: (ip, port + 3).into(),
+        })
+    }
+
+    /// Starts the process again after it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the process cannot be started.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.child = spawn(&self.program, &self.directory)?;
+        Ok(())
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Sends a signal by its name, such as `TERM`.
+    pub fn signal(&self, name: &str) {
+        let number = format!("-{name}");
+        let id = self.child.id().to_string();
+        let _ = Command::new("kill").args([number, id]).status();
+    }
+
+    /// Waits for the end of the process; none if it runs on.
+    pub fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            if let Ok(Some(status)) = self.child.try_wait() {
+                return Some(status);
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        None
+    }
+
+    /// Returns what the process has logged.
+    pub fn log(&self) -> String {
+        fs::read_to_string(self.directory.join("log")).unwrap_or_default()
+    }
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        self.kill();
+        if !thread::panicking() {
+            let _ = fs::remove_dir_all(&self.directory);
+        }
+    }
+}
+
+fn spawn(program: &Path, directory: &Path) -> io::Result<Child> {
+    let log = fs::OpenOptions::new().create(true).append(true).open(directory.join("log"))?;
+    Command::new(program)
+        .arg("--settings")
+        .arg(directory.join("settings"))
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(Stdio::inherit())
+        .spawn()
+}
--- /dev/null
+++ b/standins/production/src/store.rs
@@ -0,0 +1,352 @@
+//! Stand-in of the platform's store.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::http;
+use crate::http::Request;
+
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Mode {
+    /// It answers.
+    #[default]
+    Up,
+    /// It answers 503 and does nothing.
+    Busy,
+    /// It does nothing and does not answer.
+    Silent,
+    /// It carries writes out and does not answer them.
+    Lossy,
+    /// Watches that begin now hear nothing until their time is over, though there are changes.
+    Deaf,
+}
+
+#[derive(Clone, Debug)]
+struct Item {
+    value: String,
+    revision: u64,
+    created: u64,
+    lease: u64,
+}
+
+#[derive(Debug, Default)]
+struct Data {
+    mode: Mode,
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    /// Changes by revision, with the removed keys as tombstones.
+    history: Vec<(u64, Value)>,
+    /// Oldest revision whose changes are known.
+    floor: u64,
+    leases: BTreeMap<u64, (Duration, Instant)>,
+    calls: u64,
+}
+
+#[derive(Debug, Default)]
+struct Shared {
+    data: Mutex<Data>,
+    changed: Condvar,
+}
+
+/// A running store. Its threads end with the process.
+#[derive(Clone, Debug)]
+pub struct Store {
+    shared: Arc<Shared>,
+    /// Address at which it listens.
+    pub address: SocketAddr,
+}
+
+impl Store {
+    /// Starts a store on a free port of the loopback interface.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub fn start() -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared::default());
+        let (serving, ticking) = (shared.clone(), shared.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let shared = serving.clone();
+                // A connection that breaks is the caller's matter.
+                thread::spawn(move || drop(serve(&shared, stream)));
+            }
+        });
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(20));
+                ticking.lock().expire();
+                ticking.changed.notify_all();
+            }
+        });
+        Ok(Self { shared, address })
+    }
+
+    /// Writes a value as the operator or a target does.
+    pub fn put(&self, key: &str, value: &Value) {
+        let mut data = self.shared.lock();
+        data.revision += 1;
+        data.put(key, STANDARD.encode(value.to_string()), 0);
+        self.shared.changed.notify_all();
+    }
+
+    /// Writes bytes that need not be valid.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
+        let mut data = self.shared.lock();
+        data.revision += 1;
+        data.put(key, STANDARD.encode(value), 0);
+        self.shared.changed.notify_all();
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        let mut data = self.shared.lock();
+        data.revision += 1;
+        data.remove(key);
+        self.shared.changed.notify_all();
+    }
+
+    /// Returns a value.
+    pub fn get(&self, key: &str) -> Option<Vec<u8>> {
+        let data = self.shared.lock();
+        STANDARD.decode(&data.items.get(key)?.value).ok()
+    }
+
+    /// Changes how calls are treated.
+    pub fn set_mode(&self, mode: Mode) {
+        self.shared.lock().mode = mode;
+        self.shared.changed.notify_all();
+    }
+
+    /// Forgets the history, so that watches from before must start anew.
+    pub fn compact(&self) {
+        let mut data = self.shared.lock();
+        data.history.clear();
+        data.floor = data.revision;
+        self.shared.changed.notify_all();
+    }
+
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> u64 {
+        self.shared.lock().calls
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Data> {
+        self.data.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Data {
+    fn put(&mut self, key: &str, value: String, lease: u64) {
+        let revision = self.revision;
+        let created = self.items.get(key).map_or(revision, |item| item.created);
+        let item = Item { value, revision, created, lease };
+        self.history.push((revision, item.json(key)));
+        self.items.insert(key.to_owned(), item);
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            let revision = self.revision;
+            let event = json!({ "key": key, "revision": revision, "tombstone": true });
+            self.history.push((revision, event));
+        }
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        self.leases.remove(&lease);
+        if keys.is_empty() {
+            return;
+        }
+        self.revision += 1;
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    fn expire(&mut self) {
+        let now = Instant::now();
+        let ended = self.leases.iter().filter(|(_, (_, end))| *end < now);
+        let ended: Vec<u64> = ended.map(|(lease, _)| *lease).collect();
+        for lease in ended {
+            self.end_lease(lease);
+        }
+    }
+
+    fn call(&mut self, request: &Request) -> (u16, Value) {
+        let path = request.path.split('?').next().unwrap_or_default();
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+        match (request.method.as_str(), path) {
+            ("GET", "/v1/kv-key") => {
+                let key = request.parameter("key").unwrap_or_default();
+                let Some(item) = self.items.get(key) else { return (404, json!({})) };
+                let mut item = item.json(key);
+                item["current_rev"] = json!(self.revision);
+                (200, item)
+            }
+            ("GET", "/v1/kv-range") => {
+                let prefix = request.parameter("prefix").unwrap_or_default();
+                let after = request.parameter("after").unwrap_or_default();
+                let found = self.items.iter().filter(|(key, _)| {
+                    key.starts_with(prefix) && (after.is_empty() || key.as_str() > after)
+                });
+                let items: Vec<Value> = found.map(|(key, item)| item.json(key)).take(40).collect();
+                let more = items.len() == 40;
+                let answer =
+                    json!({ "items": items, "more_pages": more, "current_rev": self.revision });
+                (200, answer)
+            }
+            ("POST", "/v1/kv-txn") => self.change(&body),
+            ("POST", "/v1/kv-lease") => {
+                self.revision += 1;
+                let lease = self.revision;
+                let time = Duration::from_millis(body["ttl_ms"].as_u64().unwrap_or(1000));
+                self.leases.insert(lease, (time, Instant::now() + time));
+                (200, json!({ "lease": lease, "ttl_ms": body["ttl_ms"] }))
+            }
+            ("POST", path) if path.starts_with("/v1/kv-keep/") => {
+                let lease = path.rsplit('/').next().and_then(|text| text.parse().ok());
+                match self.leases.get_mut(&lease.unwrap_or(0)) {
+                    Some((time, end)) => {
+                        *end = Instant::now() + *time;
+                        (200, json!({}))
+                    }
+                    None => (404, json!({})),
+                }
+            }
+            ("DELETE", path) => {
+                let lease = path.rsplit('/').next().and_then(|text| text.parse().ok());
+                self.end_lease(lease.unwrap_or(0));
+                (200, json!({}))
+            }
+            _ => (400, json!({ "error": "unknown call" })),
+        }
+    }
+
+    fn change(&mut self, body: &Value) -> (u16, Value) {
+        let empty = Vec::new();
+        let rows = |name: &str| body[name].as_array().unwrap_or(&empty).clone();
+        for row in rows("precondition") {
+            let key = row["key"].as_str().unwrap_or_default();
+            let revision = self.items.get(key).map_or(0, |item| item.revision);
+            if row["revision"].as_u64() != Some(revision) {
+                return (412, json!({ "items": [] }));
+            }
+        }
+        for put in rows("puts") {
+            let lease = put["lease"].as_u64().unwrap_or(0);
+            if lease != 0 && !self.leases.contains_key(&lease) {
+                return (404, json!({}));
+            }
+        }
+        self.revision += 1;
+        for put in rows("puts") {
+            let key = put["key"].as_str().unwrap_or_default().to_owned();
+            let value = put["value"].as_str().unwrap_or_default().to_owned();
+            self.put(&key, value, put["lease"].as_u64().unwrap_or(0));
+        }
+        for key in rows("remove") {
+            self.remove(key.as_str().unwrap_or_default());
+        }
+        (200, json!({ "revision": self.revision }))
+    }
+}
+
+impl Item {
+    fn json(&self, key: &str) -> Value {
+        json!({
+            "key": key,
+            "value": self.value,
+            "revision": self.revision,
+            "created_rev": self.created,
+            "lease": self.lease,
+        })
+    }
+}
+
+fn serve(shared: &Shared, stream: TcpStream) -> io::Result<()> {
+    let mut output = stream.try_clone()?;
+    let mut input = BufReader::new(stream);
+    while let Some(request) = http::read(&mut input)? {
+        let mode = {
+            let mut data = shared.lock();
+            data.calls += 1;
+            data.mode
+        };
+        let (status, body) = match mode {
+            Mode::Busy => (503, json!({})),
+            Mode::Silent => continue,
+            Mode::Lossy if request.method != "GET" => {
+                shared.lock().call(&request);
+                shared.changed.notify_all();
+                return Ok(());
+            }
+            Mode::Up | Mode::Lossy | Mode::Deaf if request.path.starts_with("/v1/kv-watch") => {
+                watch(shared, &request, mode == Mode::Deaf)
+            }
+            Mode::Up | Mode::Lossy | Mode::Deaf => {
+                let answer = shared.lock().call(&request);
+                shared.changed.notify_all();
+                answer
+            }
+        };
+        let json = [("content-type", "application/json")];
+        output.write_all(&http::answer(status, &json, body.to_string().as_bytes()))?;
+    }
+    Ok(())
+}
+
+fn watch(shared: &Shared, request: &Request, deaf: bool) -> (u16, Value) {
+    let number = |name| request.parameter(name).and_then(|text: &str| text.parse().ok());
+    let (after, wait): (u64, u64) = (number("after").unwrap_or(0), number("wait_ms").unwrap_or(0));
+    let prefix = request.parameter("prefix").unwrap_or_default();
+    let end = Instant::now() + Duration::from_millis(wait);
+    let mut data = shared.lock();
+    loop {
+        if matches!(data.mode, Mode::Busy | Mode::Silent) {
+            return (503, json!({}));
+        }
+        if after < data.floor {
+            return (410, json!({}));
+        }
+        let events = data.history.iter().filter(|(revision, event)| {
+            *revision > after && event["key"].as_str().is_some_and(|key| key.starts_with(prefix))
+        });
+        let events: Vec<Value> = events.map(|(_, event)| event.clone()).collect();
+        let left = end.saturating_duration_since(Instant::now());
+        if !events.is_empty() && !deaf || left.is_zero() {
+            return (200, json!({ "events": events, "current_rev": data.revision }));
+        }
+        let waited = shared.changed.wait_timeout(data, left);
+        data = waited.unwrap_or_else(PoisonError::into_inner).0;
+    }
+}
--- /dev/null
+++ b/standins/production/src/target.rs
@@ -0,0 +1,374 @@
+//! Stand-in of a target that checks who holds a key.
+
+use std::io;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use serde_json::Value;
+use serde_json::json;
+
+use crate::http;
+use crate::http::Request;
+
+/// A request that a target ran.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// Id of the target.
+    pub target: String,
+    /// Id of the caller's attempt.
+    pub attempt: String,
+    /// Path.
+    pub path: String,
+    /// Key, for a keyed service.
+    pub key: Option<u16>,
+    /// Headers.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+    /// When it began.
+    pub at: Instant,
+    /// Whether the caller was still there when it ended.
+    pub heard: bool,
+}
+
+/// Keys that a target held, from when to when.
+#[derive(Clone, Debug)]
+pub struct Hold {
+    /// Id of the target.
+    pub target: String,
+    /// First key.
+    pub first: u16,
+    /// Last key.
+    pub last: u16,
+    /// Fencing token.
+    pub fence: u64,
+    /// When the grant arrived first.
+    pub from: Instant,
+    /// When it ends, or ended.
+    pub until: Instant,
+}
+
+/// What all targets of a test did.
+#[derive(Clone, Debug, Default)]
+pub struct Journal {
+    runs: Arc<Mutex<Vec<Run>>>,
+    holds: Arc<Mutex<Vec<Hold>>>,
+}
+
+impl Journal {
+    /// Returns the requests that ran.
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.runs).clone()
+    }
+
+    /// Returns pairs of holds of the same keys by two targets at the same time, and holds whose
+    /// token does not rise.
+    pub fn conflicts(&self) -> Vec<(Hold, Hold)> {
+        let holds = lock(&self.holds).clone();
+        let mut found = Vec::new();
+        for (index, a) in holds.iter().enumerate() {
+            for b in holds.iter().skip(index + 1) {
+                let keys = a.first <= b.last && b.first <= a.last;
+                let times = a.from < b.until && b.from < a.until;
+                let order = if a.from < b.from { a.fence < b.fence } else { b.fence < a.fence };
+                if keys && a.target != b.target && (times || !order) {
+                    found.push((a.clone(), b.clone()));
+                }
+            }
+        }
+        found
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+#[derive(Debug)]
+struct Shared {
+    id: String,
+    keyed: bool,
+    journal: Journal,
+    down: AtomicBool,
+    /// Highest token seen for keys.
+    seen: Mutex<Vec<(u16, u16, u64)>>,
+    holds: Mutex<Vec<Hold>>,
+    streams: Mutex<Vec<TcpStream>>,
+}
+
+/// A running target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    shared: Arc<Shared>,
+    /// Address at which it listens.
+    pub address: SocketAddr,
+    /// Service.
+    pub service: String,
+    /// Start in milliseconds since 1970.
+    pub born: u64,
+}
+
+impl Target {
+    /// Starts a target on a free port of the loopback interface.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no port is free.
+    pub fn start(id: &str, service: &str, keyed: bool, journal: &Journal) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            id: id.to_owned(),
+            keyed,
+            journal: journal.clone(),
+            down: AtomicBool::new(false),
+            seen: Mutex::default(),
+            holds: Mutex::default(),
+            streams: Mutex::default(),
+        });
+        let serving = shared.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                if serving.down.load(Ordering::SeqCst) {
+                    return;
+                }
+                if let Ok(copy) = stream.try_clone() {
+                    lock(&serving.streams).push(copy);
+                }
+                let shared = serving.clone();
+                // A connection that breaks is the caller's matter.
+                thread::spawn(move || drop(serve(&shared, stream)));
+            }
+        });
+        Ok(Self { shared, address, service: service.to_owned(), born: 1_700_000_000_000 })
+    }
+
+    /// Returns the entry with which the target registers.
+    pub fn entry(&self, state: &str) -> Value {
+        json!({
+            "address": self.address.to_string(),
+            "info": { "service": self.service, "version": "v1", "zone": "a", "capacity": 4 },
+            "status": { "state": state, "sequence": 1, "warmup_left_ms": 0 },
+            "born": self.born,
+        })
+    }
+
+    /// Returns the key under which it registers.
+    pub fn key(&self) -> String {
+        format!("servers/{}", self.shared.id)
+    }
+
+    /// Ends the target: its connections break, its holds end, nothing answers any more.
+    pub fn crash(&self) {
+        self.shared.down.store(true, Ordering::SeqCst);
+        for stream in lock(&self.shared.streams).drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+        let now = Instant::now();
+        let mut holds = lock(&self.shared.journal.holds);
+        for hold in holds.iter_mut().filter(|hold| hold.target == self.shared.id) {
+            hold.until = hold.until.min(now);
+        }
+        // Wakes the listener, which ends then.
+        drop(TcpStream::connect(self.address));
+    }
+}
+
+fn serve(shared: &Arc<Shared>, stream: TcpStream) -> io::Result<()> {
+    let mut output = stream.try_clone()?;
+    let mut input = BufReader::new(stream.try_clone()?);
+    while let Some(request) = http::read(&mut input)? {
+        if shared.down.load(Ordering::SeqCst) {
+            return Ok(());
+        }
+        match request.path.as_str() {
+            "/v1/grant" => output.write_all(&grant(shared, &request))?,
+            "/v1/release" => output.write_all(&release(shared, &request))?,
+            _ => {
+                if !answer(shared, &request, &stream, &mut output)? {
+                    return Ok(());
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
+fn number(body: &Value, name: &str) -> u64 {
+    body[name].as_u64().unwrap_or(0)
+}
+
+fn range(body: &Value) -> (u16, u16, u64) {
+    let key = |name| u16::try_from(number(body, name)).unwrap_or(0);
+    (key("from"), key("target"), number(body, "fence"))
+}
+
+fn grant(shared: &Shared, request: &Request) -> Vec<u8> {
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let (first, last, fence) = range(&body);
+    let mut seen = lock(&shared.seen);
+    if seen.iter().any(|(f, l, token)| *f <= last && first <= *l && *token > fence) {
+        return http::answer(409, &[], b"");
+    }
+    seen.push((first, last, fence));
+    let now = Instant::now();
+    let until = now + Duration::from_millis(number(&body, "hold_ms"));
+    let target = shared.id.clone();
+    let hold = Hold { target, first, last, fence, from: now, until };
+    let same = |known: &Hold| {
+        known.target == hold.target
+            && (known.first, known.last, known.fence) == (first, last, fence)
+            && known.until > now
+    };
+    let mut holds = lock(&shared.holds);
+    holds.retain(|known| known.until > now && !same(known));
+    holds.push(hold.clone());
+    drop(holds);
+    let mut journal = lock(&shared.journal.holds);
+    match journal.iter_mut().find(|known| same(known)) {
+        Some(known) => known.until = until,
+        None => journal.push(hold),
+    }
+    http::answer(200, &[], b"")
+}
+
+fn release(shared: &Shared, request: &Request) -> Vec<u8> {
+    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let (first, last, fence) = range(&body);
+    lock(&shared.seen).push((first, last, fence));
+    let now = Instant::now();
+    let end = |holds: &mut Vec<Hold>| {
+        let mut rest = Vec::new();
+        for hold in holds.iter_mut() {
+            let inside = hold.first <= last && first <= hold.last && hold.until > now;
+            if hold.target != shared.id || !inside {
+                continue;
+            }
+            if hold.first < first {
+                rest.push(Hold { last: first - 1, ..hold.clone() });
+            }
+            if hold.last > last {
+                rest.push(Hold { first: last + 1, ..hold.clone() });
+            }
+            hold.until = now;
+        }
+        holds.extend(rest);
+    };
+    end(&mut lock(&shared.holds));
+    end(&mut lock(&shared.journal.holds));
+    http::answer(200, &[("carawayscale-handover", "state")], b"")
+}
+
+/// Runs a request and answers it as its path says. Returns whether the connection goes on.
+fn answer(
+    shared: &Arc<Shared>,
+    request: &Request,
+    stream: &TcpStream,
+    output: &mut TcpStream,
+) -> io::Result<bool> {
+    let attempt = request.header("carawayscale-attempt-id").unwrap_or_default().to_owned();
+    let key: Option<u16> =
+        request.header("carawayscale-shard-key").and_then(|text| text.parse().ok());
+    let not_run = [("carawayscale-not-executed", "1")];
+    let expected = request.header("carawayscale-target-instance");
+    if expected.is_some_and(|id| id != shared.id) {
+        output.write_all(&http::answer(421, &not_run, b""))?;
+        return Ok(true);
+    }
+    if shared.keyed {
+        let now = Instant::now();
+        let holds = lock(&shared.holds);
+        let held = key.is_some_and(|key| {
+            holds.iter().any(|hold| hold.first <= key && key <= hold.last && hold.until > now)
+        });
+        drop(holds);
+        if !held {
+            output.write_all(&http::answer(421, &not_run, b""))?;
+            return Ok(true);
+        }
+    }
+    let has = |word: &str| request.path.contains(word);
+    if has("shed-always") {
+        output.write_all(&http::answer(503, &not_run, b""))?;
+        return Ok(true);
+    }
+    let mut run = Run {
+        target: shared.id.clone(),
+        attempt: attempt.clone(),
+        path: request.path.clone(),
+        key,
+        headers: request.headers.clone(),
+        body: request.body.clone(),
+        at: Instant::now(),
+        heard: true,
+    };
+    let index = {
+        let mut runs = lock(&shared.journal.runs);
+        runs.push(run.clone());
+        runs.len() - 1
+    };
+    if let Some(text) = request.path.split("wait-").nth(1) {
+        let digits: String = text.chars().take_while(char::is_ascii_digit).collect();
+        thread::sleep(Duration::from_millis(digits.parse().unwrap_or(0)));
+        stream.set_nonblocking(true)?;
+        let gone = matches!(stream.peek(&mut [0; 1]), Ok(0) | Err(_))
+            && !matches!(stream.peek(&mut [0; 1]), Err(error) if error.kind() == io::ErrorKind::WouldBlock);
+        stream.set_nonblocking(false)?;
+        run.heard = !gone;
+        if let Some(known) = lock(&shared.journal.runs).get_mut(index) {
+            known.heard = !gone;
+        }
+    }
+    let body = format!("{}:{attempt}", shared.id);
+    let headers = [
+        ("carawayscale-attempt-id", attempt.as_str()),
+        ("carawayscale-response-signature", "proof"),
+        ("carawayscale-server-load", "1,0,4"),
+    ];
+    let whole = http::answer(200, &headers, body.as_bytes());
+    if has("break-before") {
+        stream.shutdown(Shutdown::Both)?;
+        return Ok(false);
+    }
+    if has("break-midway") {
+        output.write_all(whole.get(..whole.len() - 3).unwrap_or_default())?;
+        stream.shutdown(Shutdown::Both)?;
+        return Ok(false);
+    }
+    if has("unframed") {
+        let mut text = format!(
+            "HTTP/1.1 200 OK\r\ncarawayscale-attempt-id: {attempt}\r\n\
+             carawayscale-response-signature: proof\r\n\r\n"
+        );
+        text.push_str(&body);
+        output.write_all(text.as_bytes())?;
+        stream.shutdown(Shutdown::Both)?;
+        return Ok(false);
+    }
+    output.write_all(&whole)?;
+    if has("twice") {
+        // A second answer to the same request, as bytes beyond the first.
+        output.write_all(&whole)?;
+    }
+    if has("late-second") {
+        let mut copy = output.try_clone()?;
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(30));
+            drop(copy.write_all(&whole));
+        });
+    }
+    Ok(true)
+}
