--- a/bins/edge/src/feed.rs
+++ b/bins/edge/src/feed.rs
@@ -30,9 +30,10 @@
 /// changes is found by comparing revisions with the coordinator.
 const WAIT: Duration = Duration::from_secs(20);
 
-/// Longest wait of the coordinator's watch. The store may keep a watch without telling it anything;
-/// with the reports of the instances, this still leaves time to apply a configuration.
-const COORDINATOR_WAIT: Duration = Duration::from_millis(1000);
+/// Longest wait of the watch of the coordinator, and of an instance that no other answers. The
+/// store may keep a watch without telling it anything; with the reports of the instances, this still
+/// leaves time to apply a configuration.
+const SHORT_WAIT: Duration = Duration::from_millis(1000);
 
 /// Time between two watches, in which changes gather: each watch that returns is a priced call.
 const GATHER: Duration = Duration::from_millis(250);
@@ -71,7 +72,8 @@
     state.revision.set(state.revision.get().max(revision));
     let mut after = revision;
     loop {
-        let wait = if state.leading.get() { COORDINATOR_WAIT } else { WAIT };
+        let long = state.accompanied.get() && !state.leading.get();
+        let wait = if long { WAIT } else { SHORT_WAIT };
         let call = store::watch("", after, wait);
         let answer = tokio::select! {
             answer = send(state, &call, "watch", wait) => answer,
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -517,7 +517,8 @@
         let version = Version { term: self.term, change: self.change };
         let owners = |(service, holdings): (Arc<str>, Vec<_>)| (service, Owners::new(&holdings));
         let services: BTreeMap<_, _> = self.coordinator.view().into_iter().map(owners).collect();
-        let view = View { version, services };
+        let coordinator = self.state.settings.name.clone();
+        let view = View { version, coordinator, services };
         peers::push(&self.state, &view, &mut self.work);
         self.state.own(view);
     }
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -78,8 +78,13 @@
 /// Reports until the process ends.
 pub async fn run(state: Rc<State>, reports: Rc<RefCell<Reports>>) {
     let mut failed: Option<Arc<str>> = None;
+    let mut answered = Clock.now();
     loop {
         sleep(PERIOD.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
+        if state.accompanied.get() && Clock.now().since(answered) > ALONE {
+            state.accompanied.set(false);
+            state.rewatch.notify_waiters();
+        }
         for change in expired(&state) {
             state.note(Some(change));
         }
@@ -99,6 +104,8 @@
         let (Some(peer), Some(address)) = (peer, address) else { continue };
         match call::<Knowledge>(&state, address, REPORT, &report).await {
             Ok(knowledge) => {
+                answered = Clock.now();
+                state.accompanied.set(true);
                 compare(&state, knowledge.revision);
                 learn(&state, knowledge, &peer, stale);
             }
@@ -108,6 +115,10 @@
     }
 }
 
+/// Time without an answer of another instance from which this one relies on its own watch alone:
+/// two reports have failed by then.
+const ALONE: Duration = Duration::from_millis(1300);
+
 /// Starts the watch anew if another instance has known a newer revision for [`BEHIND`].
 fn compare(state: &State, other: u64) {
     let (revision, now) = (state.revision.get(), Clock.now());
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -73,6 +73,9 @@
     pub heard: Cell<Option<Stamp>>,
     /// The own revision when another instance was first seen to know a newer one, and when.
     pub behind: Cell<Option<(u64, Stamp)>>,
+    /// Whether another instance answers the reports of this one, so that a watch that hears
+    /// nothing is found.
+    pub accompanied: Cell<bool>,
     /// Whether the store does not answer this instance.
     pub failing: Cell<bool>,
     /// Addresses of targets that are no longer listed and may still hold keys.
@@ -119,6 +122,7 @@
             revision: Cell::new(0),
             heard: Cell::new(None),
             behind: Cell::new(None),
+            accompanied: Cell::new(false),
             failing: Cell::new(false),
             former: RefCell::default(),
             view: RefCell::default(),
@@ -184,6 +188,12 @@
             return;
         }
         let (term, change) = (view.version.term, view.version.change);
+        // The coordinator may be known from its own message before the store tells of it.
+        if term > self.leader_revision.get() {
+            self.leader_revision.set(term);
+            *self.leader.borrow_mut() = Some(Leader { name: view.coordinator.clone(), term });
+            self.leader_changed.notify_waiters();
+        }
         *current = view;
         drop(current);
         emit(Event::OwnersApplied { term, change });
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -48,6 +48,8 @@
 pub struct View {
     /// Version; a higher one replaces a lower one.
     pub version: Version,
+    /// Name of the coordinator.
+    pub coordinator: Arc<str>,
     /// Owners by service.
     pub services: BTreeMap<Arc<str>, Owners>,
 }
