--- a/bins/edge/src/feed.rs
+++ b/bins/edge/src/feed.rs
@@ -13,6 +13,8 @@
 use caraway_adapter::target;
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
+use caraway_fleet::coordinator::Tables;
+use caraway_fleet::view::View;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
@@ -26,6 +28,9 @@
 /// Key of the coordinator's record.
 pub const LEADER: &str = "caraway/coordinator";
 
+/// Key of the tables of all keyed services.
+pub const OWNERS: &str = "caraway/owners";
+
 /// Longest wait of a watch. Changes end it sooner. A watch that hears nothing although there are
 /// changes is found by comparing revisions with the coordinator.
 const WAIT: Duration = Duration::from_secs(20);
@@ -172,6 +177,17 @@
                 instances.remove(name);
             }
         }
+    } else if item.key == OWNERS {
+        // The coordinator tells more, and sooner. This serves until its first message.
+        let tables = item.value.as_deref().map(serde_json::from_slice::<Tables>);
+        match tables {
+            Some(Ok(tables)) => state.own(View::stored(&tables, item.revision)),
+            Some(Err(error)) => {
+                let (key, error) = (item.key.clone(), error.to_string());
+                emit(Event::RecordInvalid { key, error });
+            }
+            None => {}
+        }
     } else if item.key == LEADER {
         let name = item.value.as_deref().and_then(|value| std::str::from_utf8(value).ok());
         set_leader(state, name, item.revision);
--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -21,6 +21,7 @@
 use caraway_adapter::header as field;
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
+use caraway_fleet::admission;
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Route;
 use caraway_fleet::load::Choice;
@@ -58,6 +59,10 @@
 /// release takes as long as the longest request that is running on the key.
 const OWNER_WAIT: Duration = Duration::from_millis(700);
 
+/// Part of the time in which an answer has its full value for which a request waits until this
+/// instance has fewer requests at the owner of its key.
+const TURN_SHARE: f64 = 0.35;
+
 /// Time before the end of a leaving target's notice from which it gets no more requests.
 const DRAIN_MARGIN: Duration = Duration::from_millis(500);
 
@@ -69,6 +74,12 @@
 const DOMAIN_SECONDS: f64 = 0.003;
 const DOMAIN_SECONDS_PER_KB: f64 = 0.0015;
 
+/// Part of the requests for which a target of which nothing is known is preferred, and the factor
+/// on its expected time then. Without it, a new target that is slow at first would get nothing while
+/// the others have room, and its speed would never be known.
+const EXPLORE: f64 = 0.1;
+const NEW: f64 = 0.1;
+
 /// Requests that were answered for each one that is logged.
 const SAMPLE: u64 = 64;
 
@@ -125,14 +136,16 @@
     state: Rc<State>,
     target: Arc<Target>,
     started: Stamp,
+    rounds: f64,
     open: Cell<bool>,
 }
 
 impl Flight {
     fn begin(state: &Rc<State>, target: &Arc<Target>) -> Self {
-        state.gauge(&target.life.id, |gauge| gauge.begin());
+        let started = Clock.now();
+        let rounds = state.gauge(&target.life.id, |gauge| gauge.begin(target.slots, started));
         let (state, target) = (state.clone(), target.clone());
-        Self { state, target, started: Clock.now(), open: Cell::new(true) }
+        Self { state, target, started, rounds, open: Cell::new(true) }
     }
 
     /// Counts the end.
@@ -140,7 +153,8 @@
         if self.open.replace(false) {
             let now = Clock.now();
             let time = now.since(self.started);
-            self.state.gauge(&self.target.life.id, |gauge| gauge.end(ending, time, now));
+            let rounds = self.rounds;
+            self.state.gauge(&self.target.life.id, |gauge| gauge.end(ending, time, rounds, now));
             self.state.changed.notify_waiters();
         }
     }
@@ -173,6 +187,8 @@
     deadline: Instant,
     /// Targets that it was sent to.
     tried: Vec<Arc<str>>,
+    /// Whether the owner's gate has decided about it.
+    admitted: Cell<bool>,
     /// Whether it may have run.
     may_have_run: bool,
     last: Reason,
@@ -230,6 +246,7 @@
             key,
             deadline: request.received + patience,
             tried: Vec::new(),
+            admitted: Cell::new(false),
             may_have_run: false,
             last: Reason::NoTarget,
         })
@@ -324,7 +341,15 @@
             if let Some(target) = self.known_owner(key)
                 && !(after_refusal && self.tried.last() == Some(&target.life.id))
             {
-                return self.room(&target).map(|()| target);
+                self.room(&target)?;
+                if self.turn(&target) {
+                    return Ok(target);
+                }
+                let wait = self.route.objective.mul_f64(TURN_SHARE);
+                if timeout_at(self.request.received + wait, changed).await.is_err() {
+                    return Err(Reason::Overloaded);
+                }
+                continue;
             }
             // The same target may own the key in a moment: its grant may be on the way.
             let pause = if after_refusal { Duration::from_millis(120) } else { OWNER_WAIT };
@@ -352,12 +377,22 @@
         (granted && !leaving).then(|| member.target.clone())
     }
 
+    /// Returns whether this instance may send another request to an owner of keys now.
+    fn turn(&self, target: &Target) -> bool {
+        let window = admission::window(target.slots, self.state.instances.borrow().len());
+        self.state.gauge(&target.life.id, |gauge| gauge.running < window)
+    }
+
     /// Checks that the queue of a target leaves time for the request.
     fn room(&self, target: &Target) -> Result<(), Reason> {
         let now = Clock.now();
-        let expected =
-            self.state.gauge(&target.life.id, |g| g.expected(target.slots, USUAL_TIME, now));
-        if expected * 0.7 > self.left().as_secs_f64() { Err(Reason::Overloaded) } else { Ok(()) }
+        let (expected, admitted) = self.state.gauge(&target.life.id, |gauge| {
+            let decided = !self.tried.is_empty() || self.admitted.replace(true);
+            let admitted = decided || gauge.gate.admit(gauge.share);
+            (gauge.expected(target.slots, USUAL_TIME, now), admitted)
+        });
+        let late = expected * 0.7 > self.left().as_secs_f64();
+        if late || !admitted { Err(Reason::Overloaded) } else { Ok(()) }
     }
 
     fn least_loaded(&self) -> Result<Arc<Target>, Reason> {
@@ -378,8 +413,10 @@
             // Targets that failed it are the last resort.
             let penalty = if again { 10.0 } else { 0.0 };
             let penalty = penalty + if gauge.reachable(now) { 0.0 } else { 5.0 };
+            let new = gauge.untried() && rand::random::<f64>() < EXPLORE;
             let cold = if now < member.warm_at { 2.0 } else { 1.0 };
-            let expected = gauge.expected(target.slots, USUAL_TIME, now) * cold;
+            let cold = if new { NEW } else { cold };
+            let expected = gauge.expected(target.slots, USUAL_TIME, now) * cold * gauge.doubt();
             let fill = gauge.occupancy(now) / f64::from(target.slots.max(1));
             let near = target.domain == self.state.settings.domain;
             let distance = if near { 0.0 } else { far } + penalty;
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -20,12 +20,14 @@
 use caraway_adapter::store::Transaction;
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
+use caraway_fleet::admission;
 use caraway_fleet::coordinator;
 use caraway_fleet::coordinator::Call;
 use caraway_fleet::coordinator::Coordinator;
 use caraway_fleet::coordinator::Reply;
 use caraway_fleet::coordinator::Request;
 use caraway_fleet::coordinator::Tables;
+use caraway_fleet::demand;
 use caraway_fleet::demand::Demand;
 use caraway_fleet::election;
 use caraway_fleet::membership::Registry;
@@ -39,6 +41,7 @@
 use caraway_telemetry::event::emit;
 
 use crate::feed::LEADER;
+use crate::feed::OWNERS;
 use crate::http;
 use crate::metrics::Metrics;
 use crate::peers;
@@ -46,14 +49,11 @@
 use crate::state::State;
 use crate::store::send;
 
-/// Key of the tables of all keyed services.
-const TABLES: &str = "caraway/owners";
-
-/// Life of the coordinator's lease: three renewals may fail.
-const LEASE: Duration = Duration::from_millis(1800);
+/// Life of the coordinator's lease: two renewals may fail.
+const LEASE: Duration = Duration::from_millis(1400);
 
 /// Time between renewals of the lease.
-const RENEWAL: Duration = Duration::from_millis(500);
+const RENEWAL: Duration = Duration::from_millis(400);
 
 /// Time between looks at what is due: a sixth of the time between renewals of a grant.
 const TICK: Duration = Duration::from_millis(60);
@@ -62,7 +62,11 @@
 const REPAIR: Duration = Duration::from_millis(240);
 
 /// Time between looks at the balance, in which enough requests are counted for a decision.
-const BALANCE: Duration = Duration::from_millis(960);
+const BALANCE: Duration = Duration::from_millis(480);
+
+/// Time after a change of ownership from which the store is told that earlier owners have ended.
+/// Most have by then, so that one write tells of all.
+const SETTLE: Duration = Duration::from_millis(1500);
 
 /// Time that targets have to register before keys are given out for the first time.
 const GATHER: Duration = Duration::from_millis(1500);
@@ -77,14 +81,30 @@
 /// the first reports.
 const USUAL_TIME: f64 = 0.1;
 
+/// Requests for the keys of a service.
+#[derive(Debug)]
+struct Demands {
+    for_moves: Demand,
+    for_admission: Demand,
+}
+
+impl Default for Demands {
+    fn default() -> Self {
+        let for_moves = Demand::new(demand::FOR_MOVES);
+        Self { for_moves, for_admission: Demand::new(demand::FOR_ADMISSION) }
+    }
+}
+
 /// What the instances report to the coordinator.
 #[derive(Debug, Default)]
 pub struct Reports {
-    demand: HashMap<Arc<str>, Demand>,
+    demand: HashMap<Arc<str>, Demands>,
     /// Requests under way by target and instance.
     running: HashMap<Arc<str>, HashMap<Arc<str>, (u32, Stamp)>>,
     /// Mean time of a request by target, in seconds.
     times: HashMap<Arc<str>, f64>,
+    /// Owners that cannot serve all requests for their keys, with the share that they can.
+    pub shares: Vec<(Arc<str>, f64)>,
 }
 
 impl Reports {
@@ -92,7 +112,8 @@
     pub fn add_demand(&mut self, service: &Arc<str>, keys: &[(u16, u32)]) {
         let demand = self.demand.entry(service.clone()).or_default();
         for (key, count) in keys {
-            demand.add(*key, f64::from(*count));
+            demand.for_moves.add(*key, f64::from(*count));
+            demand.for_admission.add(*key, f64::from(*count));
         }
     }
 
@@ -152,6 +173,10 @@
     change: u64,
     /// Revision of the tables in the store.
     written: u64,
+    /// The tables in the store.
+    stored: Tables,
+    /// When they were last written.
+    changed: Stamp,
     coordinator: Coordinator,
     started: Stamp,
     next_renewal: Stamp,
@@ -239,6 +264,8 @@
         term,
         change: 0,
         written,
+        stored: tables.clone(),
+        changed: now,
         coordinator: Coordinator::new(options, tables, sent, now),
         started: now,
         next_renewal: sent + RENEWAL,
@@ -253,7 +280,7 @@
 }
 
 async fn read_tables(state: &Rc<State>) -> Result<(Tables, u64), String> {
-    let call = store::read_key(TABLES);
+    let call = store::read_key(OWNERS);
     let (status, body) =
         send(state, &call, "key", Duration::ZERO).await.map_err(|error| error.to_string())?;
     let item = store::key_answer(status, &body).map_err(|error| error.to_string())?;
@@ -262,7 +289,7 @@
     match tables {
         Ok(tables) => Ok((tables, item.revision)),
         Err(error) => {
-            let (key, error) = (TABLES.to_owned(), error.to_string());
+            let (key, error) = (OWNERS.to_owned(), error.to_string());
             emit(Event::RecordInvalid { key, error: error.clone() });
             Err(error)
         }
@@ -412,6 +439,11 @@
         }
         let moves = self.moves(now);
         if moves.is_empty() {
+            // A successor need not wait for earlier owners that are known to have ended.
+            let tables = self.coordinator.tables();
+            if tables != self.stored && now.since(self.changed) > SETTLE {
+                self.write(tables).await;
+            }
             return;
         }
         let steps: Vec<(Arc<str>, Move)> =
@@ -435,13 +467,13 @@
         let value = match serde_json::to_vec(&tables) {
             Ok(value) => value,
             Err(error) => {
-                let (key, error) = (TABLES.to_owned(), error.to_string());
+                let (key, error) = (OWNERS.to_owned(), error.to_string());
                 emit(Event::RecordInvalid { key, error });
                 return None;
             }
         };
-        let conditions = vec![(LEADER, self.term), (TABLES, self.written)];
-        let puts = vec![(TABLES, value.as_slice(), 0)];
+        let conditions = vec![(LEADER, self.term), (OWNERS, self.written)];
+        let puts = vec![(OWNERS, value.as_slice(), 0)];
         let transaction = Transaction { conditions, puts, removals: vec![] };
         let call = store::change(&transaction);
         let answer = send(&self.state, &call, "change", Duration::ZERO).await;
@@ -452,6 +484,8 @@
         match change {
             Some(store::Change::Made(revision)) => {
                 self.written = revision;
+                self.stored.clone_from(&tables);
+                self.changed = Clock.now();
                 self.coordinator.adopt(tables);
                 self.publish();
                 return Some(revision);
@@ -459,7 +493,7 @@
             // Another write was made, perhaps an earlier one of this term without an answer.
             Some(store::Change::Conflict | store::Change::LeaseEnded) => self.reread().await,
             None => {
-                let (key, write_id) = (TABLES.to_owned(), self.written.to_string());
+                let (key, write_id) = (OWNERS.to_owned(), self.written.to_string());
                 emit(Event::WriteAmbiguous { key, write_id });
             }
         }
@@ -471,6 +505,7 @@
             && revision != self.written
         {
             self.written = revision;
+            self.stored.clone_from(&tables);
             self.coordinator.adopt(tables);
             self.publish();
         }
@@ -488,16 +523,25 @@
         }
         let tables = self.coordinator.tables();
         let empty = caraway_fleet::ownership::Table::default();
+        reports.shares.clear();
         let keyed = configuration.services.iter().filter(|(_, service)| service.keyed);
         for (service, _) in keyed {
             let table = tables.get(service).unwrap_or(&empty);
             if table.holdings.is_empty() && now.since(self.started) < GATHER {
                 continue;
             }
-            let demand = reports.demand.entry(service.clone()).or_default();
-            demand.decay(now);
             let candidates = candidates(service, &registry, &reports.times, &self.coordinator, now);
-            let demand = reports.demand.entry(service.clone()).or_default();
+            let demands = reports.demand.entry(service.clone()).or_default();
+            demands.for_moves.decay(now);
+            demands.for_admission.decay(now);
+            let demand = &demands.for_moves;
+            let rates = plan::rates(table, &demands.for_admission);
+            let share = |candidate: &Candidate| {
+                let rate = rates.get(&candidate.life).copied().unwrap_or(0.0);
+                let share = admission::share(rate, candidate.time, candidate.slots);
+                (share < 1.0).then(|| (candidate.life.id.clone(), share))
+            };
+            let shares: Vec<_> = candidates.iter().filter_map(share).collect();
             let repairs = plan::repair(table, &candidates, demand);
             if !repairs.is_empty() {
                 let repair = |step| (service.clone(), step, "the keys have no usable owner");
@@ -507,6 +551,7 @@
                 let step = |step| (service.clone(), step, "the owner is busier than others");
                 moves.extend(steps.into_iter().map(step));
             }
+            reports.shares.extend(shares);
         }
         moves
     }
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -36,7 +36,7 @@
 pub const OWNERS: &str = "/owners";
 
 /// Time between two reports: load is known to others with about this delay.
-const PERIOD: Duration = Duration::from_millis(400);
+const PERIOD: Duration = Duration::from_millis(300);
 
 /// Longest time for a message to another instance.
 const LIMIT: Duration = Duration::from_millis(500);
@@ -70,6 +70,8 @@
     owners: Option<View>,
     /// Target, requests of other instances under way, mean time in seconds.
     loads: Vec<(Arc<str>, f64, f64)>,
+    /// Owners that cannot serve all requests for their keys, with the share that they can.
+    shares: Vec<(Arc<str>, f64)>,
     targets: Option<Vec<Target>>,
     instances: Option<BTreeMap<Arc<str>, SocketAddr>>,
     leader: Option<(Arc<str>, u64)>,
@@ -189,6 +191,7 @@
             reports.add_load(&report.name, target, *running, (*ended, *time), now);
         }
         knowledge.loads = reports.loads(&report.name, now);
+        knowledge.shares.clone_from(&reports.shares);
     }
     if let Some(current) = state.current.borrow().as_ref()
         && current.configuration.version > report.config
@@ -226,6 +229,10 @@
         let mut gauges = state.gauges.borrow_mut();
         for gauge in gauges.values_mut() {
             gauge.others = 0.0;
+            gauge.share = 1.0;
+        }
+        for (target, share) in knowledge.shares {
+            gauges.entry(target).or_default().share = share;
         }
         for (target, others, time) in knowledge.loads {
             let gauge = gauges.entry(target).or_default();
--- /dev/null
+++ b/crates/fleet/src/admission.rs
@@ -0,0 +1,52 @@
+//! Refuses at once what an owner of keys cannot serve.
+//!
+//! Only one target may run requests for a key, so when a key is asked for more often than its owner
+//! can answer, no other target helps. Without a limit the owner's queue fills until every answer is
+//! late. The coordinator knows the demand of all instances and tells each the share of requests that
+//! the owner can serve; the rest is refused at once.
+
+/// Utilization up to which an owner's requests are let through. A queue with random arrivals grows
+/// without bound towards 1; at this value a request waits about as long as it runs.
+const MOST: f64 = 0.92;
+
+/// Returns the share of the requests that an owner can serve, given the rate of its requests, their
+/// mean time in seconds and its slots.
+pub fn share(rate: f64, time: f64, slots: f64) -> f64 {
+    let utilization = rate * time / slots.max(1.0);
+    if utilization > MOST { MOST / utilization } else { 1.0 }
+}
+
+/// Lets a share of requests through, evenly spread.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Gate {
+    credit: f64,
+}
+
+impl Gate {
+    /// Decides about one request.
+    pub fn admit(&mut self, share: f64) -> bool {
+        if share >= 1.0 {
+            self.credit = 0.0;
+            return true;
+        }
+        self.credit = (self.credit + share.max(0.0)).min(2.0);
+        if self.credit < 1.0 {
+            return false;
+        }
+        self.credit -= 1.0;
+        true
+    }
+}
+
+/// Rounds of an owner's slots that all instances together keep under way at most. Targets queue a
+/// few rounds and reset or turn away what is beyond.
+const ROUNDS: f64 = 3.0;
+
+/// Returns how many requests one of several instances keeps under way at an owner of keys. What one
+/// instance knows of the others' requests is older than the time in which a hot key fills a queue,
+/// so each has a fixed part.
+pub fn window(slots: u32, instances: usize) -> u32 {
+    let instances = f64::from(u32::try_from(instances.max(1)).unwrap_or(u32::MAX));
+    let part = (f64::from(slots) * ROUNDS / instances).round();
+    (1..).find(|count| f64::from(*count) >= part).unwrap_or(1)
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -6,6 +6,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod admission;
 pub mod configuration;
 pub mod coordinator;
 pub mod demand;
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -4,6 +4,8 @@
 
 use caraway_core::time::Stamp;
 
+use crate::admission::Gate;
+
 /// Weight of a new sample in the mean time of a request.
 const TIME_WEIGHT: f64 = 0.15;
 
@@ -27,11 +29,15 @@
     pub others: f64,
     /// Running and waiting requests that the target reported, and when.
     report: Option<(f64, Stamp)>,
-    /// Mean time of a request in seconds, waiting included; zero if none ended yet.
+    /// Mean time of a request in seconds, without waiting; zero if none ended yet.
     pub time: f64,
-    /// Requests that ended and the sum of their times in seconds, since they were last told to the
-    /// coordinator.
+    /// Requests that ended and the sum of their times in seconds, without waiting, since they were
+    /// last told to the coordinator.
     pub told: (u32, f64),
+    /// Share of the requests for its keys that it can serve, as the coordinator last told.
+    pub share: f64,
+    /// Applies the share.
+    pub gate: Gate,
     /// Share of failures among the latest requests.
     failures: f64,
     /// Failures to reach it in a row.
@@ -48,6 +54,8 @@
             report: None,
             time: 0.0,
             told: (0, 0.0),
+            share: 1.0,
+            gate: Gate::default(),
             failures: 0.0,
             misses: 0,
             paused: Stamp::default(),
@@ -69,15 +77,22 @@
 }
 
 impl Gauge {
-    /// Records the start of a request.
-    pub fn begin(&mut self) {
+    /// Records the start of a request. Returns by how much its time is expected to be longer than
+    /// without a queue.
+    pub fn begin(&mut self, slots: u32, now: Stamp) -> f64 {
+        let rounds = self.rounds(slots, now);
         self.running += 1;
+        rounds
+    }
+
+    fn rounds(&self, slots: u32, now: Stamp) -> f64 {
+        ((self.occupancy(now) + 1.0) / f64::from(slots.max(1))).max(1.0)
     }
 
-    /// Records the end of a request that took `time`.
-    pub fn end(&mut self, ending: Ending, time: Duration, now: Stamp) {
+    /// Records the end of a request that took `time`, with what [`Gauge::begin`] returned.
+    pub fn end(&mut self, ending: Ending, time: Duration, rounds: f64, now: Stamp) {
         self.running = self.running.saturating_sub(1);
-        let seconds = time.as_secs_f64();
+        let seconds = time.as_secs_f64() / rounds.max(1.0);
         let outcome = match ending {
             Ending::Answered => 0.0,
             Ending::Failed | Ending::Unreached => 1.0,
@@ -132,9 +147,18 @@
     /// Returns the expected time of a request that is sent now.
     pub fn expected(&self, slots: u32, usual: f64, now: Stamp) -> f64 {
         let time = if self.time > 0.0 { self.time } else { usual };
-        let occupancy = self.occupancy(now) + 1.0;
-        let rounds = (occupancy / f64::from(slots.max(1))).max(1.0);
-        time * rounds * (1.0 + 4.0 * self.failures)
+        time * self.rounds(slots, now)
+    }
+
+    /// Returns the factor by which failures make a target less attractive: a request that fails
+    /// has to begin anew elsewhere.
+    pub fn doubt(&self) -> f64 {
+        1.0 + 4.0 * self.failures
+    }
+
+    /// Returns whether nothing is known of the target's speed.
+    pub fn untried(&self) -> bool {
+        self.time <= 0.0 && self.running == 0 && self.others < 1.0
     }
 }
 
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -6,8 +6,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::coordinator::Tables;
 use crate::membership::Life;
 use crate::ownership::Holding;
+use crate::ownership::Table;
 
 /// Keys with their owner.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -54,6 +56,20 @@
     pub services: BTreeMap<Arc<str>, Owners>,
 }
 
+impl View {
+    /// Makes a view from tables in the store, for the time before the coordinator's first message.
+    /// Its version is lower than that of any coordinator.
+    pub fn stored(tables: &Tables, revision: u64) -> Self {
+        let owners = |table: &Table| {
+            let settled = |holding: &Holding| (holding.clone(), holding.earlier.is_empty());
+            Owners::new(&table.holdings.iter().map(settled).collect::<Vec<_>>())
+        };
+        let services = tables.iter().map(|(service, table)| (service.clone(), owners(table)));
+        let version = Version { term: 0, change: revision };
+        Self { version, coordinator: "".into(), services: services.collect() }
+    }
+}
+
 impl Owners {
     /// Makes the owners from holdings, each with whether its grant is confirmed.
     pub fn new(holdings: &[(Holding, bool)]) -> Self {
