Let the coordinator follow the store for all instances

Change: an instance whose reports a coordinator with a fresh store answers gets configuration, targets and instances as changes since its revision; it follows the store itself as soon as one report fails. Owners are told once a tick and only if they differ; neighboring holdings of one owner are joined at every write; a lost target's holdings are divided by their load; a grant is renewed three times in its length.

--- a/bins/edge/src/feed.rs
+++ b/bins/edge/src/feed.rs
@@ -31,14 +31,9 @@
 /// Key of the tables of all keyed services.
 pub const OWNERS: &str = "caraway/owners";
 
-/// Longest wait of a watch. Changes end it sooner. A watch that hears nothing although there are
-/// changes is found by comparing revisions with the coordinator.
-const WAIT: Duration = Duration::from_secs(20);
-
-/// Longest wait of the watch of the coordinator, and of an instance that no other answers. The
-/// store may keep a watch without telling it anything; with the reports of the instances, this still
-/// leaves time to apply a configuration.
-const SHORT_WAIT: Duration = Duration::from_millis(1000);
+/// Longest wait of a watch. Changes end it sooner. The store may keep a watch without telling it
+/// anything; with the reports of the instances, this still leaves time to apply a configuration.
+const WAIT: Duration = Duration::from_millis(1000);
 
 /// Time between two watches, in which changes gather: each watch that returns is a priced call.
 const GATHER: Duration = Duration::from_millis(250);
@@ -77,11 +72,14 @@
     state.revision.set(state.revision.get().max(revision));
     let mut after = revision;
     loop {
-        let long = state.accompanied.get() && !state.leading.get();
-        let wait = if long { WAIT } else { SHORT_WAIT };
-        let call = store::watch("", after, wait);
+        if state.accompanied.get() && !state.leading.get() {
+            // Every watch that returns is a priced call; the coordinator tells what it hears.
+            state.rewatch.notified().await;
+            return Ok(());
+        }
+        let call = store::watch("", after, WAIT);
         let answer = tokio::select! {
-            answer = send(state, &call, "watch", wait) => answer,
+            answer = send(state, &call, "watch", WAIT) => answer,
             () = state.rewatch.notified() => return Ok(()),
         };
         let page = match answer {
@@ -115,6 +113,9 @@
         let page = store::page_answer(status, &body).map_err(|error| error.to_string())?;
         // The watch starts at the first page's revision, so that no change between pages is missed.
         let revision = *first.get_or_insert(page.revision);
+        if seen.is_empty() {
+            state.history.borrow_mut().restart(revision);
+        }
         last = page.items.last().map(|item| item.key.clone());
         apply(state, &page);
         seen.extend(page.items.into_iter().map(|item| item.key));
@@ -130,9 +131,7 @@
 fn settle(state: &State, seen: &HashSet<String>, outage: bool, revision: u64) {
     let listed = |id: &str| seen.contains(&format!("{}{id}", target::PREFIX));
     let gone = state.registry.borrow_mut().retain(&listed, outage, Clock.now());
-    for change in gone {
-        state.note(Some(change));
-    }
+    state.unlist(gone, revision);
     let known = |name: &str| seen.contains(&format!("{INSTANCES}{name}"));
     state.instances.borrow_mut().retain(|name, _| known(name));
     if !seen.contains(LEADER) {
@@ -155,10 +154,10 @@
         match &item.value {
             None => {
                 let change = state.registry.borrow_mut().remove(id);
-                state.note(change);
+                state.unlist(change.into_iter().collect(), item.revision);
             }
             Some(value) => match target::read(id, value) {
-                Ok(target) => state.list(target),
+                Ok(target) => state.list(target, item.revision),
                 Err(error) => {
                     let (key, error) = (item.key.clone(), error.to_string());
                     emit(Event::EntryIgnored { key, error });
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -64,6 +64,9 @@
 /// Time between looks at the balance, in which enough requests are counted for a decision.
 const BALANCE: Duration = Duration::from_millis(480);
 
+/// Time between two messages with the owners, in which confirmations gather.
+const TELL: Duration = Duration::from_millis(60);
+
 /// Time after a change of ownership from which the store is told that earlier owners have ended.
 /// Most have by then, so that one write tells of all.
 const SETTLE: Duration = Duration::from_millis(1500);
@@ -183,6 +186,9 @@
     next_repair: Stamp,
     next_balance: Stamp,
     renewing: bool,
+    /// When the instances were last told the owners, and whether there is something to tell.
+    told: Stamp,
+    untold: bool,
     /// Whether the holdings have tokens of this term.
     renumbered: bool,
     tell: UnboundedSender<Outcome>,
@@ -272,6 +278,8 @@
         next_repair: now,
         next_balance: now + BALANCE,
         renewing: false,
+        told: now,
+        untold: false,
         renumbered: false,
         tell,
         work: JoinSet::new(),
@@ -321,6 +329,10 @@
             return "the process stops".to_owned();
         }
         let now = Clock.now();
+        if term.untold && now.since(term.told) >= TELL {
+            term.untold = false;
+            term.publish();
+        }
         term.renew(now);
         if now >= term.next_repair && term.coordinator.steady(now) {
             term.next_repair = now + REPAIR;
@@ -355,9 +367,7 @@
             }
             Outcome::Grant(call, reply, now) => {
                 self.report(&call, &reply);
-                if self.coordinator.ended(&call, &reply, now) {
-                    self.publish();
-                }
+                self.untold |= self.coordinator.ended(&call, &reply, now);
             }
         }
         None
@@ -556,14 +566,18 @@
         moves
     }
 
-    /// Tells the instances who owns which keys.
+    /// Tells the instances who owns which keys, if that has changed.
     fn publish(&mut self) {
-        self.change += 1;
-        let version = Version { term: self.term, change: self.change };
         let owners = |(service, holdings): (Arc<str>, Vec<_>)| (service, Owners::new(&holdings));
         let services: BTreeMap<_, _> = self.coordinator.view().into_iter().map(owners).collect();
+        if self.change > 0 && services == self.state.view.borrow().services {
+            return;
+        }
+        self.change += 1;
+        let version = Version { term: self.term, change: self.change };
         let coordinator = self.state.settings.name.clone();
         let view = View { version, coordinator, services };
+        self.told = Clock.now();
         peers::push(&self.state, &view, &mut self.work);
         self.state.own(view);
     }
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -6,6 +6,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -41,8 +42,9 @@
 /// Longest time for a message to another instance.
 const LIMIT: Duration = Duration::from_millis(500);
 
-/// Time without an answer of the store after which the targets of other instances are taken over.
-const STALE: Duration = Duration::from_millis(1200);
+/// Age of the store's last answer from which what the coordinator knows is not relied on. While the
+/// store is well, its watch and its lease bring an answer every 400 ms.
+const FRESH: Duration = Duration::from_millis(900);
 
 /// Time for which another instance may know a newer revision before the watch starts anew. It
 /// covers the time in which changes gather and a slow answer.
@@ -58,8 +60,6 @@
     demand: BTreeMap<Arc<str>, Vec<(u16, u32)>>,
     /// Target, requests under way, requests that ended and their time in seconds.
     loads: Vec<(Arc<str>, u32, u32, f64)>,
-    /// Whether the store does not answer this instance.
-    stale: bool,
 }
 
 /// What the other instance knows.
@@ -72,54 +72,67 @@
     loads: Vec<(Arc<str>, f64, f64)>,
     /// Owners that cannot serve all requests for their keys, with the share that they can.
     shares: Vec<(Arc<str>, f64)>,
-    targets: Option<Vec<Target>>,
+    /// Whether the answering instance is the coordinator.
+    leading: bool,
+    /// Whether the answering instance follows the store and hears from it.
+    fresh: bool,
+    targets: Option<Targets>,
     instances: Option<BTreeMap<Arc<str>, SocketAddr>>,
     leader: Option<(Arc<str>, u64)>,
 }
 
+/// Listed targets: those that changed since the revision of a report, or all.
+#[derive(Debug, Default, Deserialize, Serialize)]
+struct Targets {
+    all: bool,
+    listed: Vec<Target>,
+    gone: Vec<Arc<str>>,
+}
+
 /// Reports until the process ends.
 pub async fn run(state: Rc<State>, reports: Rc<RefCell<Reports>>) {
     let mut failed: Option<Arc<str>> = None;
-    let mut answered = Clock.now();
     loop {
         sleep(PERIOD.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
-        if state.accompanied.get() && Clock.now().since(answered) > ALONE {
-            state.accompanied.set(false);
-            state.rewatch.notify_waiters();
-        }
-        for change in expired(&state) {
-            state.note(Some(change));
-        }
+        let gone = state.registry.borrow_mut().expire(Clock.now());
+        state.unlist(gone, state.revision.get());
         state.pool.expire();
-        let stale = is_stale(&state);
         let leader = state.leader.borrow().as_ref().map(|leader| leader.name.clone());
         let to_leader = leader.filter(|leader| failed.as_ref() != Some(leader));
         failed = None;
-        let report = report(&state, stale);
+        let report = report(&state);
         if to_leader.as_ref() == Some(&state.settings.name) {
             let knowledge = respond(&state, &reports, report);
-            learn(&state, knowledge, &state.settings.name.clone(), false);
+            learn(&state, knowledge, &state.settings.name.clone());
             continue;
         }
         let peer = to_leader.clone().or_else(|| any_peer(&state));
         let address = peer.as_ref().and_then(|peer| state.instances.borrow().get(peer).copied());
-        let (Some(peer), Some(address)) = (peer, address) else { continue };
+        let (Some(peer), Some(address)) = (peer, address) else {
+            accompany(&state, false);
+            continue;
+        };
         match call::<Knowledge>(&state, address, REPORT, &report).await {
             Ok(knowledge) => {
-                answered = Clock.now();
-                state.accompanied.set(true);
+                accompany(&state, knowledge.fresh && knowledge.leading);
                 compare(&state, knowledge.revision);
-                learn(&state, knowledge, &peer, stale);
+                learn(&state, knowledge, &peer);
+            }
+            Err(_) => {
+                accompany(&state, false);
+                // The next report goes to another instance.
+                failed = to_leader;
             }
-            // The next report goes to another instance.
-            Err(_) => failed = to_leader,
         }
     }
 }
 
-/// Time without an answer of another instance from which this one relies on its own watch alone:
-/// two reports have failed by then.
-const ALONE: Duration = Duration::from_millis(1300);
+/// Follows the store again as soon as the coordinator does not do so for this instance.
+fn accompany(state: &State, accompanied: bool) {
+    if state.accompanied.replace(accompanied) && !accompanied {
+        state.rewatch.notify_waiters();
+    }
+}
 
 /// Starts the watch anew if another instance has known a newer revision for [`BEHIND`].
 fn compare(state: &State, other: u64) {
@@ -138,15 +151,9 @@
     }
 }
 
-fn is_stale(state: &State) -> bool {
+fn is_fresh(state: &State) -> bool {
     let now = Clock.now();
-    let age = state.heard.get().map(|heard| now.since(heard));
-    // A watch that waits is no sign of trouble; only failures after it are.
-    state.failing.get() && age.is_none_or(|age| age > STALE)
-}
-
-fn expired(state: &State) -> Vec<caraway_fleet::membership::Change> {
-    state.registry.borrow_mut().expire(Clock.now())
+    !state.failing.get() && state.heard.get().is_some_and(|heard| now.since(heard) < FRESH)
 }
 
 fn any_peer(state: &State) -> Option<Arc<str>> {
@@ -155,7 +162,7 @@
     others.choose(&mut rand::rng()).cloned()
 }
 
-fn report(state: &State, stale: bool) -> Report {
+fn report(state: &State) -> Report {
     let demand = std::mem::take(&mut *state.demand.borrow_mut());
     let demand = demand.into_iter().map(|(service, keys)| (service, keys.into_iter().collect()));
     let mut loads = Vec::new();
@@ -172,7 +179,6 @@
         owners: state.view.borrow().version,
         demand: demand.collect(),
         loads,
-        stale,
     }
 }
 
@@ -180,7 +186,12 @@
 pub fn respond(state: &State, reports: &RefCell<Reports>, report: Report) -> Knowledge {
     let now = Clock.now();
     compare(state, report.revision);
-    let mut knowledge = Knowledge { revision: state.revision.get(), ..Knowledge::default() };
+    let mut knowledge = Knowledge {
+        revision: state.revision.get(),
+        leading: state.leading.get(),
+        fresh: is_fresh(state),
+        ..Knowledge::default()
+    };
     if state.leading.get() {
         let mut reports = reports.borrow_mut();
         for (service, keys) in &report.demand {
@@ -202,10 +213,8 @@
     if view.version > report.owners {
         knowledge.owners = Some(view.clone());
     }
-    if report.stale && state.revision.get() > report.revision && !state.failing.get() {
-        let registry = state.registry.borrow();
-        let present = registry.members().filter(|member| member.missing.is_none());
-        knowledge.targets = Some(present.map(|member| (*member.target).clone()).collect());
+    if state.revision.get() > report.revision {
+        knowledge.targets = Some(targets_since(state, report.revision));
         knowledge.instances = Some(state.instances.borrow().clone());
         let leader = state.leader.borrow();
         knowledge.leader = leader.as_ref().map(|leader| (leader.name.clone(), leader.term));
@@ -213,7 +222,24 @@
     knowledge
 }
 
-fn learn(state: &State, knowledge: Knowledge, peer: &Arc<str>, stale: bool) {
+fn targets_since(state: &State, revision: u64) -> Targets {
+    let registry = state.registry.borrow();
+    let Some(ids) = state.history.borrow().after(revision) else {
+        let present = registry.members().filter(|member| member.missing.is_none());
+        let listed = present.map(|member| (*member.target).clone()).collect();
+        return Targets { all: true, listed, gone: Vec::new() };
+    };
+    let mut targets = Targets::default();
+    for id in ids {
+        match registry.get(&id) {
+            Some(member) => targets.listed.push((*member.target).clone()),
+            None => targets.gone.push(id),
+        }
+    }
+    targets
+}
+
+fn learn(state: &State, knowledge: Knowledge, peer: &Arc<str>) {
     let revision = knowledge.revision;
     let note = |what: &str| {
         emit(Event::PeerFollowed { peer: peer.to_string(), what: what.to_owned(), revision });
@@ -242,21 +268,25 @@
             }
         }
     }
-    let Some(targets) = knowledge.targets.filter(|_| stale) else { return };
     if revision <= state.revision.get() {
         return;
     }
-    note("the targets");
-    state.revision.set(revision);
-    let ids: std::collections::HashSet<Arc<str>> =
-        targets.iter().map(|target| target.life.id.clone()).collect();
-    for target in targets {
-        state.list(target);
+    let Some(targets) = knowledge.targets else { return };
+    if targets.all {
+        note("all targets");
+        let ids: HashSet<&Arc<str>> = targets.listed.iter().map(|t| &t.life.id).collect();
+        let listed = |id: &str| ids.contains(&Arc::from(id));
+        let gone = state.registry.borrow_mut().retain(&listed, false, Clock.now());
+        state.unlist(gone, revision);
+        state.history.borrow_mut().restart(revision);
     }
-    let listed = |id: &str| ids.contains(id);
-    let gone = state.registry.borrow_mut().retain(&listed, false, Clock.now());
-    for change in gone {
-        state.note(Some(change));
+    for id in &targets.gone {
+        let change = state.registry.borrow_mut().remove(id);
+        state.unlist(change.into_iter().collect(), revision);
+    }
+    state.revision.set(revision);
+    for target in targets.listed {
+        state.list(target, revision);
     }
     if let Some(instances) = knowledge.instances {
         *state.instances.borrow_mut() = instances;
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -3,7 +3,9 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -54,6 +56,40 @@
     pub term: u64,
 }
 
+/// Changes that are remembered; those of some seconds, also while all targets are replaced.
+const CHANGES: usize = 1024;
+
+/// Latest changes of the listed targets.
+#[derive(Debug, Default)]
+pub struct History {
+    changes: VecDeque<(u64, Arc<str>)>,
+    /// Revision up to which changes have been forgotten.
+    floor: u64,
+}
+
+impl History {
+    fn add(&mut self, revision: u64, id: &Arc<str>) {
+        if self.changes.len() >= CHANGES
+            && let Some((forgotten, _)) = self.changes.pop_front()
+        {
+            self.floor = self.floor.max(forgotten);
+        }
+        self.changes.push_back((revision, id.clone()));
+    }
+
+    /// Forgets everything: the targets are known as of a revision, and not what changed before.
+    pub fn restart(&mut self, revision: u64) {
+        self.changes.clear();
+        self.floor = revision;
+    }
+
+    /// Returns the targets that changed after a revision, or none if that is not known.
+    pub fn after(&self, revision: u64) -> Option<BTreeSet<Arc<str>>> {
+        let later = self.changes.iter().filter(|(at, _)| *at > revision);
+        (revision >= self.floor).then(|| later.map(|(_, id)| id.clone()).collect())
+    }
+}
+
 /// State of the process.
 #[derive(Debug)]
 pub struct State {
@@ -73,11 +109,13 @@
     pub heard: Cell<Option<Stamp>>,
     /// The own revision when another instance was first seen to know a newer one, and when.
     pub behind: Cell<Option<(u64, Stamp)>>,
-    /// Whether another instance answers the reports of this one, so that a watch that hears
-    /// nothing is found.
+    /// Whether the coordinator answers the reports of this instance and follows the store itself, so
+    /// that this instance need not.
     pub accompanied: Cell<bool>,
     /// Whether the store does not answer this instance.
     pub failing: Cell<bool>,
+    /// Latest changes of the listed targets, so that others can be told what they miss.
+    pub history: RefCell<History>,
     /// Addresses of targets that are no longer listed and may still hold keys.
     pub former: RefCell<HashMap<Life, SocketAddr>>,
     /// Owners of keys.
@@ -124,6 +162,7 @@
             behind: Cell::new(None),
             accompanied: Cell::new(false),
             failing: Cell::new(false),
+            history: RefCell::default(),
             former: RefCell::default(),
             view: RefCell::default(),
             changed: Notify::new(),
@@ -200,14 +239,25 @@
         self.changed.notify_waiters();
     }
 
-    /// Records the entry of a target.
-    pub fn list(&self, target: Target) {
+    /// Records the entry of a target, as of a revision.
+    pub fn list(&self, target: Target, revision: u64) {
+        self.history.borrow_mut().add(revision, &target.life.id);
         let change = self.registry.borrow_mut().put(target, Clock.now());
         self.note(change);
     }
 
+    /// Records that targets are no longer listed, as of a revision.
+    pub fn unlist(&self, changes: Vec<Change>, revision: u64) {
+        for change in changes {
+            if let Change::Gone(target) = &change {
+                self.history.borrow_mut().add(revision, &target.life.id);
+            }
+            self.note(Some(change));
+        }
+    }
+
     /// Reports a change of the listed targets.
-    pub fn note(&self, change: Option<Change>) {
+    fn note(&self, change: Option<Change>) {
         let revision = self.revision.get();
         let named = |target: &Target| (target.life.id.to_string(), target.service.to_string());
         let event = match change {
--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -54,7 +54,7 @@
         Self {
             hold,
             hold_limit,
-            renewal: hold / 4,
+            renewal: hold / 3,
             call: Duration::from_millis(600),
             reach: longest(hold_limit) + Duration::from_secs(3),
         }
@@ -223,6 +223,9 @@
         for (service, step) in moves {
             tables.entry(service.clone()).or_default().apply(step);
         }
+        for table in tables.values_mut() {
+            table.join();
+        }
         tables
     }
 
--- a/crates/fleet/src/ownership.rs
+++ b/crates/fleet/src/ownership.rs
@@ -101,18 +101,30 @@
 
     /// Gives every holding a new token and joins neighboring ones of the same owner.
     pub fn renumber(&mut self) {
+        self.join();
+        for holding in &mut self.holdings {
+            self.fence += 2;
+            holding.fence = self.fence;
+        }
+    }
+
+    /// Joins neighboring holdings of the same owner that no earlier owner has a part in. Each holding
+    /// costs a call for every renewal.
+    pub fn join(&mut self) {
         let mut joined: Vec<Holding> = Vec::with_capacity(self.holdings.len());
         for holding in self.holdings.drain(..) {
             if let Some(before) = joined.last_mut()
                 && before.last.checked_add(1) == Some(holding.first)
                 && before.owner == holding.owner
-                && before.earlier == holding.earlier
+                && before.earlier.is_empty()
+                && holding.earlier.is_empty()
             {
                 before.last = holding.last;
+                self.fence += 2;
+                before.fence = self.fence;
                 continue;
             }
-            self.fence += 2;
-            joined.push(Holding { fence: self.fence, ..holding });
+            joined.push(holding);
         }
         self.holdings = joined;
     }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -29,8 +29,12 @@
 /// all of its load.
 const PIECES: u32 = 4;
 
+/// Keys and utilization of one such piece.
+const PIECE_KEYS: u32 = 2048;
+const PIECE_USE: f64 = 0.08;
+
 /// Largest number of holdings for each target on average; each is renewed by a call of its own.
-const HOLDINGS_PER_TARGET: usize = 8;
+const HOLDINGS_PER_TARGET: usize = 6;
 
 /// A target that can own keys.
 #[derive(Clone, Debug)]
@@ -85,7 +89,11 @@
             moves.push(Move { first, last, to: same.life.clone() });
             continue;
         }
-        give(holding.first, holding.last, PIECES, &mut sides, demand, &mut moves);
+        let time = candidates.iter().map(|c| c.time / c.slots.max(1.0)).fold(0.0, f64::max);
+        let load = demand.rate(holding.first, holding.last) * time;
+        let by_load = (1..PIECES).find(|pieces| load <= f64::from(*pieces) * PIECE_USE);
+        let pieces = by_load.unwrap_or(PIECES).max(holding.len() / PIECE_KEYS).min(PIECES);
+        give(holding.first, holding.last, pieces, &mut sides, demand, &mut moves);
     }
     moves
 }
@@ -114,8 +122,7 @@
     moves: &mut Vec<Move>,
 ) {
     let keys = u32::from(last) - u32::from(first) + 1;
-    // Few keys stay together: each holding costs a call for every renewal.
-    let pieces = pieces.min(keys.div_ceil(64)).max(1);
+    let pieces = pieces.min(keys).max(1);
     let mut next = u32::from(first);
     for piece in 0..pieces {
         let end = u32::from(first) + keys * (piece + 1) / pieces - 1;
