Make coordination cheap enough for a hundred instances

Instances that compared all targets by the same reports sent to the same ones (busiest 3 times the mean).

Change: instances register their processor share, and those on large machines try first to coordinate; owners are sent as changes; the reports of a fleet are 150 a second at most and are answered with the load of pooled targets; two holdings a target and 64 more; a target is chosen among four of the own domain and three of the others; an owner that turns requests away because it is full gets fewer from that instance; a grant that was not sent within 500 ms is not sent at all.

--- a/bins/edge/src/feed.rs
+++ b/bins/edge/src/feed.rs
@@ -22,7 +22,7 @@
 use crate::state::State;
 use crate::store::send;
 
-/// Prefix of the keys under which instances register; the value is the address for others.
+/// Prefix of the keys under which instances register.
 pub const INSTANCES: &str = "caraway/instance/";
 
 /// Key of the coordinator's record.
@@ -165,12 +165,15 @@
             },
         }
     } else if let Some(name) = item.key.strip_prefix(INSTANCES) {
-        let text = item.value.as_deref().and_then(|value| std::str::from_utf8(value).ok());
-        let address = text.and_then(|text| text.parse().ok());
+        let instance = item.value.as_deref().map(serde_json::from_slice);
         let mut instances = state.instances.borrow_mut();
-        match address {
-            Some(address) => {
-                instances.insert(name.into(), address);
+        match instance {
+            Some(Ok(instance)) => {
+                instances.insert(name.into(), instance);
+            }
+            Some(Err(error)) => {
+                let (key, error) = (item.key.clone(), error.to_string());
+                emit(Event::EntryIgnored { key, error });
             }
             None => {
                 instances.remove(name);
--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -15,6 +15,7 @@
 use hyper::header;
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
+use rand::seq::IteratorRandom;
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
@@ -27,6 +28,7 @@
 use caraway_fleet::load::Choice;
 use caraway_fleet::load::Ending;
 use caraway_fleet::load::choose;
+use caraway_fleet::membership::Member;
 use caraway_fleet::membership::Target;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
@@ -74,6 +76,11 @@
 const DOMAIN_SECONDS: f64 = 0.003;
 const DOMAIN_SECONDS_PER_KB: f64 = 0.0015;
 
+/// Targets of the own failure domain and of the others among which one is chosen. Instances that
+/// compare all targets by the same reports send to the same one at the same time.
+const NEAR_SAMPLE: usize = 4;
+const FAR_SAMPLE: usize = 3;
+
 /// Part of the requests for which a target of which nothing is known is preferred, and the factor
 /// on its expected time then. Without it, a new target that is slow at first would get nothing while
 /// the others have room, and its speed would never be known.
@@ -388,7 +395,7 @@
         let now = Clock.now();
         let (expected, admitted) = self.state.gauge(&target.life.id, |gauge| {
             let decided = !self.tried.is_empty() || self.admitted.replace(true);
-            let admitted = decided || gauge.gate.admit(gauge.share);
+            let admitted = decided || gauge.admit();
             (gauge.expected(target.slots, USUAL_TIME, now), admitted)
         });
         let late = expected * 0.7 > self.left().as_secs_f64();
@@ -400,26 +407,35 @@
         let registry = self.state.registry.borrow();
         let mut gauges = self.state.gauges.borrow_mut();
         let size = self.state.sizes.borrow().get(&self.service).copied().unwrap_or(0.0);
-        let far = DOMAIN_SECONDS + DOMAIN_SECONDS_PER_KB * size / 1024.0;
+        let distant = DOMAIN_SECONDS + DOMAIN_SECONDS_PER_KB * size / 1024.0;
+        let usable = |member: &&Member| {
+            let gauge = gauges.get(&member.target.life.id);
+            let reachable = gauge.is_none_or(|gauge| gauge.reachable(now));
+            reachable && !self.tried.contains(&member.target.life.id)
+        };
         let of_service = registry
             .members()
             .filter(|member| member.target.service == self.service && member.leaving.is_none());
+        // Targets that failed it or cannot be reached are the last resort.
+        let (good, bad): (Vec<&Member>, Vec<&Member>) = of_service.partition(usable);
+        let all = if good.is_empty() { bad } else { good };
+        let (near, far): (Vec<&Member>, Vec<&Member>) =
+            all.into_iter().partition(|m| m.target.domain == self.state.settings.domain);
+        let mut random = rand::rng();
+        let mut sample = near.into_iter().choose_multiple(&mut random, NEAR_SAMPLE);
+        sample.extend(far.into_iter().choose_multiple(&mut random, FAR_SAMPLE));
         let mut targets = Vec::new();
         let mut choices = Vec::new();
-        for member in of_service {
+        for member in sample {
             let target = &member.target;
             let gauge = gauges.entry(target.life.id.clone()).or_default();
-            let again = self.tried.contains(&target.life.id);
-            // Targets that failed it are the last resort.
-            let penalty = if again { 10.0 } else { 0.0 };
-            let penalty = penalty + if gauge.reachable(now) { 0.0 } else { 5.0 };
             let new = gauge.untried() && rand::random::<f64>() < EXPLORE;
             let cold = if now < member.warm_at { 2.0 } else { 1.0 };
             let cold = if new { NEW } else { cold };
             let expected = gauge.expected(target.slots, USUAL_TIME, now) * cold * gauge.doubt();
             let fill = gauge.occupancy(now) / f64::from(target.slots.max(1));
             let near = target.domain == self.state.settings.domain;
-            let distance = if near { 0.0 } else { far } + penalty;
+            let distance = if near { 0.0 } else { distant };
             targets.push((target.clone(), expected));
             choices.push(Choice { expected, fill, distance });
         }
@@ -464,6 +480,8 @@
             }
             Ok(Err(error)) => {
                 flight.end(Ending::Failed);
+                // Some targets reset the connection when they are full.
+                self.state.gauge(&target.life.id, |gauge| gauge.full());
                 self.broken(target, &error.to_string());
                 return Try::Unknown(Reason::Broken);
             }
@@ -493,6 +511,10 @@
         if let Some((running, waiting, _)) = text_of(&head, field::LOAD).and_then(field::load) {
             self.state.gauge(&target.life.id, |gauge| gauge.report(running, waiting, now));
         }
+        let waiting = text_of(&head, field::LOAD).and_then(field::load).map_or(0, |load| load.1);
+        if head.headers.contains_key(field::NOT_RUN) && waiting >= target.slots {
+            self.state.gauge(&target.life.id, |gauge| gauge.full());
+        }
         let not_run = head.headers.contains_key(field::NOT_RUN) || head.status == 421;
         let own = text_of(&head, field::ATTEMPT) == Some(&*self.request.id);
         if !own && !not_run {
--- a/bins/edge/src/ingress.rs
+++ b/bins/edge/src/ingress.rs
@@ -365,8 +365,8 @@
         },
         peers::OWNERS => match serde_json::from_slice(&body) {
             Err(error) => invalid(error),
-            Ok(view) => {
-                state.own(view);
+            Ok(change) => {
+                state.change_owners(change);
                 small(StatusCode::OK, String::new())
             }
         },
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -65,7 +66,7 @@
 const BALANCE: Duration = Duration::from_millis(480);
 
 /// Time between two messages with the owners, in which confirmations gather.
-const TELL: Duration = Duration::from_millis(60);
+const TELL: Duration = Duration::from_millis(100);
 
 /// Time after a change of ownership from which the store is told that earlier owners have ended.
 /// Most have by then, so that one write tells of all.
@@ -213,7 +214,12 @@
             continue;
         }
         let name = state.settings.name.clone();
-        sleep(election::delay(&name, state.leader_revision.get())).await;
+        let shares = state.instances.borrow();
+        let largest = shares.values().map(|instance| instance.processor).fold(0.0, f64::max);
+        drop(shares);
+        let own = state.settings.processor;
+        let delay = election::delay(&name, state.leader_revision.get(), own, largest);
+        sleep(delay).await;
         if state.leader.borrow().is_some() || state.stopping.get() {
             continue;
         }
@@ -432,7 +438,7 @@
             let (state, tell) = (self.state.clone(), self.tell.clone());
             self.work.spawn_local(async move {
                 let reply = match address {
-                    Some(address) => ask(&state, &call, address).await,
+                    Some(address) => ask(&state, &call, address, now).await,
                     None => Reply::Unsent,
                 };
                 let _ = tell.send(Outcome::Grant(call, reply, Clock.now()));
@@ -578,7 +584,8 @@
         let coordinator = self.state.settings.name.clone();
         let view = View { version, coordinator, services };
         self.told = Clock.now();
-        peers::push(&self.state, &view, &mut self.work);
+        let change = view.since(&self.state.view.borrow());
+        peers::push(&self.state, &change, &mut self.work);
         self.state.own(view);
     }
 }
@@ -612,7 +619,10 @@
 }
 
 /// Sends a call about keys to a target.
-async fn ask(state: &State, call: &Call, address: std::net::SocketAddr) -> Reply {
+///
+/// A grant is not sent later than its length was computed for: a process that had no processor time
+/// for a while may have been replaced, and its successor counts on the end of its grants.
+async fn ask(state: &State, call: &Call, address: SocketAddr, issued: Stamp) -> Reply {
     let limit = match &call.request {
         Request::Grant { .. } => coordinator::Options::new(state.settings.hold_limit).call,
         // A release is answered when the work on the keys has ended.
@@ -620,7 +630,8 @@
     };
     let (path, body) = grant::request(call);
     let request = http::request("POST", path, address, &body);
-    match state.pool.exchange(address, &request, limit).await {
+    let latest = issued + coordinator::SENDING;
+    match state.pool.exchange_until(address, &request, limit, Some(latest)).await {
         Ok((head, _)) => {
             let handover = head.headers.get(header::HANDOVER);
             let handover = handover.and_then(|value| value.to_str().ok()).map(Arc::from);
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -20,7 +20,9 @@
 use tokio::time::sleep;
 
 use caraway_core::time::Clock;
+use caraway_core::time::Stamp;
 use caraway_fleet::membership::Target;
+use caraway_fleet::view::Change;
 use caraway_fleet::view::Version;
 use caraway_fleet::view::View;
 use caraway_telemetry::event::Event;
@@ -28,6 +30,7 @@
 
 use crate::http;
 use crate::leader::Reports;
+use crate::state::Instance;
 use crate::state::State;
 
 /// Path of a report.
@@ -39,6 +42,10 @@
 /// Time between two reports: load is known to others with about this delay.
 const PERIOD: Duration = Duration::from_millis(300);
 
+/// Time between two reports for each instance of a large fleet, so that the coordinator gets 150 a
+/// second at most.
+const PERIOD_PER_INSTANCE: Duration = Duration::from_micros(6600);
+
 /// Longest time for a message to another instance.
 const LIMIT: Duration = Duration::from_millis(500);
 
@@ -77,7 +84,7 @@
     /// Whether the answering instance follows the store and hears from it.
     fresh: bool,
     targets: Option<Targets>,
-    instances: Option<BTreeMap<Arc<str>, SocketAddr>>,
+    instances: Option<BTreeMap<Arc<str>, Instance>>,
     leader: Option<(Arc<str>, u64)>,
 }
 
@@ -93,7 +100,9 @@
 pub async fn run(state: Rc<State>, reports: Rc<RefCell<Reports>>) {
     let mut failed: Option<Arc<str>> = None;
     loop {
-        sleep(PERIOD.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
+        let count = u32::try_from(state.instances.borrow().len()).unwrap_or(u32::MAX);
+        let period = PERIOD.max(PERIOD_PER_INSTANCE.saturating_mul(count));
+        sleep(period.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
         let gone = state.registry.borrow_mut().expire(Clock.now());
         state.unlist(gone, state.revision.get());
         state.pool.expire();
@@ -107,8 +116,8 @@
             continue;
         }
         let peer = to_leader.clone().or_else(|| any_peer(&state));
-        let address = peer.as_ref().and_then(|peer| state.instances.borrow().get(peer).copied());
-        let (Some(peer), Some(address)) = (peer, address) else {
+        let instance = peer.as_ref().and_then(|peer| state.instances.borrow().get(peer).copied());
+        let (Some(peer), Some(Instance { address, .. })) = (peer, instance) else {
             accompany(&state, false);
             continue;
         };
@@ -201,7 +210,7 @@
         for (target, running, ended, time) in &report.loads {
             reports.add_load(&report.name, target, *running, (*ended, *time), now);
         }
-        knowledge.loads = reports.loads(&report.name, now);
+        knowledge.loads = pooled_loads(state, &reports, &report.name, now);
         knowledge.shares.clone_from(&reports.shares);
     }
     if let Some(current) = state.current.borrow().as_ref()
@@ -222,6 +231,26 @@
     knowledge
 }
 
+/// Returns the load of targets that any instance may choose. Owners of keys cannot be chosen, and
+/// their overload is told as shares.
+fn pooled_loads(
+    state: &State,
+    reports: &Reports,
+    except: &str,
+    now: Stamp,
+) -> Vec<(Arc<str>, f64, f64)> {
+    let registry = state.registry.borrow();
+    let configuration = state.configuration();
+    let keyed = |service: &str| {
+        let known = configuration.as_ref().and_then(|known| known.services.get(service));
+        known.is_some_and(|service| service.keyed)
+    };
+    let pooled = |id: &str| registry.get(id).is_some_and(|m| !keyed(&m.target.service));
+    let mut loads = reports.loads(except, now);
+    loads.retain(|(id, _, _)| pooled(id));
+    loads
+}
+
 fn targets_since(state: &State, revision: u64) -> Targets {
     let registry = state.registry.borrow();
     let Some(ids) = state.history.borrow().after(revision) else {
@@ -300,15 +329,15 @@
     }
 }
 
-/// Sends the owners of keys to all other instances. An instance that gets no message learns them
-/// with the answer to its next report.
-pub fn push(state: &Rc<State>, view: &View, work: &mut JoinSet<()>) {
-    let Ok(text) = serde_json::to_string(view) else { return };
+/// Sends a change of the owners of keys to all other instances. An instance that gets no message, or
+/// does not have the version before, learns the owners with the answer to its next report.
+pub fn push(state: &Rc<State>, change: &Change, work: &mut JoinSet<()>) {
+    let Ok(text) = serde_json::to_string(change) else { return };
     let text: Arc<str> = text.into();
     let instances = state.instances.borrow();
     let others = instances.iter().filter(|(name, _)| **name != state.settings.name);
-    for (_, address) in others {
-        let (state, address, text) = (state.clone(), *address, text.clone());
+    for (_, instance) in others {
+        let (state, address, text) = (state.clone(), instance.address, text.clone());
         work.spawn_local(async move {
             let request = http::request("POST", OWNERS, address, &text);
             let _ = state.pool.exchange(address, &request, LIMIT).await;
--- a/bins/edge/src/pool.rs
+++ b/bins/edge/src/pool.rs
@@ -10,6 +10,7 @@
 use tokio::time::timeout;
 
 use caraway_core::time::Clock;
+use caraway_core::time::Stamp;
 
 use crate::http::Connection;
 use crate::http::Head;
@@ -109,12 +110,30 @@
         address: SocketAddr,
         request: &[u8],
         limit: Duration,
+    ) -> Result<(Head, BytesMut), Failure> {
+        self.exchange_until(address, request, limit, None).await
+    }
+
+    /// Does the same, and sends nothing later than `latest`.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no whole answer within `limit`, or the request could not be sent in time.
+    pub async fn exchange_until(
+        &self,
+        address: SocketAddr,
+        request: &[u8],
+        limit: Duration,
+        latest: Option<Stamp>,
     ) -> Result<(Head, BytesMut), Failure> {
         let connection = self.take(address, IDLE);
         let mut connection = match connection {
             Some(connection) => connection,
             None => Connection::open(address, OPEN.min(limit)).await.map_err(Failure::Unsent)?,
         };
+        if latest.is_some_and(|latest| Clock.now() > latest) {
+            return Err(Failure::Unsent(io::Error::other("too late to send")));
+        }
         connection.reset();
         let whole = async {
             connection.send(request).await?;
--- a/bins/edge/src/process.rs
+++ b/bins/edge/src/process.rs
@@ -34,6 +34,7 @@
 use crate::leader;
 use crate::leader::Reports;
 use crate::peers;
+use crate::state::Instance;
 use crate::state::State;
 use crate::store::send;
 
@@ -176,14 +177,15 @@
 async fn register(state: Rc<State>) {
     let key = format!("{}{}", feed::INSTANCES, state.settings.name);
     let address = SocketAddr::new(state.settings.ip, state.settings.peer_port);
-    let value = address.to_string();
+    let instance = Instance { address, processor: state.settings.processor };
+    let value = serde_json::to_vec(&instance).unwrap_or_default();
     loop {
-        let known = state.instances.borrow().get(&state.settings.name) == Some(&address);
+        let known = state.instances.borrow().get(&state.settings.name) == Some(&instance);
         if !known && state.heard.get().is_some() {
-            let puts = vec![(key.as_str(), value.as_bytes(), 0)];
+            let puts = vec![(key.as_str(), value.as_slice(), 0)];
             let call = store::change(&Transaction { puts, ..Transaction::default() });
             if let Ok((200, _)) = send(&state, &call, "register", Duration::ZERO).await {
-                state.instances.borrow_mut().insert(state.settings.name.clone(), address);
+                state.instances.borrow_mut().insert(state.settings.name.clone(), instance);
             }
         }
         sleep(Duration::from_millis(700)).await;
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -11,6 +11,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::sync::Notify;
 
 use caraway_adapter::settings::Settings;
@@ -25,6 +27,7 @@
 use caraway_fleet::membership::Life;
 use caraway_fleet::membership::Registry;
 use caraway_fleet::membership::Target;
+use caraway_fleet::view::Change as OwnersChange;
 use caraway_fleet::view::View;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
@@ -47,6 +50,15 @@
     pub idle_limit: Duration,
 }
 
+/// An instance, as it registers in the store.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Instance {
+    /// Address for other instances.
+    pub address: SocketAddr,
+    /// Part of a processor core that it may use.
+    pub processor: f64,
+}
+
 /// The coordinator, as the store names it.
 #[derive(Clone, Debug)]
 pub struct Leader {
@@ -136,8 +148,8 @@
     pub demand: RefCell<BTreeMap<Arc<str>, BTreeMap<u16, u32>>>,
     /// Mean size of answers by service, in bytes.
     pub sizes: RefCell<HashMap<Arc<str>, f64>>,
-    /// Addresses of the instances, by name.
-    pub instances: RefCell<BTreeMap<Arc<str>, SocketAddr>>,
+    /// The instances by name.
+    pub instances: RefCell<BTreeMap<Arc<str>, Instance>>,
     /// The coordinator, if there is one.
     pub leader: RefCell<Option<Leader>>,
     /// Revision at which the coordinator's record last changed, also when it was removed.
@@ -239,6 +251,14 @@
         self.changed.notify_waiters();
     }
 
+    /// Takes over a change of the owners if it applies to those that are known.
+    pub fn change_owners(&self, change: OwnersChange) {
+        let after = self.view.borrow().after(&change);
+        if let Some(view) = after {
+            self.own(view);
+        }
+    }
+
     /// Records the entry of a target, as of a revision.
     pub fn list(&self, target: Target, revision: u64) {
         self.history.borrow_mut().add(revision, &target.life.id);
--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -41,6 +41,10 @@
 /// leadership have failed by then.
 const UNCONFIRMED: Duration = Duration::from_millis(1500);
 
+/// Time within which a call must be sent after [`Coordinator::due`] has returned it. It is shorter
+/// than [`Options::call`], with which the lengths of grants are computed.
+pub const SENDING: Duration = Duration::from_millis(500);
+
 /// Time between two tries to grant keys: several fit into the rest of a hold after a lost renewal.
 const GRANT_RETRY: Duration = Duration::from_millis(200);
 
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -16,6 +16,12 @@
 /// were running then have mostly ended.
 const REPORT_AGE: Duration = Duration::from_millis(600);
 
+/// What a refusal of a full owner of keys takes off the share of requests that is sent to it, and what
+/// an answer gives back: the share halves within four refusals and recovers within twenty answers.
+const PACE_CUT: f64 = 0.8;
+const PACE_GAIN: f64 = 0.05;
+const PACE_LEAST: f64 = 0.05;
+
 /// First and longest time for which a target that cannot be reached is left out.
 const PAUSE: Duration = Duration::from_millis(500);
 const PAUSE_LIMIT: Duration = Duration::from_secs(4);
@@ -36,8 +42,10 @@
     pub told: (u32, f64),
     /// Share of the requests for its keys that it can serve, as the coordinator last told.
     pub share: f64,
+    /// Share that the owner itself let this instance serve lately.
+    pace: f64,
     /// Applies the share.
-    pub gate: Gate,
+    gate: Gate,
     /// Share of failures among the latest requests.
     failures: f64,
     /// Failures to reach it in a row.
@@ -55,6 +63,7 @@
             time: 0.0,
             told: (0, 0.0),
             share: 1.0,
+            pace: 1.0,
             gate: Gate::default(),
             failures: 0.0,
             misses: 0,
@@ -101,6 +110,7 @@
         self.failures += (outcome - self.failures) * FAILURE_WEIGHT;
         match ending {
             Ending::Answered => {
+                self.pace = (self.pace + PACE_GAIN).min(1.0);
                 self.misses = 0;
                 self.sample(seconds);
                 self.told.0 += 1;
@@ -126,6 +136,16 @@
         self.report = Some((f64::from(running) + f64::from(waiting), now));
     }
 
+    /// Records that the target was full.
+    pub fn full(&mut self) {
+        self.pace = (self.pace * PACE_CUT).max(PACE_LEAST);
+    }
+
+    /// Decides whether a request for a key of the target is let through.
+    pub fn admit(&mut self) -> bool {
+        self.gate.admit(self.share.min(self.pace))
+    }
+
     /// Returns whether the target could be reached when it was last tried.
     pub fn reachable(&self, now: Stamp) -> bool {
         now >= self.paused
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -33,8 +33,9 @@
 const PIECE_KEYS: u32 = 2048;
 const PIECE_USE: f64 = 0.08;
 
-/// Largest number of holdings for each target on average; each is renewed by a call of its own.
-const HOLDINGS_PER_TARGET: usize = 6;
+/// Holdings beyond two for each target; each is renewed by a call of its own. They leave room for the
+/// busy neighborhoods of some hot keys.
+const SPARE_HOLDINGS: usize = 64;
 
 /// A target that can own keys.
 #[derive(Clone, Debug)]
@@ -142,7 +143,7 @@
     let mut plan = Plan { sides: sides(table, candidates, demand), table: table.clone(), demand };
     let mut moves = Vec::new();
     plan.use_new(&mut moves);
-    let room = candidates.len() * HOLDINGS_PER_TARGET;
+    let room = candidates.len() * 2 + SPARE_HOLDINGS;
     // Owners that cannot be relieved any further.
     let mut done: Vec<Life> = Vec::new();
     while moves.len() < MOVES && plan.table.holdings.len() < room {
--- a/standins/production/src/instance.rs
+++ b/standins/production/src/instance.rs
@@ -41,7 +41,7 @@
     let last = port + 3;
     format!(
         "grants=api_call\nself.node_name={name}\nself.zone={domain}\nself.ip={ip}\n\
-         self.limits.max_fds=2000\nself.bootstrap=true\n\
+         self.limits.cpu_share=0.5\nself.bootstrap=true\n\
          network.bind_addresses.frontend={ip}:{port}\n\
          network.bind_addresses.readiness={ip}:{}\n\
          network.internal_ports={},{last}\n\
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -182,8 +182,11 @@
         for hold in holds.iter_mut().filter(|hold| hold.target == self.shared.id) {
             hold.until = hold.until.min(now);
         }
-        // Wakes the listener, which ends then.
-        drop(TcpStream::connect(self.address));
+        // Wakes the listener, which ends then. A connection that it accepts before would be reset
+        // after a request was sent on it, unlike one to a target that has ended.
+        while TcpStream::connect(self.address).is_ok() {
+            thread::sleep(Duration::from_millis(1));
+        }
     }
 }
 
