--- a/bins/ctl/src/command.rs
+++ b/bins/ctl/src/command.rs
@@ -14,6 +14,7 @@
 use crate::flag::Flags;
 use crate::flag::Subject;
 use crate::status;
+use crate::story;
 
 /// Result of a command.
 #[derive(Clone, Debug)]
@@ -56,6 +57,7 @@
         Some(Command::Explain { subject }) => match subject {
             Subject::Key { entries, service, key } => explain::key(&entries.entry, service, key),
             Subject::Request { entries, id } => explain::request(&entries.entry, id),
+            Subject::Log { id, files } => story::run(id, files),
             Subject::Fleet { entries } => explain::fleet(&entries.entry),
         },
     }
--- a/bins/ctl/src/flag.rs
+++ b/bins/ctl/src/flag.rs
@@ -187,6 +187,14 @@
         /// Request ID.
         id: String,
     },
+    /// What the logs of instances tell of a request, with its cause last.
+    Log {
+        /// Request ID.
+        id: String,
+        /// Logs of instances, in JSON lines.
+        #[arg(required = true)]
+        files: Vec<PathBuf>,
+    },
     /// Which instance coordinates each group, and where instances disagree.
     Fleet {
         #[command(flatten)]
--- a/bins/ctl/src/main.rs
+++ b/bins/ctl/src/main.rs
@@ -25,6 +25,7 @@
 mod http;
 mod status;
 mod store;
+mod story;
 mod table;
 
 fn main() -> ExitCode {
--- a/bins/ctl/tests/ctl/main.rs
+++ b/bins/ctl/tests/ctl/main.rs
@@ -8,6 +8,7 @@
 mod document;
 mod fake;
 mod promotion;
+mod story;
 
 use std::process::Command;
 
--- /dev/null
+++ b/crates/fleet/tests/coordinator.rs
@@ -0,0 +1,164 @@
+//! Bounds that the random histories rarely reach.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use caraway_core::time::Stamp;
+use caraway_fleet::coordinator::Call;
+use caraway_fleet::coordinator::Coordinator;
+use caraway_fleet::coordinator::Options;
+use caraway_fleet::coordinator::Reply;
+use caraway_fleet::coordinator::Request;
+use caraway_fleet::coordinator::Tables;
+use caraway_fleet::election;
+use caraway_fleet::membership::Life;
+use caraway_fleet::membership::Registry;
+use caraway_fleet::membership::Target;
+use caraway_fleet::ownership::Move;
+use caraway_fleet::ownership::Table;
+
+const START: Stamp = Stamp::from_millis(1_000_000);
+
+fn life(id: &str) -> Life {
+    Life { id: id.into(), born: 1 }
+}
+
+fn registry(ids: &[&str]) -> Registry {
+    let mut registry = Registry::default();
+    for id in ids {
+        let target = Target {
+            life: life(id),
+            address: ([10, 0, 0, 1], 80).into(),
+            domain: "d".into(),
+            service: "s".into(),
+            slots: 4,
+            draining: false,
+            cold: Duration::ZERO,
+        };
+        registry.put(target, START);
+    }
+    registry
+}
+
+fn tables(owners: &[(u16, u16, &str)]) -> Tables {
+    let mut table = Table::default();
+    for (first, last, id) in owners {
+        table.apply(&Move { first: *first, last: *last, to: life(id) });
+    }
+    [(Arc::from("s"), table)].into_iter().collect()
+}
+
+fn options() -> Options {
+    Options::new(Duration::from_secs(10))
+}
+
+fn at(ms: u64) -> Stamp {
+    START + Duration::from_millis(ms)
+}
+
+fn holds(calls: &[Call]) -> Vec<Duration> {
+    let hold = |call: &Call| match call.request {
+        Request::Grant { hold, .. } => Some(hold),
+        Request::Release => None,
+    };
+    calls.iter().filter_map(hold).collect()
+}
+
+/// Guards against a grant of a coordinator that has lost the store, or was replaced without knowing,
+/// that lasts longer than its successor waits.
+#[test]
+fn grants_end_within_reach_of_the_last_confirmation() {
+    let registry = registry(&["a"]);
+    let mut coordinator = Coordinator::new(options(), tables(&[(0, u16::MAX, "a")]), START, START);
+    let reach = options().reach;
+    let mut lengths = Vec::new();
+    for ms in (0..20_000).step_by(50) {
+        let now = at(ms);
+        for call in coordinator.due(&registry, now) {
+            for hold in holds(std::slice::from_ref(&call)) {
+                // The call may be sent late, and the target's clock runs 2% slow.
+                let end = now + options().call + hold.div_f64(0.98);
+                assert!(end <= START + reach, "{hold:?} at {ms} ms");
+                lengths.push(hold);
+            }
+            coordinator.ended(&call, &Reply::Done { handover: None }, now);
+        }
+    }
+    assert_eq!(lengths.first(), Some(&options().hold));
+    assert!(lengths.iter().any(|hold| *hold > Duration::from_secs(9)), "{lengths:?}");
+}
+
+/// Guards against keys of a silent target that are given away before grants of an earlier coordinator
+/// have ended, because the target confirmed one of two holdings.
+#[test]
+fn one_confirmed_holding_does_not_replace_another() {
+    let registry = registry(&["a", "b"]);
+    let before = tables(&[(0, 99, "a"), (100, 199, "b"), (200, 299, "a")]);
+    let mut coordinator = Coordinator::new(options(), before, START, START);
+    let renumbered = coordinator.renumber();
+    coordinator.adopt(renumbered);
+    coordinator.confirm(at(100));
+    for call in coordinator.due(&registry, at(100)) {
+        let reply = if call.life == life("a") && call.first == 200 {
+            Reply::Unknown
+        } else {
+            Reply::Done { handover: None }
+        };
+        coordinator.ended(&call, &reply, at(110));
+    }
+    let step = Move { first: 200, last: 299, to: life("b") };
+    let proposed = coordinator.propose(&[("s".into(), step)]);
+    coordinator.adopt(proposed);
+    let reach = u64::try_from(options().reach.as_millis()).unwrap();
+    let given = |calls: &[Call]| calls.iter().any(|c| c.first == 200 && c.life == life("b"));
+    for ms in (150..=reach).step_by(50) {
+        coordinator.confirm(at(ms));
+        let calls = coordinator.due(&registry, at(ms));
+        assert!(!given(&calls), "given away after {ms} ms");
+        for call in calls {
+            let silent = call.life == life("a");
+            let reply = if silent { Reply::Unsent } else { Reply::Done { handover: None } };
+            coordinator.ended(&call, &reply, at(ms));
+        }
+    }
+    coordinator.confirm(at(reach + 50));
+    assert!(given(&coordinator.due(&registry, at(reach + 50))));
+}
+
+/// Guards against a wait for grants of earlier coordinators although the target has confirmed all its
+/// keys to this one.
+#[test]
+fn a_confirmed_target_that_falls_silent_is_waited_for_as_long_as_its_own_grant() {
+    let registry = registry(&["a", "b"]);
+    let mut coordinator = Coordinator::new(options(), tables(&[(0, u16::MAX, "a")]), START, START);
+    let renumbered = coordinator.renumber();
+    coordinator.adopt(renumbered);
+    for call in coordinator.due(&registry, at(10)) {
+        coordinator.ended(&call, &Reply::Done { handover: None }, at(20));
+    }
+    let step = Move { first: 0, last: u16::MAX, to: life("b") };
+    let proposed = coordinator.propose(&[("s".into(), step)]);
+    coordinator.adopt(proposed);
+    let mut given = None;
+    for ms in (100..8000).step_by(50) {
+        coordinator.confirm(at(ms));
+        for call in coordinator.due(&registry, at(ms)) {
+            if call.life == life("b") {
+                given.get_or_insert(ms);
+            }
+            coordinator.ended(&call, &Reply::Unsent, at(ms));
+        }
+    }
+    let given = given.unwrap();
+    assert!((3000..3500).contains(&given), "{given} ms");
+}
+
+/// Guards against a coordinator on a machine that is too small for the fleet.
+#[test]
+fn instances_on_large_machines_campaign_first() {
+    for revision in 0..200 {
+        let small = election::delay("a", revision, 0.07, 0.5);
+        let large = election::delay("b", revision, 0.5, 0.5);
+        assert!(small > large || large - small < Duration::from_millis(120), "{revision}");
+    }
+}
