Name service and key in the lines of refused and failed requests

Cause: a line about a request without an owner did not say which key it asked for, so the owner's lines could not be found.

Change: events 410 and 411 have service and key; explain log shows only the latest list of owners and tells a lost way from a reset.

--- a/bins/ctl/src/story.rs
+++ b/bins/ctl/src/story.rs
@@ -89,7 +89,7 @@
     let about = |line: &&Line| {
         let target = named.contains(&line.text("target"));
         match line.event() {
-            214..=217 | 318 | 319 => target,
+            214..=217 | 318 | 319 | 414 => target,
             101..=112 | 315..=317 | 320 | 501..=506 | 601..=609 => true,
             _ => false,
         }
@@ -98,6 +98,13 @@
         .iter()
         .filter(|line| line.source == last.source && line.text("time") <= last.text("time"));
     let mut found: Vec<&Line> = before.filter(about).collect();
+    // Of the lists of owners, only the latest matters.
+    let latest = found.iter().rposition(|line| line.event() == 320);
+    let mut index = 0;
+    found.retain(|line| {
+        index += 1;
+        line.event() != 320 || latest == Some(index - 1)
+    });
     found.drain(..found.len().saturating_sub(BACKGROUND));
     found
 }
--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -204,7 +204,7 @@
 /// Serves a request.
 pub async fn serve(state: &Rc<State>, request: &Request) -> Response<Body> {
     let Some(configuration) = state.configuration() else {
-        return refuse(state, request, None, Reason::NoConfiguration, 0, 0);
+        return refuse(state, request, None, Reason::NoConfiguration);
     };
     let host = request.parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
     let host = host.or_else(|| request.parts.uri.host()).unwrap_or("");
@@ -621,10 +621,16 @@
         answer::pass_on(head, answer)
     }
 
+    fn key_text(&self) -> String {
+        self.key.map(|key| key.to_string()).unwrap_or_default()
+    }
+
     fn log_failure(&self, reason: Reason, status: u16) {
         emit(Event::RequestFailed {
             request_id: self.request.id.to_string(),
             route: self.route.name.to_string(),
+            service: self.service.to_string(),
+            key: self.key_text(),
             reason: reason.as_str().to_owned(),
             target: self.tried.last().map(ToString::to_string).unwrap_or_default(),
             status: status.into(),
@@ -637,10 +643,8 @@
 
     /// Answers a request that no target answered.
     fn give_up(&self, reason: Reason) -> Response<Body> {
-        let left = millis(self.left());
         if !self.may_have_run {
-            let tried = self.tried.len() as u64;
-            return refuse(self.state, self.request, Some(self.route), reason, tried, left);
+            return refuse(self.state, self.request, Some(self), reason);
         }
         let late = reason == Reason::Silent;
         let status = if late { StatusCode::GATEWAY_TIMEOUT } else { StatusCode::BAD_GATEWAY };
@@ -655,10 +659,8 @@
 fn refuse(
     state: &Rc<State>,
     request: &Request,
-    route: Option<&Route>,
+    call: Option<&Call<'_>>,
     reason: Reason,
-    attempts: u64,
-    left_ms: u64,
 ) -> Response<Body> {
     let retry = match reason {
         Reason::NoConfiguration | Reason::NoOwner | Reason::NotOwner => Duration::from_millis(250),
@@ -667,11 +669,13 @@
     };
     emit(Event::RequestRefused {
         request_id: request.id.to_string(),
-        route: route.map(|route| route.name.to_string()).unwrap_or_default(),
+        route: call.map(|call| call.route.name.to_string()).unwrap_or_default(),
+        service: call.map(|call| call.service.to_string()).unwrap_or_default(),
+        key: call.map(Call::key_text).unwrap_or_default(),
         reason: reason.as_str().to_owned(),
-        attempts,
+        attempts: call.map_or(0, |call| call.tried.len() as u64),
         held_ms: millis(request.received.elapsed()),
-        left_ms,
+        left_ms: call.map_or(0, |call| millis(call.left())),
         retry_ms: millis(retry),
         config_version: state.version(),
         owners: owners_text(state),
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -299,11 +299,11 @@
         "caller {address} sent an invalid request: {problem}"
     /// A request was refused and has not run.
     410 Warn RequestRefused "request-refused"
-        { request_id: String, route: String, reason: String, attempts: u64, held_ms: u64, left_ms: u64, retry_ms: u64, config_version: u64, owners: String }
+        { request_id: String, route: String, service: String, key: String, reason: String, attempts: u64, held_ms: u64, left_ms: u64, retry_ms: u64, config_version: u64, owners: String }
         "request {request_id} was refused and has not run: {reason}"
     /// A request failed and may have run.
     411 Warn RequestFailed "request-failed"
-        { request_id: String, route: String, reason: String, target: String, status: u64, attempts: u64, held_ms: u64, config_version: u64, owners: String }
+        { request_id: String, route: String, service: String, key: String, reason: String, target: String, status: u64, attempts: u64, held_ms: u64, config_version: u64, owners: String }
         "request {request_id} was answered with {status}: {reason}"
     /// A request is sent to a target once more.
     412 Info RequestRepeated "request-repeated"
