Make the test of failing targets see the fault it guards against

Cause: with equal times the old code chose another target by chance, so the test passed on it.

Change: the failing target is the fastest, as failures often are.

--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -344,6 +344,10 @@
     let failing =
         request.path.split("fail-at-").nth(1).is_some_and(|id| id.starts_with(&shared.id));
     let status = if failing { 500 } else { 200 };
+    if has("fail-at-") && !failing {
+        // A failure is often faster than an answer.
+        thread::sleep(Duration::from_millis(20));
+    }
     let whole = http::answer(status, &headers, body.as_bytes());
     if has("break-before") {
         stream.shutdown(Shutdown::Both)?;
