Ration owners by what is at them, and spare urgent requests

A refused write of the tables was logged as one without an answer, and a write without an answer held the coordinator up for 1.5 s, and as long again for the reading after it.

Change: an owner's share falls while two rounds of its slots are at it and rises while it has free ones; demand only speeds the first reaction up; urgent requests are not rationed; an instance keeps one more request under way at an owner that reported free slots; store calls end after 0.9 s; refused writes are logged as such.

--- a/bins/ctl/src/story.rs
+++ b/bins/ctl/src/story.rs
@@ -56,7 +56,8 @@
         return Ok(Output { text, json, complete: false });
     };
     let background = background(&lines, &story, last);
-    let cause = cause(last, &background);
+    let broken = story.iter().rev().find(|line| line.event() == 414);
+    let cause = cause(last, broken.copied(), &background);
     let mut text = String::new();
     for line in &background {
         text.push_str(&format!("  {}", row(line)));
@@ -89,7 +90,7 @@
     let about = |line: &&Line| {
         let target = named.contains(&line.text("target"));
         match line.event() {
-            214..=217 | 318 | 319 | 414 => target,
+            214..=217 | 318 | 319 => target,
             101..=112 | 315..=317 | 320 | 501..=506 | 601..=609 => true,
             _ => false,
         }
@@ -116,7 +117,7 @@
 }
 
 /// Says why the request ended as it did, from its last line and what happened around it.
-fn cause(last: &Line, background: &[&Line]) -> String {
+fn cause(last: &Line, broken: Option<&Line>, background: &[&Line]) -> String {
     let seen = |events: std::ops::RangeInclusive<u64>| {
         background.iter().rev().find(|line| events.contains(&line.event()))
     };
@@ -144,9 +145,12 @@
             Some(line) if line.event() == 216 => "the target has left or was lost",
             _ => "the target takes no connections",
         },
-        "the connection broke" => {
-            "the target reset or ended the connection: it crashed, or was full"
-        }
+        "the connection broke" => match broken {
+            Some(line) if line.text("error").contains("timed out") => {
+                "what was sent was not acknowledged: the target or the way to it was lost"
+            }
+            _ => "the target reset or ended the connection: it crashed, or was full",
+        },
         "no answer in time" => "the target was slow or went silent",
         "the answer belongs to another request" => "the target sent bytes beyond an answer",
         "the target failed" => "the target itself answered with a failure",
--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -195,6 +195,8 @@
     route: &'a Route,
     service: Arc<str>,
     key: Option<u16>,
+    /// Whether other requests for the service are less urgent.
+    urgent: bool,
     deadline: Instant,
     /// Targets that it was sent to.
     tried: Vec<Arc<str>>,
@@ -238,7 +240,9 @@
             dividers.entry(route.name.clone()).or_default().next(&route.parts)
         };
         let service = route.parts.get(index).or(route.parts.first())?.service.clone();
-        let keyed = configuration.services.get(&service).is_some_and(|service| service.keyed);
+        let known = configuration.services.get(&service);
+        let keyed = known.is_some_and(|service| service.keyed);
+        let urgent = known.is_some_and(|service| route.rank < service.least_rank);
         let key = match number(field::KEY) {
             Some(text) if keyed => Some(text.trim().parse().ok()?),
             _ => None,
@@ -255,6 +259,7 @@
             route,
             service,
             key,
+            urgent,
             deadline: request.received + patience,
             tried: Vec::new(),
             admitted: Cell::new(false),
@@ -391,14 +396,18 @@
     /// Returns whether this instance may send another request to an owner of keys now.
     fn turn(&self, target: &Target) -> bool {
         let window = admission::window(target.slots, self.state.instances.borrow().len());
-        self.state.gauge(&target.life.id, |gauge| gauge.running < window)
+        let now = Clock.now();
+        self.state.gauge(&target.life.id, |gauge| {
+            gauge.running < window + u32::from(self.urgent || gauge.roomy(target.slots, now))
+        })
     }
 
     /// Checks that the queue of a target leaves time for the request.
     fn room(&self, target: &Target) -> Result<(), Reason> {
         let now = Clock.now();
         let (expected, admitted) = self.state.gauge(&target.life.id, |gauge| {
-            let decided = !self.tried.is_empty() || self.admitted.replace(true);
+            // What an owner cannot serve is taken from the less urgent requests.
+            let decided = self.urgent || !self.tried.is_empty() || self.admitted.replace(true);
             let admitted = decided || gauge.admit();
             (gauge.expected(target.slots, USUAL_TIME, now), admitted)
         });
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -72,9 +72,6 @@
 /// Most have by then, so that one write tells of all.
 const SETTLE: Duration = Duration::from_millis(1500);
 
-/// Part of an owner's slots that are in use when its requests may be rationed.
-const FULL: f64 = 0.75;
-
 /// Time that targets have to register before keys are given out for the first time.
 const GATHER: Duration = Duration::from_millis(1500);
 
@@ -125,7 +122,7 @@
     /// Share of failures among the latest requests by target, and when it was last updated.
     failures: HashMap<Arc<str>, (f64, Stamp)>,
     /// Owners that cannot serve all requests for their keys, with the share that they can.
-    pub shares: Vec<(Arc<str>, f64)>,
+    pub shares: HashMap<Arc<str>, f64>,
 }
 
 impl Reports {
@@ -202,6 +199,7 @@
         self.running.retain(|id, _| registry.get(id).is_some());
         self.times.retain(|id, _| registry.get(id).is_some());
         self.failures.retain(|id, _| registry.get(id).is_some());
+        self.shares.retain(|id, _| registry.get(id).is_some());
     }
 }
 
@@ -532,11 +530,18 @@
         let call = store::change(&transaction);
         let answer = send(&self.state, &call, "change", Duration::ZERO).await;
         let change = match answer {
-            Ok((status, body)) => store::change_answer(status, &body).ok(),
-            Err(_) => None,
+            Ok((status, body)) => {
+                store::change_answer(status, &body).map_err(|error| error.to_string())
+            }
+            Err(Failure::Unsent(error)) => Err(error.to_string()),
+            Err(Failure::Sent(_)) => {
+                let (key, write_id) = (OWNERS.to_owned(), self.written.to_string());
+                emit(Event::WriteAmbiguous { key, write_id });
+                return None;
+            }
         };
         match change {
-            Some(store::Change::Made(revision)) => {
+            Ok(store::Change::Made(revision)) => {
                 self.written = revision;
                 self.stored.clone_from(&tables);
                 self.changed = Clock.now();
@@ -545,23 +550,22 @@
                 return Some(revision);
             }
             // Another write was made, perhaps an earlier one of this term without an answer.
-            Some(store::Change::Conflict | store::Change::LeaseEnded) => self.reread().await,
-            None => {
-                let (key, write_id) = (OWNERS.to_owned(), self.written.to_string());
-                emit(Event::WriteAmbiguous { key, write_id });
-            }
+            Ok(store::Change::Conflict | store::Change::LeaseEnded) => self.reread().await,
+            Err(error) => emit(Event::StoreUnreachable { error }),
         }
         None
     }
 
     async fn reread(&mut self) {
-        if let Ok((tables, revision)) = read_tables(&self.state).await
-            && revision != self.written
-        {
-            self.written = revision;
-            self.stored.clone_from(&tables);
-            self.coordinator.adopt(tables);
-            self.publish();
+        match read_tables(&self.state).await {
+            Ok((tables, revision)) if revision != self.written => {
+                self.written = revision;
+                self.stored.clone_from(&tables);
+                self.coordinator.adopt(tables);
+                self.publish();
+            }
+            Ok(_) => {}
+            Err(error) => emit(Event::StoreUnreachable { error }),
         }
     }
 
@@ -577,7 +581,6 @@
         }
         let tables = self.coordinator.tables();
         let empty = caraway_fleet::ownership::Table::default();
-        reports.shares.clear();
         let keyed = configuration.services.iter().filter(|(_, service)| service.keyed);
         for (service, _) in keyed {
             let table = tables.get(service).unwrap_or(&empty);
@@ -585,27 +588,27 @@
                 continue;
             }
             let candidates = candidates(service, &registry, &reports.times, &self.coordinator, now);
-            let Reports { demand, running, .. } = &mut *reports;
+            let Reports { demand, running, shares, .. } = &mut *reports;
             let demands = demand.entry(service.clone()).or_default();
             demands.for_moves.decay(now);
             demands.for_admission.decay(now);
             let demand = &demands.for_moves;
             let rates = plan::rates(table, &demands.for_admission);
-            let share = |candidate: &Candidate| {
-                // Requests that a target turns away take none of its capacity: an owner that is not
-                // full needs no relief, whatever its keys are asked for.
-                let running = running.get(&candidate.life.id);
-                let running: u32 =
-                    running.map_or(0, |counts| counts.values().map(|(n, _)| n).sum());
-                if f64::from(running) < candidate.slots * FULL {
-                    return None;
-                }
+            for candidate in &candidates {
+                let id = &candidate.life.id;
+                let counts = running.get(id);
+                let count: u32 = counts.map_or(0, |counts| counts.values().map(|(n, _)| n).sum());
                 let rate = rates.get(&candidate.life).copied().unwrap_or(0.0);
-                let share =
-                    admission::share(rate, demand::FOR_ADMISSION, candidate.time, candidate.slots);
-                (share < 1.0).then(|| (candidate.life.id.clone(), share))
-            };
-            let shares: Vec<_> = candidates.iter().filter_map(share).collect();
+                let (time, slots) = (candidate.time, candidate.slots);
+                let suggested = admission::share(rate, demand::FOR_ADMISSION, time, slots);
+                let share = shares.get(id).copied().unwrap_or(1.0);
+                let share = admission::adjust(share, f64::from(count), slots, suggested);
+                if share < 1.0 {
+                    shares.insert(id.clone(), share);
+                } else {
+                    shares.remove(id);
+                }
+            }
             let repairs = plan::repair(table, &candidates, demand);
             if !repairs.is_empty() {
                 let repair = |step| (service.clone(), step, "the keys have no usable owner");
@@ -615,7 +618,6 @@
                 let step = |step| (service.clone(), step, "the owner is busier than others");
                 moves.extend(steps.into_iter().map(step));
             }
-            reports.shares.extend(shares);
         }
         moves
     }
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -6,6 +6,7 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -81,7 +82,7 @@
     /// Targets that fail, with the share of their failures.
     failing: Vec<(Arc<str>, f64)>,
     /// Owners that cannot serve all requests for their keys, with the share that they can.
-    shares: Vec<(Arc<str>, f64)>,
+    shares: HashMap<Arc<str>, f64>,
     /// Whether the answering instance is the coordinator.
     leading: bool,
     /// Whether the answering instance follows the store and hears from it.
--- a/bins/edge/src/store.rs
+++ b/bins/edge/src/store.rs
@@ -13,8 +13,9 @@
 use crate::state::State;
 
 /// Longest time for a call. The store answers in some milliseconds, in some hundred when it is
-/// slow; a call without an answer may still be carried out.
-pub const CALL: Duration = Duration::from_millis(1500);
+/// slow; a call without an answer may still be carried out. The coordinator waits for a write and for
+/// the reading that follows a conflict, and renews no grant meanwhile: both fit into two thirds of one.
+pub const CALL: Duration = Duration::from_millis(900);
 
 /// Sends a call. `wait` is added to the time that the call may take.
 ///
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -23,6 +23,32 @@
     if rate - CERTAINTY * deviation > capacity { capacity / rate } else { 1.0 }
 }
 
+/// Requests at an owner, in rounds of its slots, above which its share falls and below which it rises.
+const CROWDED: f64 = 2.0;
+const RELIEVED: f64 = 1.0;
+
+/// Factor by which a share falls, and what it rises by, at each look at the owner.
+const FALL: f64 = 0.85;
+const RISE: f64 = 1.25;
+const RISE_STEP: f64 = 0.05;
+
+/// Returns an owner's next share, given the share until now, the requests at it and the share that
+/// its demand suggests.
+///
+/// Refused requests come back and count as demand again, so demand alone would keep an owner
+/// rationed that has long had room. What is at the owner decides; demand only speeds the first
+/// reaction up.
+pub fn adjust(share: f64, running: f64, slots: f64, suggested: f64) -> f64 {
+    let rounds = running / slots.max(1.0);
+    if rounds > CROWDED {
+        (share * FALL).min(suggested)
+    } else if rounds < RELIEVED {
+        (share * RISE + RISE_STEP).min(1.0)
+    } else {
+        share
+    }
+}
+
 /// Lets a share of requests through, evenly spread.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Gate {
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -52,6 +52,8 @@
 pub struct Service {
     /// Whether each key is owned by one target.
     pub keyed: bool,
+    /// Rank of the least urgent route that leads to it.
+    pub least_rank: u32,
     /// Connections that a target accepts from all callers together.
     pub connections: usize,
     /// Time for which a key without a handover is served slowly.
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -26,6 +26,9 @@
 const PACE_GAIN: f64 = 0.05;
 const PACE_LEAST: f64 = 0.05;
 
+/// Age up to which a report of free slots is believed.
+const ROOM_AGE: Duration = Duration::from_millis(250);
+
 /// First and longest time for which a target that cannot be reached is left out.
 const PAUSE: Duration = Duration::from_millis(500);
 const PAUSE_LIMIT: Duration = Duration::from_secs(4);
@@ -159,6 +162,12 @@
         self.gate.admit(self.share.min(self.pace))
     }
 
+    /// Returns whether the target reported free slots just now.
+    pub fn roomy(&self, slots: u32, now: Stamp) -> bool {
+        let fresh = |at: Stamp| now.since(at) < ROOM_AGE;
+        self.report.is_some_and(|(count, at)| fresh(at) && count < f64::from(slots))
+    }
+
     /// Returns whether the target could be reached when it was last tried.
     pub fn reachable(&self, now: Stamp) -> bool {
         now >= self.paused
--- a/crates/fleet/tests/patterns.rs
+++ b/crates/fleet/tests/patterns.rs
@@ -165,6 +165,24 @@
     assert!((0..100).all(|_| gate.admit(share(30.0))));
 }
 
+/// Pattern: refused requests come back and are counted again. Rationing ends all the same when the
+/// owner has room: it had refused a seventh of all requests for a whole day.
+#[test]
+fn returning_requests_do_not_keep_an_owner_rationed() {
+    let suggested = admission::share(90.0, FOR_ADMISSION, 0.1, 4.0);
+    let mut share = 1.0;
+    for _ in 0..4 {
+        share = admission::adjust(share, 12.0, 4.0, suggested);
+    }
+    assert!(share < 0.5, "{share}");
+    for _ in 0..8 {
+        share = admission::adjust(share, 2.0, 4.0, suggested);
+    }
+    assert!((share - 1.0).abs() < 1e-9, "{share}");
+    // Between the two bounds it stays, so that it does not swing.
+    assert!((admission::adjust(0.6, 6.0, 4.0, suggested) - 0.6).abs() < 1e-9);
+}
+
 /// Pattern: many owners with moderate load, each counted from some requests. Chance alone must not
 /// refuse any: on a fleet of 166 owners it refused a tenth of the requests.
 #[test]
