--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -24,8 +24,10 @@
 }
 
 /// Requests at an owner, in rounds of its slots, above which its share falls and below which it rises.
-const CROWDED: f64 = 2.0;
-const RELIEVED: f64 = 1.0;
+/// At three rounds an answer takes about as long as its objective allows; below two, an owner whose
+/// requests come in clumps is idle at times.
+const CROWDED: f64 = 3.0;
+const RELIEVED: f64 = 2.0;
 
 /// Factor by which a share falls, and what it rises by, at each look at the owner.
 const FALL: f64 = 0.85;
