Send a token to a target on one connection only

Change: a grant goes on the connection on which its token was sent first; if that is gone, the keys get a new token for the same owner by a write to the store, and are served on meanwhile. Nothing is granted under inherited tokens. A new life proves nothing; a release that it answers does.

--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -1,5 +1,6 @@
 //! Campaigns for the coordination of keyed services and carries out the coordinator's decisions.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -8,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::Mutex;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
@@ -31,6 +33,7 @@
 use caraway_fleet::demand;
 use caraway_fleet::demand::Demand;
 use caraway_fleet::election;
+use caraway_fleet::membership::Life;
 use caraway_fleet::membership::Registry;
 use caraway_fleet::ownership::Move;
 use caraway_fleet::plan;
@@ -44,9 +47,12 @@
 use crate::feed::LEADER;
 use crate::feed::OWNERS;
 use crate::http;
+use crate::http::Connection;
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::pool::Failure;
+use crate::pool::OPEN;
+use crate::pool::whole;
 use crate::state::State;
 use crate::store::send;
 
@@ -223,6 +229,9 @@
     next_repair: Stamp,
     next_balance: Stamp,
     renewing: bool,
+    lines: HashMap<Life, Rc<Mutex<Line>>>,
+    /// Number of the latest line.
+    numbers: Rc<Cell<u64>>,
     /// When the instances were last told the owners, and whether there is something to tell.
     told: Stamp,
     untold: bool,
@@ -234,7 +243,7 @@
 
 #[derive(Debug)]
 enum Outcome {
-    Grant(Call, Reply, Stamp),
+    Grant(Call, Reply, Option<u64>, Stamp),
     Renewal(Result<bool, String>, Stamp),
 }
 
@@ -320,6 +329,8 @@
         next_repair: now,
         next_balance: now + BALANCE,
         renewing: false,
+        lines: HashMap::new(),
+        numbers: Rc::default(),
         told: now,
         untold: false,
         renumbered: false,
@@ -407,9 +418,9 @@
                     Err(error) => emit(Event::StoreUnreachable { error }),
                 }
             }
-            Outcome::Grant(call, reply, now) => {
+            Outcome::Grant(call, reply, line, now) => {
                 self.report(&call, &reply);
-                self.untold |= self.coordinator.ended(&call, &reply, now);
+                self.untold |= self.coordinator.ended(&call, &reply, line, now);
             }
         }
         None
@@ -421,6 +432,7 @@
             Reply::Fenced => "a higher token was seen",
             Reply::Unknown => "no valid answer",
             Reply::Unsent => "no connection",
+            Reply::Severed => "the connection of its grant is gone; it gets a new token",
         };
         Metrics::count(&self.state.metrics.grants, "result", result);
         let (service, target) = (call.service.to_string(), call.life.id.to_string());
@@ -435,7 +447,7 @@
                 }
             }
             (Reply::Done { .. }, Request::Release) => {}
-            (Reply::Fenced | Reply::Unknown | Reply::Unsent, _) => {
+            (Reply::Fenced | Reply::Unknown | Reply::Unsent | Reply::Severed, _) => {
                 let result = result.to_owned();
                 emit(Event::GrantUnanswered { service, first, last, target, fence, result });
             }
@@ -467,17 +479,27 @@
         for call in calls {
             let address = {
                 let registry = self.state.registry.borrow();
+                // A release may be answered by a later life, which holds what the earlier one got.
+                let any = call.request == Request::Release;
                 let member = registry.get(&call.life.id);
-                member.filter(|m| m.target.life == call.life).map(|m| m.target.address)
+                member.filter(|m| any || m.target.life == call.life).map(|m| m.target.address)
             };
             let address = address.or_else(|| self.state.last_address(&call.life));
             let (state, tell) = (self.state.clone(), self.tell.clone());
+            let line = self.lines.entry(call.life.clone()).or_default().clone();
+            let numbers = self.numbers.clone();
             self.work.spawn_local(async move {
-                let reply = match address {
-                    Some(address) => ask(&state, &call, address, now).await,
-                    None => Reply::Unsent,
+                let (reply, line) = match (address, &call.request) {
+                    (None, _) => (Reply::Unsent, None),
+                    (Some(address), Request::Grant { .. }) => {
+                        ask_grant(&line, &numbers, &call, address, now).await
+                    }
+                    (Some(address), Request::Release) => {
+                        (ask_release(&state, &call, address).await, None)
+                    }
                 };
-                let _ = tell.send(Outcome::Grant(call, reply, Clock.now()));
+                // The receiver is gone only when the term has ended.
+                let _ = tell.send(Outcome::Grant(call, reply, line, Clock.now()));
             });
         }
     }
@@ -579,6 +601,17 @@
         if balance {
             self.next_balance = now + BALANCE;
         }
+        let severed = self.coordinator.severed();
+        let usable = |life: &Life| {
+            let listed = registry.get(&life.id).is_some_and(|member| member.target.life == *life);
+            listed && !self.coordinator.silent(life, now)
+        };
+        for (service, step) in severed {
+            if usable(&step.to) {
+                moves.push((service, step, "the connection of the owner's grant is gone"));
+            }
+        }
+        let balance = balance && moves.is_empty();
         let tables = self.coordinator.tables();
         let empty = caraway_fleet::ownership::Table::default();
         let keyed = configuration.services.iter().filter(|(_, service)| service.keyed);
@@ -668,20 +701,60 @@
     candidates
 }
 
-/// Sends a call about keys to a target.
-///
-/// A grant is not sent later than its length was computed for: a process that had no processor time
-/// for a while may have been replaced, and its successor counts on the end of its grants.
-async fn ask(state: &State, call: &Call, address: SocketAddr, issued: Stamp) -> Reply {
-    let limit = match &call.request {
-        Request::Grant { .. } => coordinator::Options::new(state.settings.hold_limit).call,
-        // A release is answered when the work on the keys has ended.
-        Request::Release => state.settings.hold_limit,
-    };
+/// The connection on which a life of a target gets its grants.
+#[derive(Debug, Default)]
+struct Line {
+    /// Number of the connection, never used for another.
+    number: u64,
+    connection: Option<Connection>,
+}
+
+/// Sends a grant. It is not sent later than its length was computed for: a process that had no
+/// processor time for a while may have been replaced, and its successor counts on the end of its
+/// grants.
+async fn ask_grant(
+    line: &Mutex<Line>,
+    numbers: &Cell<u64>,
+    call: &Call,
+    address: SocketAddr,
+    issued: Stamp,
+) -> (Reply, Option<u64>) {
+    let mut line = line.lock().await;
+    let mut connection = line.connection.take().filter(Connection::reusable);
+    let same = connection.is_some() && call.line == Some(line.number);
+    if call.line.is_some() && !same {
+        line.connection = connection;
+        return (Reply::Severed, None);
+    }
+    if connection.is_none() {
+        let Ok(opened) = Connection::open(address, OPEN).await else {
+            return (Reply::Unsent, None);
+        };
+        numbers.set(numbers.get() + 1);
+        line.number = numbers.get();
+        connection = Some(opened);
+    }
+    if Clock.now() > issued + coordinator::SENDING {
+        line.connection = connection;
+        return (Reply::Unsent, None);
+    }
+    let Some(mut connection) = connection else { return (Reply::Unsent, None) };
+    let (path, body) = grant::request(call);
+    let request = http::request("POST", path, address, &body);
+    match whole(&mut connection, &request, coordinator::CALL).await {
+        Ok((head, _)) => {
+            line.connection = Some(connection);
+            (grant::reply(head.status, None), Some(line.number))
+        }
+        Err(_) => (Reply::Unknown, Some(line.number)),
+    }
+}
+
+/// Sends a release. It is answered when the work on the keys has ended.
+async fn ask_release(state: &State, call: &Call, address: SocketAddr) -> Reply {
     let (path, body) = grant::request(call);
     let request = http::request("POST", path, address, &body);
-    let latest = issued + coordinator::SENDING;
-    match state.pool.exchange_until(address, &request, limit, Some(latest)).await {
+    match state.pool.exchange(address, &request, state.settings.hold_limit).await {
         Ok((head, _)) => {
             let handover = head.headers.get(header::HANDOVER);
             let handover = handover.and_then(|value| value.to_str().ok()).map(Arc::from);
--- a/bins/edge/src/pool.rs
+++ b/bins/edge/src/pool.rs
@@ -10,7 +10,6 @@
 use tokio::time::timeout;
 
 use caraway_core::time::Clock;
-use caraway_core::time::Stamp;
 
 use crate::http::Connection;
 use crate::http::Head;
@@ -110,49 +109,44 @@
         address: SocketAddr,
         request: &[u8],
         limit: Duration,
-    ) -> Result<(Head, BytesMut), Failure> {
-        self.exchange_until(address, request, limit, None).await
-    }
-
-    /// Does the same, and sends nothing later than `latest`.
-    ///
-    /// # Errors
-    ///
-    /// Fails if there is no whole answer within `limit`, or the request could not be sent in time.
-    pub async fn exchange_until(
-        &self,
-        address: SocketAddr,
-        request: &[u8],
-        limit: Duration,
-        latest: Option<Stamp>,
     ) -> Result<(Head, BytesMut), Failure> {
         let connection = self.take(address, IDLE);
         let mut connection = match connection {
             Some(connection) => connection,
             None => Connection::open(address, OPEN.min(limit)).await.map_err(Failure::Unsent)?,
         };
-        if latest.is_some_and(|latest| Clock.now() > latest) {
-            return Err(Failure::Unsent(io::Error::other("too late to send")));
-        }
-        connection.reset();
-        let whole = async {
-            connection.send(request).await?;
-            let head = connection.head().await?;
-            let mut body = BytesMut::new();
-            while let Some(bytes) = connection.body().await? {
-                if body.len() + bytes.len() > ANSWER_BYTES {
-                    return Err(io::Error::other("the answer is too long"));
-                }
-                body.extend_from_slice(&bytes);
-            }
-            Ok((head, body))
-        };
-        let result = match timeout(limit, whole).await {
-            Ok(result) => result,
-            Err(elapsed) => Err(elapsed.into()),
-        };
-        let answer = result.map_err(Failure::Sent)?;
+        let answer = whole(&mut connection, request, limit).await.map_err(Failure::Sent)?;
         self.put(address, connection);
         Ok(answer)
     }
 }
+
+/// Sends a request on a connection and reads the whole answer. The connection must be dropped if that
+/// fails; it is reset then, so that nothing of the request arrives later.
+///
+/// # Errors
+///
+/// Fails if there is no whole answer within `limit`.
+pub async fn whole(
+    connection: &mut Connection,
+    request: &[u8],
+    limit: Duration,
+) -> io::Result<(Head, BytesMut)> {
+    connection.reset();
+    let exchange = async {
+        connection.send(request).await?;
+        let head = connection.head().await?;
+        let mut body = BytesMut::new();
+        while let Some(bytes) = connection.body().await? {
+            if body.len() + bytes.len() > ANSWER_BYTES {
+                return Err(io::Error::other("the answer is too long"));
+            }
+            body.extend_from_slice(&bytes);
+        }
+        Ok((head, body))
+    };
+    match timeout(limit, exchange).await {
+        Ok(result) => result,
+        Err(elapsed) => Err(elapsed.into()),
+    }
+}
--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -41,6 +41,9 @@
 /// leadership have failed by then.
 const UNCONFIRMED: Duration = Duration::from_millis(1500);
 
+/// Longest time that a call to a target may take.
+pub const CALL: Duration = Duration::from_millis(600);
+
 /// Time within which a call must be sent after [`Coordinator::due`] has returned it. It is shorter
 /// than [`Options::call`], with which the lengths of grants are computed.
 pub const SENDING: Duration = Duration::from_millis(500);
@@ -62,7 +65,7 @@
             hold,
             hold_limit,
             renewal: hold / 3,
-            call: Duration::from_millis(600),
+            call: CALL,
             reach: longest(hold_limit) + Duration::from_secs(3),
         }
     }
@@ -89,6 +92,9 @@
     pub fence: u64,
     /// What the call asks for.
     pub request: Request,
+    /// Connection on which the token was sent before, if it was. A grant may go on no other one: a
+    /// new life of the target may have taken the address, and must not get a token of the old one.
+    pub line: Option<u64>,
 }
 
 /// What a call asks for.
@@ -119,6 +125,8 @@
     Unknown,
     /// Nothing was sent.
     Unsent,
+    /// Nothing was sent, because the connection on which the token was sent before is gone.
+    Severed,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -127,6 +135,10 @@
     busy: bool,
     /// When the last call was sent.
     sent: Option<Stamp>,
+    /// Connection on which the token was sent.
+    line: Option<u64>,
+    /// Whether that connection is gone, so that the keys need a new token.
+    severed: bool,
     /// Whether the owner has confirmed the grant.
     granted: bool,
     /// Whether the last call was not confirmed.
@@ -301,10 +313,10 @@
     }
 
     /// Returns whether a life can hold no key under the grants of this and earlier terms.
-    fn lapsed(&self, life: &Life, registry: &Registry, now: Stamp) -> bool {
-        if registry.get(&life.id).is_some_and(|member| member.target.life.born > life.born) {
-            return true;
-        }
+    ///
+    /// A new life of the target proves nothing: it may have taken grants that were meant for the old
+    /// one before it was listed. A release that the new life answers settles both.
+    fn lapsed(&self, life: &Life, now: Stamp) -> bool {
         // Earlier coordinators may have sent grants that reach until then.
         if self.inherited.contains(life) && now <= self.since + self.options.reach {
             return false;
@@ -350,7 +362,7 @@
         let (first, last, fence) = (holding.first, holding.last, holding.fence);
         let mut waiting = false;
         for life in &holding.earlier {
-            if self.lapsed(life, registry, now) {
+            if self.lapsed(life, now) {
                 if let Some(domain) = self.domains.get_mut(service) {
                     domain.table.settle(first, last, fence, life);
                 }
@@ -371,24 +383,28 @@
                 last,
                 fence: holding.release_fence(),
                 request: Request::Release,
+                line: None,
             };
             calls.push(call);
         }
         let known = registry.get(&holding.owner.id);
         let ended = known.is_some_and(|member| member.target.life != holding.owner);
         let Some(hold) = self.hold(now) else { return };
-        if waiting || ended {
+        // The connections on which an earlier coordinator sent its tokens are not known.
+        let inherited = self.base.get(service).is_some_and(|base| fence <= *base);
+        if waiting || ended || inherited {
             return;
         }
         let renewal = self.options.renewal;
         let Some(domain) = self.domains.get_mut(service) else { return };
         let work = domain.work.entry((first, last, fence)).or_default();
         let pause = if work.granted && !work.failed { renewal } else { GRANT_RETRY };
-        if work.busy || work.sent.is_some_and(|sent| now.since(sent) < pause) {
+        let recent = work.sent.is_some_and(|sent| now.since(sent) < pause);
+        if work.busy || work.severed || recent {
             return;
         }
         (work.busy, work.sent) = (true, Some(now));
-        let handover = work.handover.clone();
+        let (handover, line) = (work.handover.clone(), work.line);
         self.contacts.entry(holding.owner.clone()).or_default().open += 1;
         calls.push(Call {
             service: service.clone(),
@@ -397,13 +413,31 @@
             last,
             fence,
             request: Request::Grant { hold, handover },
+            line,
         });
     }
 
-    /// Records the result of a call. Returns true if a target became the confirmed owner of keys.
-    pub fn ended(&mut self, call: &Call, reply: &Reply, now: Stamp) -> bool {
+    /// Returns moves of keys to the owner that they have, under a new token, where the connection on
+    /// which the token was sent is gone.
+    pub fn severed(&self) -> Vec<(Arc<str>, Move)> {
+        let mut moves = Vec::new();
+        for (service, domain) in &self.domains {
+            for holding in &domain.table.holdings {
+                let id = (holding.first, holding.last, holding.fence);
+                if domain.work.get(&id).is_some_and(|work| work.severed) {
+                    let (first, last, to) = (holding.first, holding.last, holding.owner.clone());
+                    moves.push((service.clone(), Move { first, last, to }));
+                }
+            }
+        }
+        moves
+    }
+
+    /// Records the result of a call, and the connection on which it was sent. Returns true if a
+    /// target became the confirmed owner of keys.
+    pub fn ended(&mut self, call: &Call, reply: &Reply, line: Option<u64>, now: Stamp) -> bool {
         match &call.request {
-            Request::Grant { hold, .. } => self.grant_ended(call, *hold, reply, now),
+            Request::Grant { hold, .. } => self.grant_ended(call, *hold, reply, line, now),
             Request::Release => {
                 self.release_ended(call, reply);
                 false
@@ -411,7 +445,14 @@
         }
     }
 
-    fn grant_ended(&mut self, call: &Call, hold: Duration, reply: &Reply, now: Stamp) -> bool {
+    fn grant_ended(
+        &mut self,
+        call: &Call,
+        hold: Duration,
+        reply: &Reply,
+        line: Option<u64>,
+        now: Stamp,
+    ) -> bool {
         let contact = self.contacts.entry(call.life.clone()).or_default();
         contact.open = contact.open.saturating_sub(1);
         match reply {
@@ -419,9 +460,10 @@
                 let end = now + longest(hold);
                 contact.held = Some(contact.held.map_or(end, |held| held.max(end)));
             }
-            Reply::Fenced | Reply::Unsent => {}
+            Reply::Fenced | Reply::Unsent | Reply::Severed => {}
         }
         match reply {
+            Reply::Severed => {}
             Reply::Done { .. } | Reply::Fenced => contact.silent = None,
             Reply::Unknown | Reply::Unsent => {
                 contact.silent.get_or_insert(now);
@@ -434,7 +476,12 @@
         work.busy = false;
         let done = matches!(reply, Reply::Done { .. });
         let fresh = done && !work.granted;
-        work.assumed = false;
+        work.line = work.line.or(line);
+        work.severed = matches!(reply, Reply::Severed);
+        // The keys are served on until their hold ends or the new token arrives.
+        if !work.severed {
+            work.assumed = false;
+        }
         work.failed = !done;
         if done {
             work.granted = true;
--- a/crates/fleet/tests/coordinator.rs
+++ b/crates/fleet/tests/coordinator.rs
@@ -70,6 +70,10 @@
 fn grants_end_within_reach_of_the_last_confirmation() {
     let registry = registry(&["a"]);
     let mut coordinator = Coordinator::new(options(), tables(&[(0, u16::MAX, "a")]), START, START);
+    // Nothing is granted under tokens of an earlier coordinator.
+    assert!(coordinator.due(&registry, START).is_empty());
+    let renumbered = coordinator.renumber();
+    coordinator.adopt(renumbered);
     let reach = options().reach;
     let mut lengths = Vec::new();
     for ms in (0..20_000).step_by(50) {
@@ -81,7 +85,7 @@
                 assert!(end <= START + reach, "{hold:?} at {ms} ms");
                 lengths.push(hold);
             }
-            coordinator.ended(&call, &Reply::Done { handover: None }, now);
+            coordinator.ended(&call, &Reply::Done { handover: None }, Some(1), now);
         }
     }
     assert_eq!(lengths.first(), Some(&options().hold));
@@ -104,7 +108,7 @@
         } else {
             Reply::Done { handover: None }
         };
-        coordinator.ended(&call, &reply, at(110));
+        coordinator.ended(&call, &reply, Some(1), at(110));
     }
     let step = Move { first: 200, last: 299, to: life("b") };
     let proposed = coordinator.propose(&[("s".into(), step)]);
@@ -118,7 +122,7 @@
         for call in calls {
             let silent = call.life == life("a");
             let reply = if silent { Reply::Unsent } else { Reply::Done { handover: None } };
-            coordinator.ended(&call, &reply, at(ms));
+            coordinator.ended(&call, &reply, Some(1), at(ms));
         }
     }
     coordinator.confirm(at(reach + 50));
@@ -134,7 +138,7 @@
     let renumbered = coordinator.renumber();
     coordinator.adopt(renumbered);
     for call in coordinator.due(&registry, at(10)) {
-        coordinator.ended(&call, &Reply::Done { handover: None }, at(20));
+        coordinator.ended(&call, &Reply::Done { handover: None }, Some(1), at(20));
     }
     let step = Move { first: 0, last: u16::MAX, to: life("b") };
     let proposed = coordinator.propose(&[("s".into(), step)]);
@@ -146,7 +150,7 @@
             if call.life == life("b") {
                 given.get_or_insert(ms);
             }
-            coordinator.ended(&call, &Reply::Unsent, at(ms));
+            coordinator.ended(&call, &Reply::Unsent, Some(1), at(ms));
         }
     }
     let given = given.unwrap();
@@ -162,3 +166,28 @@
         assert!(small > large || large - small < Duration::from_millis(120), "{revision}");
     }
 }
+
+/// Guards against a new life of a target, at the same address, that gets a token of the old one: a
+/// target that started again behind a cut took its predecessor's grants.
+#[test]
+fn a_token_is_sent_on_one_connection_only() {
+    let registry = registry(&["a"]);
+    let mut coordinator = Coordinator::new(options(), tables(&[(0, u16::MAX, "a")]), START, START);
+    let renumbered = coordinator.renumber();
+    coordinator.adopt(renumbered);
+    let first = coordinator.due(&registry, at(0)).pop().unwrap();
+    assert_eq!(first.line, None);
+    coordinator.ended(&first, &Reply::Done { handover: None }, Some(7), at(10));
+    let renewal = coordinator.due(&registry, at(1100)).pop().unwrap();
+    assert_eq!((renewal.line, renewal.fence), (Some(7), first.fence));
+    coordinator.ended(&renewal, &Reply::Severed, None, at(1110));
+    coordinator.confirm(at(3000));
+    assert!(coordinator.due(&registry, at(3000)).is_empty(), "the old token is sent again");
+    let moves = coordinator.severed();
+    assert_eq!(moves.len(), 1);
+    let proposed = coordinator.propose(&moves);
+    coordinator.adopt(proposed);
+    assert!(coordinator.view()[0].1.iter().all(|(_, served)| *served), "requests stop meanwhile");
+    let again = coordinator.due(&registry, at(3050)).pop().unwrap();
+    assert!(again.fence > first.fence && again.line.is_none() && again.life == first.life);
+}
--- a/crates/fleet/tests/history.rs
+++ b/crates/fleet/tests/history.rs
@@ -50,8 +50,10 @@
     reachable: [bool; 2],
     holds: Vec<Hold>,
     seen: Vec<(u16, u16, u64)>,
-    /// Tokens with which earlier lives and this one held keys, by first and last key.
-    taken: Vec<(u16, u16, u64)>,
+    /// Tokens with which each life held keys, by first and last key.
+    taken: Vec<(u64, u16, u16, u64)>,
+    /// Number of the connection of each coordinator, or zero.
+    lines: [u64; 2],
 }
 
 /// A grant that is carried out some time after its arrival.
@@ -78,7 +80,7 @@
     frozen_until: u64,
     /// Whether the store answers it.
     connected: bool,
-    replies: Vec<(u64, Call, Reply)>,
+    replies: Vec<(u64, Call, Reply, Option<u64>)>,
 }
 
 struct World {
@@ -89,6 +91,8 @@
     late: Vec<Late>,
     registry: Registry,
     service: Arc<str>,
+    /// Number of the latest connection.
+    numbers: u64,
     /// Chooses what is lost and delayed.
     dice: u64,
 }
@@ -107,6 +111,7 @@
             holds: vec![],
             seen: vec![],
             taken: vec![],
+            lines: [0; 2],
         };
         let node = |_| Node {
             coordinator: None,
@@ -125,6 +130,7 @@
             late: vec![],
             registry: Registry::default(),
             service: "keyed".into(),
+            numbers: 0,
             dice: seed | 1,
         };
         for index in 0..TARGETS {
@@ -158,7 +164,7 @@
     fn operate(&mut self, kind: u8, which: u8) {
         let index = usize::from(which) % TARGETS;
         let node = usize::from(which) % 2;
-        match kind % 9 {
+        match kind % 10 {
             0 => self.nodes[node].frozen_until = self.now + 500 + u64::from(which) * 30,
             1 => self.nodes[node].connected = !self.nodes[node].connected,
             2 => {
@@ -167,14 +173,11 @@
                 reachable[from] = !reachable[from];
             }
             3 => {
-                // The target starts again under the same id.
-                let server = &mut self.servers[index];
-                server.born += 1;
-                (server.up, server.reachable) = (true, [true; 2]);
-                (server.holds, server.seen) = (vec![], vec![]);
-                self.late.retain(|late| late.call.life.id != server.id);
+                self.restart(index);
                 self.list(index);
             }
+            // A target starts again, and the store does not learn of it yet.
+            9 => self.restart(index),
             4 => {
                 // The entry vanishes while the target lives.
                 self.registry.remove(&self.servers[index].id.clone());
@@ -188,6 +191,7 @@
             7 => {
                 let server = &mut self.servers[index];
                 server.up = false;
+                server.lines = [0; 2];
                 server.holds.clear();
             }
             _ => {
@@ -201,6 +205,15 @@
         }
     }
 
+    /// Starts a target again under the same id.
+    fn restart(&mut self, index: usize) {
+        let server = &mut self.servers[index];
+        server.born += 1;
+        (server.up, server.reachable, server.lines) = (true, [true; 2], [0; 2]);
+        (server.holds, server.seen) = (vec![], vec![]);
+        self.late.retain(|late| late.call.life.id != server.id);
+    }
+
     fn step(&mut self, moving: u8) {
         self.now += STEP;
         let now = self.now;
@@ -224,11 +237,11 @@
     fn run(&mut self, index: usize, moving: u8) {
         let now = stamp(self.now);
         let replies = std::mem::take(&mut self.nodes[index].replies);
-        for (at, call, reply) in replies {
+        for (at, call, reply, line) in replies {
             if at > self.now {
-                self.nodes[index].replies.push((at, call, reply));
+                self.nodes[index].replies.push((at, call, reply, line));
             } else if let Some(coordinator) = &mut self.nodes[index].coordinator {
-                coordinator.ended(&call, &reply, now);
+                coordinator.ended(&call, &reply, line, now);
             }
         }
         let connected = self.nodes[index].connected;
@@ -274,7 +287,10 @@
             candidates.sort_by(|a, b| a.life.cmp(&b.life));
             let known = coordinator.tables();
             let table = known.get(&self.service).cloned().unwrap_or_default();
-            let mut moves = plan::repair(&table, &candidates, &Demand::new(FOR_MOVES));
+            let usable = |life: &Life| candidates.iter().any(|c| c.life == *life);
+            let severed = coordinator.severed().into_iter().map(|(_, step)| step);
+            let mut moves: Vec<Move> = severed.filter(|step| usable(&step.to)).collect();
+            moves.extend(plan::repair(&table, &candidates, &Demand::new(FOR_MOVES)));
             if moves.is_empty() && moving < 40 && !candidates.is_empty() {
                 let to = &candidates[usize::from(moving) % candidates.len()];
                 let first = u16::from(moving) * 1500;
@@ -317,29 +333,46 @@
 
     fn send(&mut self, index: usize, call: Call) {
         let now = self.now;
-        let found = self.servers.iter().position(|server| server.id == call.life.id);
-        let server = &self.servers[found.unwrap()];
+        let found = self.servers.iter().position(|server| server.id == call.life.id).unwrap();
+        let grant = matches!(call.request, Request::Grant { .. });
+        let mut line = self.servers[found].lines[index];
+        if grant && call.line.is_some_and(|sent| sent != line) {
+            self.nodes[index].replies.push((now + STEP, call, Reply::Severed, None));
+            return;
+        }
         let current = self.registry.get(&call.life.id).is_none_or(|m| m.target.life == call.life);
-        if !server.up || server.born != call.life.born || !current {
-            self.nodes[index].replies.push((now + STEP, call, Reply::Unsent));
+        if !self.servers[found].up || grant && !current {
+            self.nodes[index].replies.push((now + STEP, call, Reply::Unsent, None));
             return;
         }
-        if !server.reachable[index] {
+        if line == 0 {
+            if !self.servers[found].reachable[index] {
+                self.nodes[index].replies.push((now + 400, call, Reply::Unsent, None));
+                return;
+            }
+            self.numbers += 1;
+            line = self.numbers;
+            self.servers[found].lines[index] = line;
+        }
+        let sent = grant.then_some(line);
+        if !self.servers[found].reachable[index] {
             // Some calls arrive although nothing comes back.
             if self.roll(3) == 0 {
                 self.arrive(&call);
             }
-            self.nodes[index].replies.push((now + 600, call, Reply::Unknown));
+            self.servers[found].lines[index] = 0;
+            self.nodes[index].replies.push((now + 600, call, Reply::Unknown, sent));
             return;
         }
-        if matches!(call.request, Request::Grant { .. }) && self.roll(8) == 0 {
+        if grant && self.roll(8) == 0 {
             let at = now + 2000 + self.roll(10_000);
             self.late.push(Late { at, arrived: now, call: call.clone() });
-            self.nodes[index].replies.push((now + 600, call, Reply::Unknown));
+            self.servers[found].lines[index] = 0;
+            self.nodes[index].replies.push((now + 600, call, Reply::Unknown, sent));
             return;
         }
         let reply = self.arrive(&call);
-        self.nodes[index].replies.push((now + STEP, call, reply));
+        self.nodes[index].replies.push((now + STEP, call, reply, sent));
     }
 
     fn arrive(&mut self, call: &Call) -> Reply {
@@ -372,7 +405,8 @@
         let Request::Grant { hold, .. } = &call.request else { panic!("not a grant") };
         let (first, last, fence) = (call.first, call.last, call.fence);
         let server = self.servers.iter_mut().find(|s| s.id == call.life.id).unwrap();
-        if !server.up || server.born != call.life.born {
+        // A target does not know for which of its lives a grant is meant.
+        if !server.up {
             return Reply::Unknown;
         }
         let overlaps = |a: u16, b: u16| a <= last && first <= b;
@@ -403,10 +437,11 @@
         rest.push(Hold { first, last, fence, until });
         server.holds = rest;
         let (id, born) = (server.id.clone(), server.born);
-        server.taken.push((first, last, fence));
-        for other in self.servers.iter().filter(|other| other.id != id && other.born > 0) {
-            let higher =
-                other.taken.iter().any(|(a, b, token)| overlaps(*a, *b) && *token >= fence);
+        server.taken.push((born, first, last, fence));
+        for other in &self.servers {
+            let higher = other.taken.iter().any(|(life, a, b, token)| {
+                (&other.id, *life) != (&id, born) && overlaps(*a, *b) && *token >= fence
+            });
             assert!(!higher || until <= self.now, "{id} of life {born} took a token too low");
         }
         Reply::Done { handover: None }
