Try targets out of reach three times at most, and keep following the store where it was left

The instances had no processor time: a refused connection was tried again at once until the request's time was over, 64,000 times a second in the whole fleet while a domain was cut off with resets. Each report to the coordinator that failed made an instance read the whole store. The notice of a leaving target also began anew at each instance that learned of it.

Change: three targets out of reach end a request, the owner of a key is left alone for half a second after a failure, and neither costs a repeat. An instance that loses its coordinator watches from the revision that it knows. A notice runs from when the first instance knew of it. Tables in the store are read only until the coordinator's first message.

Process tests for refused connections and for a lost coordinator fail on the former code.

--- a/bins/edge/src/feed.rs
+++ b/bins/edge/src/feed.rs
@@ -52,6 +52,8 @@
         };
         let now = Clock.now();
         state.failing.set(true);
+        // What changes during an outage is told apart from other changes by a reading.
+        state.complete.set(false);
         if lost.is_none() {
             emit(Event::StoreUnreachable { error });
         }
@@ -65,18 +67,22 @@
     }
 }
 
-/// Reads everything, then follows the changes until the watch has to start anew.
+/// Reads everything, unless it is known already, then follows the changes until something asks for a
+/// new watch.
 async fn follow(state: &Rc<State>, outage: bool) -> Result<(), String> {
-    let revision = snapshot(state, outage).await?;
+    if !state.complete.get() {
+        let revision = snapshot(state, outage).await?;
+        state.revision.set(state.revision.get().max(revision));
+        state.complete.set(true);
+    }
     state.failing.set(false);
-    state.revision.set(state.revision.get().max(revision));
-    let mut after = revision;
     loop {
         if state.accompanied.get() && !state.leading.get() {
             // Every watch that returns is a priced call; the coordinator tells what it hears.
             state.rewatch.notified().await;
             return Ok(());
         }
+        let after = state.revision.get();
         let call = store::watch("", after, WAIT);
         let answer = tokio::select! {
             answer = send(state, &call, "watch", WAIT) => answer,
@@ -85,17 +91,22 @@
         let page = match answer {
             Ok((status, body)) => store::page_answer(status, &body),
             // A watch that was cut says nothing about the store; the reading that follows does.
-            Err(_) => return Ok(()),
+            Err(_) => {
+                state.complete.set(false);
+                return Ok(());
+            }
         };
         let page = match page {
             Ok(page) => page,
             // The history is gone; everything is read again.
-            Err(caraway_adapter::errors::Error::Refused(410)) => return Ok(()),
+            Err(caraway_adapter::errors::Error::Refused(410)) => {
+                state.complete.set(false);
+                return Ok(());
+            }
             Err(error) => return Err(error.to_string()),
         };
         apply(state, &page);
-        after = page.revision.max(after);
-        state.revision.set(state.revision.get().max(after));
+        state.revision.set(state.revision.get().max(page.revision));
         if !page.items.is_empty() {
             sleep(GATHER).await;
         }
@@ -181,6 +192,9 @@
         }
     } else if item.key == OWNERS {
         // The coordinator tells more, and sooner. This serves until its first message.
+        if state.view.borrow().version.term > 0 {
+            return;
+        }
         let tables = item.value.as_deref().map(serde_json::from_slice::<Tables>);
         match tables {
             Some(Ok(tables)) => state.own(View::stored(&tables, item.revision)),
--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -64,6 +64,13 @@
 /// release takes as long as the longest request that is running on the key.
 const OWNER_WAIT: Duration = Duration::from_millis(700);
 
+/// Targets that cannot be reached before a request is refused: with this many in a row, most likely
+/// all are out of reach.
+const UNREACHED: usize = 3;
+
+/// Time that must be left for another try.
+const LEAST_LEFT: Duration = Duration::from_millis(20);
+
 /// Part of the time in which an answer has its full value for which a request waits until this
 /// instance has fewer requests at the owner of its key.
 const TURN_SHARE: f64 = 0.35;
@@ -127,8 +134,9 @@
     /// Whether other requests for the service are less urgent.
     urgent: bool,
     deadline: Instant,
-    /// Targets that it was sent to.
+    /// Targets that it was to be sent to, and how many of them could not be reached.
     tried: Vec<Arc<str>>,
+    unreached: usize,
     /// Whether the owner's gate has decided about it.
     admitted: Cell<bool>,
     /// Whether it may have run.
@@ -191,6 +199,7 @@
             urgent,
             deadline: request.received + patience,
             tried: Vec::new(),
+            unreached: 0,
             admitted: Cell::new(false),
             may_have_run: false,
             last: Reason::NoTarget,
@@ -207,10 +216,18 @@
                 Ok(target) => target,
                 Err(reason) => return self.give_up(reason),
             };
-            let first = self.tried.is_empty();
             self.tried.push(target.life.id.clone());
             match self.attempt(&target).await {
                 Try::Answered(head, answer) => return self.answered(&target, head, answer),
+                Try::NotRun(Reason::Unreached) => {
+                    self.last = Reason::Unreached;
+                    // A connection that was not opened is no arrival at a target and costs no repeat.
+                    self.unreached += 1;
+                    if self.unreached < UNREACHED && self.left() > LEAST_LEFT {
+                        continue;
+                    }
+                    return self.give_up(self.last);
+                }
                 Try::NotRun(reason) => self.last = reason,
                 Try::Unknown(reason) => {
                     self.may_have_run = true;
@@ -228,26 +245,23 @@
                     continue;
                 }
             }
-            // A connection that was not opened is no arrival at a target and costs no repeat.
-            let unsent = self.last == Reason::Unreached;
-            if unsent {
-                self.tried.pop();
-                if first && self.left() > Duration::from_millis(30) {
-                    continue;
-                }
-            }
             if !self.repeat(&target) {
                 return self.give_up(self.last);
             }
         }
     }
 
+    /// Returns the number of targets that it was sent to.
+    fn arrivals(&self) -> usize {
+        self.tried.len().saturating_sub(self.unreached)
+    }
+
     /// Returns whether the request may be sent once more.
     fn repeat(&self, target: &Target) -> bool {
         let attempts = usize::try_from(self.route.attempts).unwrap_or(usize::MAX);
         // A target that does not own the key has not taken part in the request.
         let most = if self.last == Reason::NotOwner { attempts + 2 } else { attempts };
-        if self.tried.len() >= most || self.left() < Duration::from_millis(20) {
+        if self.arrivals() >= most || self.left() < LEAST_LEFT {
             return false;
         }
         let now = Clock.now();
@@ -285,6 +299,10 @@
             if let Some(target) = self.known_owner(key)
                 && !(after_refusal && self.tried.last() == Some(&target.life.id))
             {
+                let now = Clock.now();
+                if !self.state.gauge(&target.life.id, |gauge| gauge.answers(now)) {
+                    return Err(Reason::OwnerUnreached);
+                }
                 self.room(&target)?;
                 if self.turn(&target) {
                     return Ok(target);
@@ -351,17 +369,25 @@
         let mut gauges = self.state.gauges.borrow_mut();
         let size = self.state.sizes.borrow().get(&self.service).copied().unwrap_or(0.0);
         let distant = DOMAIN_SECONDS + DOMAIN_SECONDS_PER_KB * size / 1024.0;
-        let usable = |member: &&Member| {
-            let gauge = gauges.get(&member.target.life.id);
-            let reachable = gauge.is_none_or(|gauge| gauge.reachable(now));
-            reachable && !self.tried.contains(&member.target.life.id)
-        };
         let of_service = registry
             .members()
             .filter(|member| member.target.service == self.service && member.leaving.is_none());
-        // Targets that failed it or cannot be reached are the last resort.
-        let (good, bad): (Vec<&Member>, Vec<&Member>) = of_service.partition(usable);
-        let all = if good.is_empty() { bad } else { good };
+        // Targets that cannot be reached, then those that failed it, are the last resort.
+        let (mut good, mut silent, mut failed) = (Vec::new(), Vec::new(), Vec::new());
+        for member in of_service {
+            let gauge = gauges.get(&member.target.life.id);
+            let reachable = gauge.is_none_or(|gauge| gauge.reachable(now));
+            match (self.tried.contains(&member.target.life.id), reachable) {
+                (false, true) => good.push(member),
+                (false, false) => silent.push(member),
+                (true, true) => failed.push(member),
+                (true, false) => {}
+            }
+        }
+        let all = [good, silent, failed].into_iter().find(|members| !members.is_empty());
+        let Some(all) = all else {
+            return Err(if self.unreached > 0 { Reason::Unreached } else { Reason::NoTarget });
+        };
         let (near, far): (Vec<&Member>, Vec<&Member>) =
             all.into_iter().partition(|m| m.target.domain == self.state.settings.domain);
         let mut random = rand::rng();
@@ -552,7 +578,7 @@
             let size = sizes.entry(self.service.clone()).or_insert(length);
             *size += (length - *size) * 0.05;
         }
-        let attempts = self.tried.len() as u64;
+        let attempts = self.arrivals() as u64;
         if head.status >= 500 {
             self.log_failure(Reason::Failed, head.status);
         } else if answers.is_multiple_of(SAMPLE) {
@@ -582,7 +608,7 @@
             reason: reason.as_str().to_owned(),
             target: self.tried.last().map(ToString::to_string).unwrap_or_default(),
             status: status.into(),
-            attempts: self.tried.len() as u64,
+            attempts: self.arrivals() as u64,
             held_ms: millis(self.request.received.elapsed()),
             config_version: self.state.version(),
             owners: owners_text(self.state),
@@ -616,7 +642,7 @@
         service: call.map(|call| call.service.to_string()).unwrap_or_default(),
         key: call.map(Call::key_text).unwrap_or_default(),
         reason: reason.as_str().to_owned(),
-        attempts: call.map_or(0, |call| call.tried.len() as u64),
+        attempts: call.map_or(0, |call| call.arrivals() as u64),
         held_ms: millis(request.received.elapsed()),
         left_ms: call.map_or(0, |call| millis(call.left())),
         retry_ms: millis(retry),
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -22,6 +22,8 @@
 
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
+use caraway_core::time::millis;
+use caraway_fleet::membership::Member;
 use caraway_fleet::membership::Target;
 use caraway_fleet::view::Change;
 use caraway_fleet::view::Version;
@@ -89,7 +91,8 @@
     fresh: bool,
     targets: Option<Targets>,
     instances: Option<BTreeMap<Arc<str>, Instance>>,
-    leader: Option<(Arc<str>, u64)>,
+    /// Name of the coordinator, if there is one, and the revision as of which that is known.
+    leader: (Option<Arc<str>>, u64),
 }
 
 /// Listed targets: those that changed since the revision of a report, or all.
@@ -98,6 +101,8 @@
     all: bool,
     listed: Vec<Target>,
     gone: Vec<Arc<str>>,
+    /// Those of the listed that are leaving, with the milliseconds since that became known.
+    leaving: Vec<(Arc<str>, u64)>,
 }
 
 /// Reports until the process ends.
@@ -157,6 +162,7 @@
             if now.since(since) > BEHIND && !state.failing.get() {
                 emit(Event::WatchBehind { revision, peer_revision: other });
                 state.behind.set(None);
+                state.complete.set(false);
                 state.rewatch.notify_waiters();
             }
         }
@@ -232,8 +238,8 @@
     if state.revision.get() > report.revision {
         knowledge.targets = Some(targets_since(state, report.revision));
         knowledge.instances = Some(state.instances.borrow().clone());
-        let leader = state.leader.borrow();
-        knowledge.leader = leader.as_ref().map(|leader| (leader.name.clone(), leader.term));
+        let name = state.leader.borrow().as_ref().map(|leader| leader.name.clone());
+        knowledge.leader = (name, state.leader_revision.get());
     }
     knowledge
 }
@@ -260,15 +266,24 @@
 
 fn targets_since(state: &State, revision: u64) -> Targets {
     let registry = state.registry.borrow();
+    let mut targets = Targets::default();
+    let now = Clock.now();
+    let list = |targets: &mut Targets, member: &Member| {
+        let target = &member.target;
+        targets.listed.push((**target).clone());
+        if let Some(since) = member.leaving {
+            targets.leaving.push((target.life.id.clone(), millis(now.since(since))));
+        }
+    };
     let Some(ids) = state.history.borrow().after(revision) else {
+        targets.all = true;
         let present = registry.members().filter(|member| member.missing.is_none());
-        let listed = present.map(|member| (*member.target).clone()).collect();
-        return Targets { all: true, listed, gone: Vec::new() };
+        present.for_each(|member| list(&mut targets, member));
+        return targets;
     };
-    let mut targets = Targets::default();
     for id in ids {
         match registry.get(&id) {
-            Some(member) => targets.listed.push((*member.target).clone()),
+            Some(member) => list(&mut targets, member),
             None => targets.gone.push(id),
         }
     }
@@ -328,12 +343,15 @@
     for target in targets.listed {
         state.list(target, revision);
     }
+    let now = Clock.now();
+    for (id, age) in &targets.leaving {
+        state.registry.borrow_mut().leaving_since(id, now - Duration::from_millis(*age));
+    }
     if let Some(instances) = knowledge.instances {
         *state.instances.borrow_mut() = instances;
     }
-    if let Some((name, term)) = knowledge.leader {
-        state.set_leader(Some(&name), term);
-    }
+    let (name, term) = knowledge.leader;
+    state.set_leader(name.as_deref(), term);
 }
 
 /// Sends a change of the owners of keys to all other instances. An instance that gets no message, or
--- a/bins/edge/src/reason.rs
+++ b/bins/edge/src/reason.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use caraway_fleet::load;
+
 /// Why a request was not sent to a target, or not answered by one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Reason {
@@ -19,6 +21,8 @@
     Crowded,
     /// No connection was opened.
     Unreached,
+    /// The owner of the key could not be reached a moment ago.
+    OwnerUnreached,
     /// The target did not run it.
     Shed,
     /// The target does not own the key.
@@ -44,6 +48,7 @@
             Self::Rationed => "the owner of the key gets more requests than it can answer",
             Self::Crowded => "this instance has its part of requests at the owner of the key",
             Self::Unreached => "the target cannot be reached",
+            Self::OwnerUnreached => "the owner of the key could not be reached a moment ago",
             Self::Shed => "the target turned it away",
             Self::NotOwner => "the target does not own the key",
             Self::Broken => "the connection broke",
@@ -58,6 +63,7 @@
     pub fn retry(self) -> Duration {
         match self {
             Self::NoConfiguration | Self::NoOwner | Self::NotOwner => Duration::from_millis(250),
+            Self::OwnerUnreached => load::PAUSE,
             Self::Overloaded | Self::Rationed | Self::Crowded | Self::Shed => {
                 Duration::from_millis(150)
             }
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -117,6 +117,8 @@
     pub registry: RefCell<Registry>,
     /// Revision of the store up to which configuration, targets and instances are known.
     pub revision: Cell<u64>,
+    /// Whether everything up to that revision is known, so that following the changes is enough.
+    pub complete: Cell<bool>,
     /// When the store last answered.
     pub heard: Cell<Option<Stamp>>,
     /// The own revision when another instance was first seen to know a newer one, and when.
@@ -170,6 +172,7 @@
             current: RefCell::default(),
             registry: RefCell::default(),
             revision: Cell::new(0),
+            complete: Cell::new(false),
             heard: Cell::new(None),
             behind: Cell::new(None),
             accompanied: Cell::new(false),
--- a/bins/edge/tests/process/answers.rs
+++ b/bins/edge/tests/process/answers.rs
@@ -2,6 +2,7 @@
 
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use caraway_production::caller::Caller;
 
@@ -188,3 +189,33 @@
     thread::sleep(Duration::from_millis(5200));
     assert!(caller.call("GET", "/read/x", "i3", &[DEADLINE]).is_err());
 }
+
+/// Guards against an instance that tries a target which refuses connections again and again, without
+/// a pause, until the request's time is over: it had no processor time left for anything else, and
+/// learned so late that a target was leaving that it sent requests there past the notice.
+#[yare::parameterized(
+    owner_of_a_key = { 0, 1 },
+    only_target = { 1, 0 },
+)]
+fn a_target_that_refuses_connections_is_not_tried_without_pause(pool: usize, keyed: usize) {
+    let world = World::start(pool, keyed, 1);
+    let ask = |attempt: &str| match keyed {
+        0 => world.get(0, "/read/x", attempt),
+        _ => world.get_key(0, 7, attempt),
+    };
+    wait(Duration::from_secs(10), "served", || ask("warm").status == 200);
+    world.targets[0].crash();
+    for index in 0..10 {
+        let began = Instant::now();
+        let answer = ask(&format!("refused-{index}"));
+        // The first one may have been sent on a connection that was open.
+        assert!(answer.status == 503 || (index == 0 && answer.status == 502), "{answer:?}");
+        assert!(began.elapsed() < Duration::from_millis(1200), "{:?}", began.elapsed());
+    }
+    thread::sleep(Duration::from_millis(2200));
+    assert_eq!(world.get(0, "/unknown/x", "after").status, 404);
+    let log = world.instances[0].log();
+    let tries = log.matches("\"target-unreached\"").count();
+    assert!(tries <= 40, "{tries} tries");
+    assert!(!log.contains("event 217 occurred"), "tries were too many to be logged");
+}
--- a/bins/edge/tests/process/ownership.rs
+++ b/bins/edge/tests/process/ownership.rs
@@ -66,6 +66,31 @@
     assert!(world.journal.conflicts().is_empty());
 }
 
+/// Guards against instances that all read the whole store when their coordinator is gone: on small
+/// machines that took the processor time that the takeover and the requests needed.
+#[test]
+fn a_lost_coordinator_makes_nobody_read_the_whole_store() {
+    let mut world = World::start(0, 3, 4);
+    world.wait_owned(0);
+    let killed = leader(&world);
+    let other = (killed + 1) % 4;
+    thread::sleep(Duration::from_secs(1));
+    let before = world.store.range_calls();
+    world.instances[killed].kill();
+    wait(Duration::from_secs(6), "another coordinator", || leader(&world) != killed);
+    recovered(&world, other, Duration::from_secs(8));
+    assert_eq!(world.store.range_calls(), before);
+    // What changed meanwhile is known all the same.
+    let target = world.targets[0].clone();
+    world.store.put(&target.key(), &target.entry("draining"));
+    thread::sleep(Duration::from_secs(3));
+    let late = Instant::now();
+    recovered(&world, other, Duration::from_secs(8));
+    let ran = |run: &caraway_production::target::Run| run.target == "k0" && run.at > late;
+    assert!(!world.journal.runs().iter().any(ran));
+    assert!(world.journal.conflicts().is_empty());
+}
+
 /// Guards against a coordinator that grants after it was stopped and replaced.
 #[test]
 fn a_stopped_coordinator_that_goes_on_grants_nothing_old() {
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -30,7 +30,7 @@
 const ROOM_AGE: Duration = Duration::from_millis(250);
 
 /// First and longest time for which a target that cannot be reached is left out.
-const PAUSE: Duration = Duration::from_millis(500);
+pub const PAUSE: Duration = Duration::from_millis(500);
 const PAUSE_LIMIT: Duration = Duration::from_secs(4);
 
 /// A target's report of its load.
@@ -69,10 +69,9 @@
     gate: Gate,
     /// Share of failures among the latest requests.
     failures: f64,
-    /// Failures to reach it in a row.
+    /// Failures to reach it in a row, and when the last one was.
     misses: u32,
-    /// Left out until then.
-    paused: Stamp,
+    missed: Stamp,
 }
 
 impl Default for Gauge {
@@ -90,7 +89,7 @@
             gate: Gate::default(),
             failures: 0.0,
             misses: 0,
-            paused: Stamp::default(),
+            missed: Stamp::default(),
         }
     }
 }
@@ -145,9 +144,8 @@
             }
             Ending::Abandoned if seconds > self.time => self.sample(seconds),
             Ending::Unreached => {
-                let pause = PAUSE * 2_u32.saturating_pow(self.misses.min(8));
                 self.misses += 1;
-                self.paused = now + pause.min(PAUSE_LIMIT);
+                self.missed = now;
             }
             Ending::Abandoned | Ending::Failed => {}
         }
@@ -186,9 +184,17 @@
         self.report.is_some_and(|report| fresh(report.at) && report.count < f64::from(slots))
     }
 
-    /// Returns whether the target could be reached when it was last tried.
+    /// Returns whether the target is to be chosen among others: it could be reached when it was last
+    /// tried, or that was long enough ago.
     pub fn reachable(&self, now: Stamp) -> bool {
-        now >= self.paused
+        let pause = PAUSE * 2_u32.saturating_pow(self.misses.saturating_sub(1).min(8));
+        self.misses == 0 || now >= self.missed + pause.min(PAUSE_LIMIT)
+    }
+
+    /// Returns whether the target is to be tried for a key that only it may serve. The pause does not
+    /// grow then: no other target serves the key until it moves.
+    pub fn answers(&self, now: Stamp) -> bool {
+        self.misses == 0 || now >= self.missed + PAUSE
     }
 
     /// Returns the estimated number of requests at the target.
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -110,6 +110,16 @@
         Some(Change::Joined(target))
     }
 
+    /// Records since when another instance has known that a target is leaving: its notice runs from
+    /// then, not from when this instance learns of it.
+    pub fn leaving_since(&mut self, id: &str, since: Stamp) {
+        if let Some(member) = self.members.get_mut(id)
+            && let Some(leaving) = &mut member.leaving
+        {
+            *leaving = since.min(*leaving);
+        }
+    }
+
     /// Records that an entry was removed.
     pub fn remove(&mut self, id: &str) -> Option<Change> {
         self.members.remove(id).map(|member| Change::Gone(member.target))
--- a/standins/production/src/store.rs
+++ b/standins/production/src/store.rs
@@ -59,6 +59,7 @@
     floor: u64,
     leases: BTreeMap<u64, (Duration, Instant)>,
     calls: u64,
+    range_calls: u64,
 }
 
 #[derive(Debug, Default)]
@@ -151,6 +152,11 @@
     pub fn calls(&self) -> u64 {
         self.shared.lock().calls
     }
+
+    /// Returns the number of calls so far that read all keys with a prefix.
+    pub fn range_calls(&self) -> u64 {
+        self.shared.lock().range_calls
+    }
 }
 
 impl Shared {
@@ -303,6 +309,7 @@
         let mode = {
             let mut data = shared.lock();
             data.calls += 1;
+            data.range_calls += u64::from(request.path.starts_with("/v1/kv-range"));
             data.mode
         };
         let (status, body) = match mode {
