Refuse requests for keys that stay without an owner at once, and use the whole repeat budget

Cause: every request for keys of a lost target waited 0.7 s before it was refused, though the keys come back only when the target's grants have run out, three seconds later. The budget of repeats counted windows of nine to ten seconds and used four fifths of its allowance to stay within the bound.

Change: the first request that finds no owner starts a wait of 0.7 s, and those that come after it are refused at once. The budget counts a full window and uses 92% of the ratio and 60% of the constant.

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -25,6 +25,7 @@
 use caraway_fleet::admission;
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Route;
+use caraway_fleet::gap;
 use caraway_fleet::load::Choice;
 use caraway_fleet::load::Ending;
 use caraway_fleet::load::choose;
@@ -60,14 +61,13 @@
 /// asked for again. Larger ones are passed on as they come.
 const GATHERED: usize = 64 << 10;
 
-/// Time for which a request waits for the owner of its key before it is refused: a move with a
-/// release takes as long as the longest request that is running on the key.
-const OWNER_WAIT: Duration = Duration::from_millis(700);
-
 /// Targets that cannot be reached before a request is refused: with this many in a row, most likely
 /// all are out of reach.
 const UNREACHED: usize = 3;
 
+/// Time in which a grant reaches its target after the instances have learned of it.
+const GRANT_WAY: Duration = Duration::from_millis(120);
+
 /// Time that must be left for another try.
 const LEAST_LEFT: Duration = Duration::from_millis(20);
 
@@ -292,43 +292,57 @@
 
     /// Waits for the owner of a key.
     async fn owner(&self, key: u16) -> Result<Arc<Target>, Reason> {
-        let end = Instant::now() + OWNER_WAIT.min(self.left() / 2);
+        let end = Instant::now() + gap::WAIT.min(self.left() / 2);
         loop {
             let changed = self.state.changed.notified();
             let after_refusal = self.last == Reason::NotOwner && !self.tried.is_empty();
-            if let Some(target) = self.known_owner(key)
-                && !(after_refusal && self.tried.last() == Some(&target.life.id))
-            {
-                let now = Clock.now();
-                if !self.state.gauge(&target.life.id, |gauge| gauge.answers(now)) {
-                    return Err(Reason::OwnerUnreached);
+            let known = self.known_owner(key);
+            let again = known
+                .as_ref()
+                .is_some_and(|known| after_refusal && self.tried.last() == Some(&known.life.id));
+            let Some(target) = known else {
+                let until = end.min(Instant::now() + self.gap(key));
+                if timeout_at(until, changed).await.is_err() && self.known_owner(key).is_none() {
+                    return Err(Reason::NoOwner);
                 }
-                self.room(&target)?;
-                if self.turn(&target) {
+                continue;
+            };
+            if again {
+                // The same target may own the key in a moment: its grant may be on the way.
+                let until = end.min(Instant::now() + GRANT_WAY);
+                if timeout_at(until, changed).await.is_err() {
                     return Ok(target);
                 }
-                let wait = self.route.objective.mul_f64(TURN_SHARE);
-                if timeout_at(self.request.received + wait, changed).await.is_err() {
-                    return Err(Reason::Crowded);
-                }
                 continue;
             }
-            // The same target may own the key in a moment: its grant may be on the way.
-            let pause = if after_refusal { Duration::from_millis(120) } else { OWNER_WAIT };
-            let until = end.min(Instant::now() + pause);
-            if timeout_at(until, changed).await.is_err() {
-                if let Some(target) = self.known_owner(key)
-                    && after_refusal
-                {
-                    return Ok(target);
-                }
-                if Instant::now() >= end {
-                    return Err(Reason::NoOwner);
-                }
+            let now = Clock.now();
+            if !self.state.gauge(&target.life.id, |gauge| gauge.answers(now)) {
+                return Err(Reason::OwnerUnreached);
+            }
+            self.room(&target)?;
+            if self.turn(&target) {
+                return Ok(target);
+            }
+            let wait = self.route.objective.mul_f64(TURN_SHARE);
+            if timeout_at(self.request.received + wait, changed).await.is_err() {
+                return Err(Reason::Crowded);
             }
         }
     }
 
+    /// Returns how long the request may wait for an owner of a key that has none.
+    fn gap(&self, key: u16) -> Duration {
+        let first = self.first_of_run(key);
+        self.state.gaps.borrow_mut().wait(&self.service, first, Clock.now())
+    }
+
+    /// Returns the first of the keys that have the same owner as a key and are next to it.
+    fn first_of_run(&self, key: u16) -> u16 {
+        let view = self.state.view.borrow();
+        let span = view.services.get(&self.service).and_then(|owners| owners.span(key));
+        span.map_or(key, |span| span.first)
+    }
+
     fn known_owner(&self, key: u16) -> Option<Arc<Target>> {
         let view = self.state.view.borrow();
         let (life, granted) = view.services.get(&self.service)?.find(key)?;
@@ -336,7 +350,10 @@
         let member = registry.get(&life.id).filter(|member| member.target.life == *life)?;
         let notice = self.state.settings.drain.saturating_sub(DRAIN_MARGIN);
         let leaving = member.leaving.is_some_and(|since| Clock.now().since(since) > notice);
-        (granted && !leaving).then(|| member.target.clone())
+        let target = (granted && !leaving).then(|| member.target.clone())?;
+        let first = view.services.get(&self.service)?.span(key)?.first;
+        self.state.gaps.borrow_mut().served(&self.service, first);
+        Some(target)
     }
 
     /// Returns whether this instance may send another request to an owner of keys now.
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -22,6 +22,7 @@
 use caraway_core::time::Stamp;
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Divider;
+use caraway_fleet::gap::Gaps;
 use caraway_fleet::load::Gauge;
 use caraway_fleet::membership::Change;
 use caraway_fleet::membership::Life;
@@ -35,9 +36,11 @@
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 
-/// Part of the fleet's repeats that is used, so that instances that do not yet know of each other
-/// and windows that are counted differently stay within the bound.
-const REPEAT_SHARE: f64 = 0.8;
+/// Parts that are used of the repeats that the fleet may make for its requests, and of those besides:
+/// requests arrive at targets later than they are counted, and an instance that starts again does not
+/// know what it has used.
+const RATIO_SHARE: f64 = 0.92;
+const FLOOR_SHARE: f64 = 0.6;
 
 /// The configuration in force.
 #[derive(Clone, Debug)]
@@ -134,6 +137,8 @@
     pub former: RefCell<HashMap<Life, SocketAddr>>,
     /// Owners of keys.
     pub view: RefCell<View>,
+    /// Keys that requests found without an owner.
+    pub gaps: RefCell<Gaps>,
     /// Notified when the view, the targets or the load changes.
     pub changed: Notify,
     /// Notified when the watch of the store is to start anew.
@@ -180,6 +185,7 @@
             history: RefCell::default(),
             former: RefCell::default(),
             view: RefCell::default(),
+            gaps: RefCell::default(),
             changed: Notify::new(),
             rewatch: Notify::new(),
             leader_changed: Notify::new(),
@@ -331,10 +337,10 @@
     /// requests and has an equal part of the constant.
     pub fn budget<T>(&self, service: &Arc<str>, step: impl FnOnce(&mut Budget) -> T) -> T {
         let instances = u32::try_from(self.instances.borrow().len()).unwrap_or(u32::MAX).max(1);
-        let floor = self.settings.repeat_floor * REPEAT_SHARE / f64::from(instances);
+        let floor = self.settings.repeat_floor * FLOOR_SHARE / f64::from(instances);
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_insert_with(|| {
-            let ratio = self.settings.repeat_ratio * REPEAT_SHARE;
+            let ratio = self.settings.repeat_ratio * RATIO_SHARE;
             Budget::with(budget::Options { ratio, floor, window: self.settings.repeat_window })
         });
         budget.set_floor(floor);
--- a/crates/call/src/budget.rs
+++ b/crates/call/src/budget.rs
@@ -5,8 +5,10 @@
 use caraway_core::time::Stamp;
 use caraway_core::time::millis;
 
-/// Number of buckets that cover the window.
-const BUCKETS: usize = 10;
+/// Number of buckets that cover the window, and one more: the newest is not full, and a repeat that left
+/// too early would be allowed once more within the window.
+const FULL_BUCKETS: u32 = 20;
+const BUCKETS: usize = 21;
 
 /// Allowed repeats.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -88,7 +90,7 @@
 
     /// Clears the buckets that have left the window. Time that goes back counts as no time.
     fn advance(&mut self, now: Stamp) {
-        let bucket = self.options.window / u32::try_from(BUCKETS).unwrap_or(1);
+        let bucket = self.options.window / FULL_BUCKETS;
         let length = millis(bucket).max(1);
         let current = now.as_millis() / length;
         let steps = current.saturating_sub(self.newest).min(BUCKETS as u64);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod coordinator;
 pub mod demand;
 pub mod election;
+pub mod gap;
 pub mod load;
 pub mod membership;
 pub mod ownership;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -209,8 +209,13 @@
 
     /// Returns the owner of a key and whether its grant is confirmed.
     pub fn find(&self, key: u16) -> Option<(&Life, bool)> {
-        let index = self.spans.partition_point(|span| span.last < key);
-        let span = self.spans.get(index).filter(|span| span.first <= key)?;
+        let span = self.span(key)?;
         self.lives.get(span.owner).map(|life| (life, span.granted))
     }
+
+    /// Returns the span that a key belongs to.
+    pub fn span(&self, key: u16) -> Option<&Span> {
+        let index = self.spans.partition_point(|span| span.last < key);
+        self.spans.get(index).filter(|span| span.first <= key)
+    }
 }
--- a/crates/fleet/tests/patterns.rs
+++ b/crates/fleet/tests/patterns.rs
@@ -3,6 +3,7 @@
 // The lint settings allow these in test functions; this extends them to the helpers beside them.
 #![allow(clippy::indexing_slicing, clippy::unwrap_used)]
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use rand::SeedableRng;
@@ -17,6 +18,8 @@
 use caraway_fleet::demand::Demand;
 use caraway_fleet::demand::FOR_ADMISSION;
 use caraway_fleet::demand::FOR_MOVES;
+use caraway_fleet::gap;
+use caraway_fleet::gap::Gaps;
 use caraway_fleet::load::Choice;
 use caraway_fleet::load::Ending;
 use caraway_fleet::load::Gauge;
@@ -294,6 +297,24 @@
     assert!(admission::share(70.0, FOR_ADMISSION, 0.1, 4.0) < 0.6);
 }
 
+/// Pattern: the owner of some keys is lost, and they come back only when its grants have run out. Those
+/// who ask first wait for a moment, as for a move; who asks later is told at once.
+#[test]
+fn keys_that_stay_without_an_owner_are_refused_at_once() {
+    let mut gaps = Gaps::default();
+    let (service, other): (Arc<str>, Arc<str>) = ("s".into(), "t".into());
+    let at = Stamp::from_millis;
+    assert_eq!(gaps.wait(&service, 100, at(0)), gap::WAIT);
+    assert_eq!(gaps.wait(&service, 100, at(500)), gap::WAIT - Duration::from_millis(500));
+    assert_eq!(gaps.wait(&service, 100, at(3000)), Duration::ZERO);
+    assert_eq!(gaps.wait(&service, 200, at(3000)), gap::WAIT);
+    assert_eq!(gaps.wait(&other, 100, at(3000)), gap::WAIT);
+    // The next time that they move is another matter.
+    gaps.served(&service, 100);
+    assert_eq!(gaps.wait(&service, 100, at(4000)), gap::WAIT);
+    assert_eq!(gaps.wait(&service, 100, at(60_000)), gap::WAIT);
+}
+
 /// Pattern: the same, in the second before anybody has counted it. All instances together stay
 /// within what a target queues.
 #[yare::parameterized(
