Join small holdings, see rising demand within a second, and prove ended targets by their address

Cause: (1) moves add holdings, and at the limit no move is possible; with demand that wanders the limit was reached after 16 changes.

Change: in a table with more than three holdings a target, small ones go to a neighbor's owner that has room. Counts for moves are lifted by those of a shorter memory where these certainly tell more. A target whose address another service has, with a later start, has ended; its keys go on at once. Another target of the same service proves nothing, since it may have taken a grant of the former one.

--- a/bins/edge/src/feed.rs
+++ b/bins/edge/src/feed.rs
@@ -164,7 +164,7 @@
     } else if let Some(id) = item.key.strip_prefix(target::PREFIX) {
         match &item.value {
             None => {
-                let change = state.registry.borrow_mut().remove(id);
+                let change = state.registry.borrow_mut().remove(id, Clock.now());
                 state.unlist(change.into_iter().collect(), item.revision);
             }
             Some(value) => match target::read(id, value) {
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -353,9 +353,9 @@
                 // A release may be answered by a later life, which holds what the earlier one got.
                 let any = call.request == Request::Release;
                 let member = registry.get(&call.life.id);
-                member.filter(|m| any || m.target.life == call.life).map(|m| m.target.address)
+                let listed = member.filter(|m| any || m.target.life == call.life);
+                listed.map(|m| m.target.address).or_else(|| registry.last_address(&call.life))
             };
-            let address = address.or_else(|| self.state.last_address(&call.life));
             let (state, tell) = (self.state.clone(), self.tell.clone());
             let line = self.line(&call);
             self.work.spawn_local(async move {
@@ -515,7 +515,7 @@
             let demands = demand.entry(service.clone()).or_default();
             demands.for_moves.decay(now);
             demands.for_admission.decay(now);
-            let demand = &demands.for_moves;
+            let demand = &demands.for_moves.lifted(&demands.for_admission);
             let rates = plan::rates(table, &demands.for_admission);
             for candidate in &candidates {
                 let id = &candidate.life.id;
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -336,7 +336,7 @@
         state.history.borrow_mut().restart(revision);
     }
     for id in &targets.gone {
-        let change = state.registry.borrow_mut().remove(id);
+        let change = state.registry.borrow_mut().remove(id, Clock.now());
         state.unlist(change.into_iter().collect(), revision);
     }
     state.revision.set(revision);
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -25,7 +25,6 @@
 use caraway_fleet::gap::Gaps;
 use caraway_fleet::load::Gauge;
 use caraway_fleet::membership::Change;
-use caraway_fleet::membership::Life;
 use caraway_fleet::membership::Registry;
 use caraway_fleet::membership::Target;
 use caraway_fleet::view::Change as OwnersChange;
@@ -133,8 +132,6 @@
     pub failing: Cell<bool>,
     /// Latest changes of the listed targets, so that others can be told what they miss.
     pub history: RefCell<History>,
-    /// Addresses of targets that are no longer listed and may still hold keys.
-    pub former: RefCell<HashMap<Life, SocketAddr>>,
     /// Owners of keys.
     pub view: RefCell<View>,
     /// Keys that requests found without an owner.
@@ -183,7 +180,6 @@
             accompanied: Cell::new(false),
             failing: Cell::new(false),
             history: RefCell::default(),
-            former: RefCell::default(),
             view: RefCell::default(),
             gaps: RefCell::default(),
             changed: Notify::new(),
@@ -309,7 +305,6 @@
             }
             Some(Change::Gone(target)) => {
                 self.pool.forget(target.address);
-                self.former.borrow_mut().insert(target.life.clone(), target.address);
                 self.gauges.borrow_mut().remove(&target.life.id);
                 let (target, service) = named(&target);
                 Event::TargetUnlisted { target, service, revision }
@@ -319,14 +314,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Returns the address of a target that is no longer listed, unless another target has it.
-    pub fn last_address(&self, life: &Life) -> Option<SocketAddr> {
-        let address = self.former.borrow().get(life).copied()?;
-        let registry = self.registry.borrow();
-        let taken = registry.members().any(|member| member.target.address == address);
-        (!taken).then_some(address)
-    }
-
     /// Runs a function on the load of a target.
     pub fn gauge<T>(&self, id: &Arc<str>, step: impl FnOnce(&mut Gauge) -> T) -> T {
         step(self.gauges.borrow_mut().entry(id.clone()).or_default())
--- a/crates/fleet/src/balance.rs
+++ b/crates/fleet/src/balance.rs
@@ -37,6 +37,11 @@
 const HOLDINGS_PER_TARGET: usize = 4;
 const SPARE_HOLDINGS: usize = 32;
 
+/// Holdings for each target from which small ones are joined with their neighbors, and the targets for
+/// each one that is joined in a plan.
+const CROWDED_PER_TARGET: usize = 3;
+const JOINED_PER_TARGET: usize = 3;
+
 /// Share of its owner's capacity from which a key is heavy: wherever it goes, it fills much of its owner.
 const HEAVY: f64 = 0.5;
 
@@ -118,6 +123,7 @@
     let mut plan = Plan { sides: sides.collect(), table: table.clone(), demand, moves: Vec::new() };
     plan.count();
     plan.use_new();
+    plan.join_small(candidates.len());
     #[allow(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
@@ -179,6 +185,46 @@
         }
     }
 
+    /// Gives small holdings to the owners of their neighbors while there are many holdings. Demand that
+    /// moves around would otherwise fill the table with small ones until no move is possible.
+    fn join_small(&mut self, targets: usize) {
+        if self.table.holdings.len() < targets * CROWDED_PER_TARGET + SPARE_HOLDINGS / 2 {
+            return;
+        }
+        let limit = BUSY.max(self.mean() * UNEVEN);
+        let rate = |holding: &Holding| self.demand.rate(holding.first, holding.last);
+        let mut small: Vec<(u16, u16, Life, f64)> = self
+            .table
+            .holdings
+            .iter()
+            .map(|holding| (holding.first, holding.last, holding.owner.clone(), rate(holding)))
+            .collect();
+        small.sort_by(|a, b| a.3.total_cmp(&b.3));
+        let mut joined = 0;
+        for (first, last, owner, rate) in small {
+            if joined * JOINED_PER_TARGET >= targets {
+                return;
+            }
+            let neighbors = [first.checked_sub(1), last.checked_add(1)];
+            let owners = neighbors.into_iter().flatten().filter_map(|key| self.table.find(key));
+            let owners = owners.filter(|holding| holding.owner != owner);
+            let room = |life: &Life| {
+                let side = self.sides.iter().find(|side| side.candidate.life == *life)?;
+                let used = side.utilization() + rate / side.capacity();
+                (used < limit).then_some(used)
+            };
+            let to = owners
+                .filter_map(|holding| Some((room(&holding.owner)?, holding.owner.clone())))
+                .min_by(|a, b| a.0.total_cmp(&b.0));
+            if let Some((_, to)) = to
+                && !self.touches(first.saturating_sub(1), last.saturating_add(1))
+            {
+                self.apply(Run { first, last, rate, cost: 0.0 }, &owner, &to);
+                joined += 1;
+            }
+        }
+    }
+
     /// Gives a target half of the largest holding.
     fn halve(&mut self, life: &Life) {
         let untouched = |holding: &&Holding| !self.touches(holding.first, holding.last);
--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -374,7 +374,7 @@
         let (first, last, fence) = holding.id();
         let mut waiting = false;
         for life in &holding.earlier {
-            if self.lapsed(life, now) {
+            if self.lapsed(life, now) || registry.ended(life) {
                 if let Some(domain) = self.domains.get_mut(service) {
                     domain.table.settle(first, last, fence, life);
                 }
--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -16,6 +16,11 @@
 /// Part of the memory that the counts stand for at least: rates from a shorter time are mostly chance.
 const LEAST_SPAN: f64 = 0.2;
 
+/// Requests for a key in a short memory from which its rate in it is believed, and the ratio to the known
+/// rate from which it has become hot: such a count is one by chance in a thousand cases.
+const HOT: f64 = 8.0;
+const RISEN: f64 = 1.8;
+
 /// Weight below which a key is forgotten.
 const LEAST: f64 = 0.05;
 
@@ -65,6 +70,25 @@
         self.counts.range(first..=last).map(rate)
     }
 
+    /// Returns these counts brought up to what newer ones tell: all of them if there are more requests
+    /// now, and single keys that have become hot. `newer` counts the same requests with a shorter memory.
+    pub fn lifted(&self, newer: &Self) -> Self {
+        let (total, now) = (self.rate(0, u16::MAX), newer.rate(0, u16::MAX));
+        let mut lifted = self.clone();
+        let certain = now - newer.deviation(now) > total;
+        if certain && total > 0.0 {
+            lifted.span /= now / total;
+        }
+        for (key, count) in &newer.counts {
+            let rate = count / newer.span;
+            let known = lifted.counts.get(key).map_or(0.0, |count| count / lifted.span);
+            if *count > HOT && rate > known * RISEN {
+                lifted.counts.insert(*key, rate * lifted.span);
+            }
+        }
+        lifted
+    }
+
     /// Returns the standard deviation of a rate that was counted here.
     pub fn deviation(&self, rate: f64) -> f64 {
         (rate.max(0.0) / self.span).sqrt()
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -67,10 +67,23 @@
     Gone(Arc<Target>),
 }
 
-/// The targets that are listed.
+/// Time for which a target that is no longer listed is remembered: longer than any grant lasts.
+const REMEMBERED: Duration = Duration::from_secs(60);
+
+/// A target that is no longer listed.
+#[derive(Clone, Debug)]
+struct Former {
+    target: Arc<Target>,
+    since: Stamp,
+}
+
+/// The targets that are listed, and those that were a moment ago.
 #[derive(Clone, Debug, Default)]
 pub struct Registry {
     members: HashMap<Arc<str>, Member>,
+    former: HashMap<Life, Former>,
+    /// Ids of listed targets by address.
+    addresses: HashMap<SocketAddr, Arc<str>>,
 }
 
 impl Registry {
@@ -106,10 +119,37 @@
         }
         let leaving = target.draining.then_some(now);
         let member = Member { target: target.clone(), since: now, leaving, missing: None, warm_at };
+        self.addresses.insert(target.address, target.life.id.clone());
         self.members.insert(target.life.id.clone(), member);
         Some(Change::Joined(target))
     }
 
+    /// Returns the address of a target that was listed, unless another target has it now.
+    pub fn last_address(&self, life: &Life) -> Option<SocketAddr> {
+        let address = self.former.get(life)?.target.address;
+        (!self.addresses.contains_key(&address)).then_some(address)
+    }
+
+    /// Returns whether a target is proved to have ended: another service has its address. A target of
+    /// its own service proves less, since it may have taken a grant that was meant for the former one.
+    pub fn ended(&self, life: &Life) -> bool {
+        let Some(former) = self.former.get(life) else { return false };
+        let other = self.addresses.get(&former.target.address);
+        let other = other.and_then(|id| self.members.get(id));
+        other.is_some_and(|other| {
+            other.target.service != former.target.service && other.target.life.born > life.born
+        })
+    }
+
+    fn forget(&mut self, target: &Arc<Target>, now: Stamp) {
+        if self.addresses.get(&target.address) == Some(&target.life.id) {
+            self.addresses.remove(&target.address);
+        }
+        let former = Former { target: target.clone(), since: now };
+        self.former.insert(target.life.clone(), former);
+        self.former.retain(|_, former| now.since(former.since) < REMEMBERED);
+    }
+
     /// Records since when another instance has known that a target is leaving: its notice runs from
     /// then, not from when this instance learns of it.
     pub fn leaving_since(&mut self, id: &str, since: Stamp) {
@@ -121,8 +161,10 @@
     }
 
     /// Records that an entry was removed.
-    pub fn remove(&mut self, id: &str) -> Option<Change> {
-        self.members.remove(id).map(|member| Change::Gone(member.target))
+    pub fn remove(&mut self, id: &str, now: Stamp) -> Option<Change> {
+        let target = self.members.remove(id)?.target;
+        self.forget(&target, now);
+        Some(Change::Gone(target))
     }
 
     /// Compares with a complete list of ids. After an outage, missing entries stay for
@@ -134,30 +176,25 @@
         now: Stamp,
     ) -> Vec<Change> {
         let mut gone = Vec::new();
-        self.members.retain(|id, member| {
+        for (id, member) in &mut self.members {
             if listed(id) {
-                return true;
+                continue;
             }
             if outage && member.leaving.is_none() {
                 member.missing.get_or_insert(now);
-                return true;
+            } else {
+                gone.push(id.clone());
             }
-            gone.push(Change::Gone(member.target.clone()));
-            false
-        });
-        gone
+        }
+        gone.iter().filter_map(|id| self.remove(id, now)).collect()
     }
 
     /// Removes entries that have been missing for too long.
     pub fn expire(&mut self, now: Stamp) -> Vec<Change> {
-        let mut gone = Vec::new();
-        self.members.retain(|_, member| {
-            let keep = member.missing.is_none_or(|since| now.since(since) < RETURN_TIME);
-            if !keep {
-                gone.push(Change::Gone(member.target.clone()));
-            }
-            keep
-        });
-        gone
+        let expired =
+            |member: &Member| member.missing.is_some_and(|since| now.since(since) >= RETURN_TIME);
+        let gone = self.members.iter().filter(|(_, member)| expired(member));
+        let gone: Vec<Arc<str>> = gone.map(|(id, _)| id.clone()).collect();
+        gone.iter().filter_map(|id| self.remove(id, now)).collect()
     }
 }
--- a/crates/fleet/tests/coordinator.rs
+++ b/crates/fleet/tests/coordinator.rs
@@ -201,3 +201,52 @@
     let again = coordinator.due(&registry, at(3050)).pop().unwrap();
     assert!(again.fence > first.fence && again.line.is_none() && again.life == first.life);
 }
+
+/// Guards against keys of targets that have ended which wait for grants of earlier coordinators to run
+/// out: a quarter of the targets was replaced while the coordinator was lost, and their keys were not
+/// served for 13 seconds. Another service at their address proves that they have ended; another target
+/// of the same service does not.
+#[yare::parameterized(
+    another_service = { "t", 2, 0 },
+    the_same_service = { "s", 2, 13_000 },
+    an_older_entry = { "t", 0, 13_000 },
+)]
+fn an_address_with_another_service_proves_that_a_target_has_ended(
+    service: &str,
+    born: u64,
+    least: u64,
+) {
+    let mut registry = registry(&["b"]);
+    let target = |id: &str, born, service: &str| Target {
+        life: Life { id: id.into(), born },
+        address: ([10, 0, 0, 9], 80).into(),
+        domain: "d".into(),
+        service: service.into(),
+        slots: 4,
+        draining: false,
+        cold: Duration::ZERO,
+    };
+    registry.put(target("a", 1, "s"), START);
+    let mut coordinator = Coordinator::new(options(), tables(&[(0, u16::MAX, "a")]), START, START);
+    let renumbered = coordinator.renumber();
+    coordinator.adopt(renumbered);
+    registry.remove("a", at(100));
+    registry.put(target("new", born, service), at(100));
+    let step = Move { first: 0, last: u16::MAX, to: life("b") };
+    let proposed = coordinator.propose(&[("s".into(), step)]);
+    coordinator.adopt(proposed);
+    let mut granted = None;
+    for ms in (0..15_000).step_by(100) {
+        coordinator.confirm(at(ms));
+        for call in coordinator.due(&registry, at(ms)) {
+            let grant = matches!(call.request, Request::Grant { .. });
+            if grant && call.life == life("b") {
+                granted.get_or_insert(ms);
+            }
+            let reply = if grant { Reply::Done { handover: None } } else { Reply::Unsent };
+            coordinator.ended(&call, &reply, Some(1), at(ms));
+        }
+    }
+    let granted = granted.unwrap();
+    assert!((least..=least + 400).contains(&granted), "after {granted} ms");
+}
--- a/crates/fleet/tests/history.rs
+++ b/crates/fleet/tests/history.rs
@@ -47,6 +47,7 @@
 #[derive(Clone, Debug)]
 struct Server {
     id: Arc<str>,
+    address: SocketAddr,
     born: u64,
     up: bool,
     /// Whether calls of each coordinator reach it.
@@ -104,18 +105,26 @@
     Stamp::from_millis(ms)
 }
 
-impl World {
-    fn new(seed: u64) -> Self {
-        let server = |index| Server {
+impl Server {
+    /// Makes a server with an id and an address of its own.
+    fn new(index: usize, born: u64) -> Self {
+        let [high, low] = u16::try_from(index).unwrap().to_be_bytes();
+        Self {
             id: format!("t{index}").into(),
-            born: 1,
+            address: ([10, 0, high, low], 80).into(),
+            born,
             up: true,
             reachable: [true; 2],
             holds: vec![],
             seen: vec![],
             taken: vec![],
             lines: [0; 2],
-        };
+        }
+    }
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
         let node = |_| Node {
             coordinator: None,
             term: 0,
@@ -129,7 +138,7 @@
             now: 100_000,
             store: Store { revision: 1, ..Store::default() },
             nodes: (0..2).map(node).collect(),
-            servers: (0..TARGETS).map(server).collect(),
+            servers: (0..TARGETS).map(|index| Server::new(index, 1)).collect(),
             late: vec![],
             registry: Registry::default(),
             service: "keyed".into(),
@@ -151,12 +160,16 @@
 
     fn list(&mut self, index: usize) {
         let server = &self.servers[index];
-        let address: SocketAddr = ([10, 0, 0, u8::try_from(index).unwrap()], 80).into();
+        let life = Life { id: server.id.clone(), born: server.born };
+        self.register(life, server.address, self.service.clone());
+    }
+
+    fn register(&mut self, life: Life, address: SocketAddr, service: Arc<str>) {
         let target = Target {
-            life: Life { id: server.id.clone(), born: server.born },
+            life,
             address,
             domain: "a".into(),
-            service: self.service.clone(),
+            service,
             slots: 4,
             draining: false,
             cold: Duration::ZERO,
@@ -167,7 +180,7 @@
     fn operate(&mut self, kind: u8, which: u8) {
         let index = usize::from(which) % TARGETS;
         let node = usize::from(which) % 2;
-        match kind % 10 {
+        match kind % 11 {
             0 => self.nodes[node].frozen_until = self.now + 500 + u64::from(which) * 30,
             1 => self.nodes[node].connected = !self.nodes[node].connected,
             2 => {
@@ -183,7 +196,20 @@
             9 => self.restart(index),
             4 => {
                 // The entry vanishes while the target lives.
-                self.registry.remove(&self.servers[index].id.clone());
+                self.registry.remove(&self.servers[index].id.clone(), stamp(self.now));
+            }
+            // A target ends for good, its address goes to another service, and another one starts.
+            10 => {
+                let count = self.servers.len();
+                let born = self.now;
+                let mut old = std::mem::replace(&mut self.servers[index], Server::new(count, born));
+                (old.up, old.lines) = (false, [0; 2]);
+                old.holds.clear();
+                self.registry.remove(&old.id, stamp(self.now));
+                let life = Life { id: format!("other-{count}").into(), born };
+                self.register(life, old.address, "other".into());
+                self.servers.push(old);
+                self.list(index);
             }
             5 => self.list(index),
             6 => {
@@ -283,7 +309,9 @@
         let now = stamp(self.now);
         let tables = if self.nodes[index].renumbered {
             let members = self.registry.members();
-            let usable = members.filter(|m| !coordinator.silent(&m.target.life, now));
+            let usable = members.filter(|m| {
+                m.target.service == self.service && !coordinator.silent(&m.target.life, now)
+            });
             let mut candidates: Vec<Candidate> = usable
                 .map(|m| Candidate { life: m.target.life.clone(), slots: 4.0, time: 0.1 })
                 .collect();
@@ -506,7 +534,7 @@
         let mut world = World::new(seed * 7919);
         for round in 0..300_u64 {
             let kind = u8::try_from(world.roll(60)).unwrap();
-            if kind < 9 {
+            if kind < 9 || kind == 10 {
                 let which = u8::try_from(world.roll(256)).unwrap();
                 world.operate(kind, which);
             }
--- a/crates/fleet/tests/patterns.rs
+++ b/crates/fleet/tests/patterns.rs
@@ -183,6 +183,59 @@
     assert!(late < 166, "moves of a settled state: {moves:?}");
 }
 
+/// Pattern: the busy keys change all the time. The moves leave more and more holdings behind, and at
+/// their limit nothing could be moved any more.
+#[test]
+fn demand_that_wanders_never_ends_the_balance() {
+    let candidates = candidates(&[0.1; 24]);
+    let mut table = table(&candidates);
+    for place in 0..60_u32 {
+        let mut demand = Demand::new(FOR_MOVES);
+        for index in 0..3000_u32 {
+            let key = u16::try_from((place * 7919 + index * 5) % 65_536).unwrap();
+            add(&mut demand, key, 0.2 / (1.0 + f64::from(index) / 500.0));
+        }
+        rebalance(&mut table, &candidates, &demand, 4);
+        let uses = uses(&table, &candidates, &demand);
+        let most = uses.iter().copied().fold(0.0, f64::max);
+        assert!(most < 0.9, "place {place}: the busiest is used {most}");
+        let count = table.holdings.len();
+        assert!(count <= candidates.len() * 4 + 32, "place {place}: {count} holdings");
+        table.holdings.iter_mut().for_each(|holding| holding.earlier.clear());
+        table.join();
+    }
+}
+
+/// Pattern: requests start, or one key becomes hot, after a quiet time. Counts that are steady enough for
+/// moves had shown it only after three seconds.
+#[test]
+fn new_demand_is_seen_within_a_second() {
+    let mut steady = Demand::new(FOR_MOVES);
+    let mut newer = Demand::new(FOR_ADMISSION);
+    let at = Stamp::from_millis;
+    let mut count = |from: u64, to: u64, hot: f64, spread: f64| {
+        for step in from / 250..to / 250 {
+            for demand in [&mut steady, &mut newer] {
+                demand.add(9, hot / 4.0);
+                for key in 1000..1100 {
+                    demand.add(key, spread / 400.0);
+                }
+                demand.decay(at((step + 1) * 250));
+            }
+        }
+        let lifted = steady.lifted(&newer);
+        (lifted.rate(9, 9), lifted.rate(1000, 1100))
+    };
+    count(250, 8000, 0.0, 0.0);
+    let (_, spread) = count(8000, 9000, 0.0, 120.0);
+    assert!((60.0..150.0).contains(&spread), "{spread}");
+    let (_, spread) = count(9000, 20_000, 0.0, 120.0);
+    assert!((110.0..125.0).contains(&spread), "{spread}");
+    let (hot, spread) = count(20_000, 21_000, 40.0, 120.0);
+    assert!((25.0..50.0).contains(&hot), "{hot}");
+    assert!((100.0..150.0).contains(&spread), "{spread}");
+}
+
 /// Pattern: several keys are hot at the same time and next to each other. Each of them fills half of a
 /// target, so no two may stay together.
 #[test]
--- a/crates/fleet/tests/tables.rs
+++ b/crates/fleet/tests/tables.rs
@@ -196,8 +196,8 @@
     assert_eq!(registry.put(target("a", 1, true), now), None);
     assert!(matches!(registry.put(target("a", 2, false), now), Some(Change::Joined(_))));
     assert_eq!(registry.get("a").unwrap().leaving, None);
-    assert!(matches!(registry.remove("a"), Some(Change::Gone(_))));
-    assert_eq!(registry.remove("a"), None);
+    assert!(matches!(registry.remove("a", now), Some(Change::Gone(_))));
+    assert_eq!(registry.remove("a", now), None);
 }
 
 /// Guards against a notice that starts again for each instance that learns of it late: a target got a
