Choose targets by the chance of being late and by the bytes between domains

Cause: half of the large answers crossed domains, since a target elsewhere was preferred as soon as the own domain's targets were a tenth of a second slower, though the answers would have been in time. A request whose instance had one under way at its key's owner was refused after a wait, though nobody had told of a crowded owner.

Change: the cost of a target is the cube of its expected time against the objective, plus what the bytes of the answer cost between domains; failures no longer count as time when a request is refused for lack of time. After the wait a request goes to an owner that neither the coordinator nor its own answers call crowded.

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -81,10 +81,8 @@
 /// Expected time of a request at a target of which nothing is known, in seconds.
 const USUAL_TIME: f64 = 0.1;
 
-/// Cost of another failure domain: a round trip in seconds, and for each kilobyte of the answer
-/// what the way between domains is worth in seconds of waiting.
-const DOMAIN_SECONDS: f64 = 0.003;
-const DOMAIN_SECONDS_PER_KB: f64 = 0.0015;
+/// Least size of an answer with its request, in kilobytes.
+const LEAST_KB: f64 = 1.0;
 
 /// Targets of the own failure domain and of the others among which one is chosen. Instances that
 /// compare all targets by the same reports send to the same one at the same time.
@@ -325,7 +323,8 @@
             }
             let wait = self.route.objective.mul_f64(TURN_SHARE);
             if timeout_at(self.request.received + wait, changed).await.is_err() {
-                return Err(Reason::Crowded);
+                let calm = self.state.gauge(&target.life.id, |gauge| gauge.calm());
+                return if calm { Ok(target) } else { Err(Reason::Crowded) };
             }
         }
     }
@@ -385,7 +384,7 @@
         let registry = self.state.registry.borrow();
         let mut gauges = self.state.gauges.borrow_mut();
         let size = self.state.sizes.borrow().get(&self.service).copied().unwrap_or(0.0);
-        let distant = DOMAIN_SECONDS + DOMAIN_SECONDS_PER_KB * size / 1024.0;
+        let objective = self.route.objective.as_secs_f64().max(1e-3);
         let of_service = registry
             .members()
             .filter(|member| member.target.service == self.service && member.leaving.is_none());
@@ -418,16 +417,17 @@
             let new = gauge.untried() && rand::random::<f64>() < EXPLORE;
             let cold = if now < member.warm_at { 2.0 } else { 1.0 };
             let cold = if new { NEW } else { cold };
-            let expected = gauge.expected(target.slots, USUAL_TIME, now) * cold * gauge.doubt();
+            let time = gauge.expected(target.slots, USUAL_TIME, now);
+            let expected = time * cold * gauge.doubt() / objective;
             let fill = gauge.occupancy(now) / f64::from(target.slots.max(1));
             let near = target.domain == self.state.settings.domain;
-            let distance = if near { 0.0 } else { distant };
-            targets.push((target.clone(), expected));
-            choices.push(Choice { expected, fill, distance });
+            let distant_kb = if near { 0.0 } else { (size / 1024.0).max(LEAST_KB) };
+            targets.push((target.clone(), time));
+            choices.push(Choice { expected, fill, distant_kb });
         }
         let best = choose(&choices, &mut rand::random).and_then(|index| targets.get(index));
-        let Some((target, expected)) = best else { return Err(Reason::NoTarget) };
-        if *expected * 0.7 > self.left().as_secs_f64() {
+        let Some((target, time)) = best else { return Err(Reason::NoTarget) };
+        if *time * 0.7 > self.left().as_secs_f64() {
             return Err(Reason::Overloaded);
         }
         Ok(target.clone())
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -178,6 +178,12 @@
         self.gate.admit(self.share.min(self.pace))
     }
 
+    /// Returns whether neither the coordinator nor the target has told of more requests than it can
+    /// serve.
+    pub fn calm(&self) -> bool {
+        self.share >= 1.0 && self.pace >= 1.0
+    }
+
     /// Returns whether the target reported free slots just now.
     pub fn roomy(&self, slots: u32, now: Stamp) -> bool {
         let fresh = |at: Stamp| now.since(at) < ROOM_AGE;
@@ -228,24 +234,34 @@
 /// A target among which one is chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct Choice {
-    /// Expected time of a request in seconds.
+    /// Expected time of a request, as a part of the time in which an answer has its full value.
     pub expected: f64,
     /// Occupied share of its slots.
     pub fill: f64,
-    /// Cost of its distance in seconds.
-    pub distance: f64,
+    /// Kilobytes that the answer sends between failure domains.
+    pub distant_kb: f64,
 }
 
 /// Weight of the fill against the expected time, so that of two idle targets the emptier one is
 /// preferred before a queue forms.
-const FILL_SECONDS: f64 = 0.5;
+const FILL: f64 = 0.5;
+
+/// What another failure domain costs, as a part of the value of an answer in time: for each request, and
+/// for each kilobyte. The way between domains is narrow and paid for, while an answer that is in time
+/// anyway gains nothing from a faster target.
+const DISTANCE: f64 = 0.002;
+const DISTANCE_PER_KB: f64 = 0.004;
 
 /// Returns the index of the best of the options. `noise` returns numbers from 0 to 1; it keeps
 /// instances that see the same state from choosing the same target.
 pub fn choose(options: &[Choice], noise: &mut dyn FnMut() -> f64) -> Option<usize> {
     let mut best = None;
     for (index, option) in options.iter().enumerate() {
-        let cost = option.expected * (1.0 + FILL_SECONDS * option.fill) + option.distance;
+        let crowded = option.expected * (1.0 + FILL * option.fill);
+        // The chance of being late grows slowly while there is time to spare and fast near the end.
+        let late = crowded.powi(3);
+        let far = if option.distant_kb > 0.0 { DISTANCE } else { 0.0 };
+        let cost = late + far + DISTANCE_PER_KB * option.distant_kb;
         let cost = cost * (1.0 + 0.2 * noise());
         if best.is_none_or(|(_, lowest)| cost < lowest) {
             best = Some((index, cost));
