Give an owner that was full its requests back with time, and forget counts of lost instances

Any broken connection counted as a full owner and took a fifth off the instance's share, and only answers gave it back, of which an instance of a large fleet gets one in ten seconds. Requests under way that a lost instance had reported were counted until it came back.

Change: half of what a refusal takes comes back in 0.6 s, only a reset right after the sending counts as a full target, and reports older than two seconds do not count. What the instances report is added up in the crate of the decisions, where tests reach it.

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -26,6 +26,7 @@
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Route;
 use caraway_fleet::gap;
+use caraway_fleet::load;
 use caraway_fleet::load::Choice;
 use caraway_fleet::load::Ending;
 use caraway_fleet::load::choose;
@@ -323,7 +324,8 @@
             }
             let wait = self.route.objective.mul_f64(TURN_SHARE);
             if timeout_at(self.request.received + wait, changed).await.is_err() {
-                let calm = self.state.gauge(&target.life.id, |gauge| gauge.calm());
+                let now = Clock.now();
+                let calm = self.state.gauge(&target.life.id, |gauge| gauge.calm(now));
                 return if calm { Ok(target) } else { Err(Reason::Crowded) };
             }
         }
@@ -370,7 +372,7 @@
         let (expected, admitted) = self.state.gauge(&target.life.id, |gauge| {
             // What an owner cannot serve is taken from the less urgent requests.
             let decided = self.urgent || !self.tried.is_empty() || self.admitted.replace(true);
-            let admitted = decided || gauge.admit();
+            let admitted = decided || gauge.admit(now);
             (gauge.expected(target.slots, USUAL_TIME, now), admitted)
         });
         if expected * 0.7 > self.left().as_secs_f64() {
@@ -455,6 +457,7 @@
         connection.reset();
         let text = self.text(target);
         let until = self.deadline + LAST_WORD;
+        let sent = Instant::now();
         let head = timeout_at(until, async {
             connection.send(&text).await?;
             connection.head().await
@@ -467,7 +470,9 @@
             Ok(Err(error)) => {
                 flight.end(Ending::Failed);
                 // Some targets reset the connection when they are full.
-                self.state.gauge(&target.life.id, |gauge| gauge.full());
+                if sent.elapsed() < load::RESET {
+                    self.state.gauge(&target.life.id, |gauge| gauge.full(Clock.now()));
+                }
                 self.broken(target, &error.to_string());
                 return Try::Unknown(Reason::Broken);
             }
@@ -502,7 +507,7 @@
                 gauge.report(running, waiting, slots, now);
             }
             if refused && waiting >= target.slots {
-                gauge.full();
+                gauge.full(now);
             }
         });
         let not_run = refused || head.status == 421;
--- a/bins/edge/src/ingress.rs
+++ b/bins/edge/src/ingress.rs
@@ -40,6 +40,7 @@
 
 use caraway_adapter::header as field;
 use caraway_core::time::Clock;
+use caraway_fleet::reports::Reports;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
@@ -47,7 +48,6 @@
 use crate::answer::Body;
 use crate::forward;
 use crate::peers;
-use crate::reports::Reports;
 use crate::state::State;
 
 /// Buffer of a connection; a head must fit in it. Callers stay within 16 KB.
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -35,6 +35,7 @@
 use caraway_fleet::ownership::Move;
 use caraway_fleet::plan;
 use caraway_fleet::plan::Candidate;
+use caraway_fleet::reports::Reports;
 use caraway_fleet::view::Owners;
 use caraway_fleet::view::Version;
 use caraway_fleet::view::View;
@@ -49,7 +50,6 @@
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::pool::Failure;
-use crate::reports::Reports;
 use crate::state::State;
 use crate::store::send;
 
@@ -555,16 +555,16 @@
                 continue;
             }
             let candidates = candidates(service, &registry, &reports.times, &self.coordinator, now);
-            let Reports { demand, running, shares, .. } = &mut *reports;
+            let counts: Vec<u32> =
+                candidates.iter().map(|c| reports.running(&c.life.id, now)).collect();
+            let Reports { demand, shares, .. } = &mut *reports;
             let demands = demand.entry(service.clone()).or_default();
             demands.for_moves.decay(now);
             demands.for_admission.decay(now);
             let demand = &demands.for_moves.lifted(&demands.for_admission);
             let rates = plan::rates(table, &demands.for_admission);
-            for candidate in &candidates {
+            for (candidate, count) in candidates.iter().zip(counts) {
                 let id = &candidate.life.id;
-                let counts = running.get(id);
-                let count: u32 = counts.map_or(0, |counts| counts.values().map(|(n, _)| n).sum());
                 let rate = rates.get(&candidate.life).copied().unwrap_or(0.0);
                 let (time, slots) = (candidate.time, candidate.slots);
                 let suggested = admission::share(rate, demand::FOR_ADMISSION, time, slots);
--- a/bins/edge/src/main.rs
+++ b/bins/edge/src/main.rs
@@ -16,7 +16,6 @@
 mod pool;
 mod process;
 mod reason;
-mod reports;
 mod state;
 mod store;
 
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -27,6 +27,7 @@
 use caraway_fleet::membership::Life;
 use caraway_fleet::membership::Member;
 use caraway_fleet::membership::Target;
+use caraway_fleet::reports::Reports;
 use caraway_fleet::view::Change;
 use caraway_fleet::view::Version;
 use caraway_fleet::view::View;
@@ -35,7 +36,6 @@
 
 use crate::http;
 use crate::metrics::Metrics;
-use crate::reports::Reports;
 use crate::state::Instance;
 use crate::state::Retirement;
 use crate::state::State;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod membership;
 pub mod ownership;
 pub mod plan;
+pub mod reports;
 pub mod view;
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -20,11 +20,18 @@
 /// that it is used only when all others have long queues.
 const DOUBT: f64 = 8.0;
 
-/// What a refusal of a full owner of keys takes off the share of requests that is sent to it, and what
-/// an answer gives back: the share halves within four refusals and recovers within twenty answers.
+/// What a refusal of a full owner of keys takes off the share of requests that is sent to it, and the
+/// time after which half of that is given back: a queue that was full is worked off in a second. An
+/// instance of a large fleet gets an answer of the same owner once in ten seconds, so answers cannot tell.
 const PACE_CUT: f64 = 0.8;
-const PACE_GAIN: f64 = 0.05;
 const PACE_LEAST: f64 = 0.05;
+const PACE_BACK: Duration = Duration::from_millis(600);
+
+/// Share from which an owner takes everything again.
+const PACED: f64 = 0.97;
+
+/// Time in which a full target resets a connection. A later reset has other reasons.
+pub const RESET: Duration = Duration::from_millis(60);
 
 /// Age up to which a report of free slots is believed.
 const ROOM_AGE: Duration = Duration::from_millis(250);
@@ -63,8 +70,9 @@
     pub others_failures: f64,
     /// Share of the requests for its keys that it can serve, as the coordinator last told.
     pub share: f64,
-    /// Share that the owner itself let this instance serve lately.
+    /// Share that the owner itself let this instance serve, and when that was.
     pace: f64,
+    paced: Stamp,
     /// Applies the share.
     gate: Gate,
     /// Share of failures among the latest requests.
@@ -86,6 +94,7 @@
             others_failures: 0.0,
             share: 1.0,
             pace: 1.0,
+            paced: Stamp::default(),
             gate: Gate::default(),
             failures: 0.0,
             misses: 0,
@@ -136,7 +145,6 @@
         }
         match ending {
             Ending::Answered => {
-                self.pace = (self.pace + PACE_GAIN).min(1.0);
                 self.misses = 0;
                 self.sample(seconds);
                 self.told.0 += 1;
@@ -169,19 +177,28 @@
     }
 
     /// Records that the target was full.
-    pub fn full(&mut self) {
-        self.pace = (self.pace * PACE_CUT).max(PACE_LEAST);
+    pub fn full(&mut self, now: Stamp) {
+        self.pace = (self.pace(now) * PACE_CUT).max(PACE_LEAST);
+        self.paced = now;
+    }
+
+    /// Returns the share of requests that the owner is known to take.
+    fn pace(&self, now: Stamp) -> f64 {
+        let back = now.since(self.paced).as_secs_f64() / PACE_BACK.as_secs_f64();
+        let pace = 1.0 - (1.0 - self.pace) * 0.5_f64.powf(back);
+        if pace > PACED { 1.0 } else { pace }
     }
 
     /// Decides whether a request for a key of the target is let through.
-    pub fn admit(&mut self) -> bool {
-        self.gate.admit(self.share.min(self.pace))
+    pub fn admit(&mut self, now: Stamp) -> bool {
+        let share = self.share.min(self.pace(now));
+        self.gate.admit(share)
     }
 
     /// Returns whether neither the coordinator nor the target has told of more requests than it can
     /// serve.
-    pub fn calm(&self) -> bool {
-        self.share >= 1.0 && self.pace >= 1.0
+    pub fn calm(&self, now: Stamp) -> bool {
+        self.share >= 1.0 && self.pace(now) >= 1.0
     }
 
     /// Returns whether the target reported free slots just now.
--- a/bins/edge/src/reports.rs
+++ b/crates/fleet/src/reports.rs
@@ -4,10 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::demand;
+use crate::demand::Demand;
+use crate::membership::Registry;
 use caraway_core::time::Stamp;
-use caraway_fleet::demand;
-use caraway_fleet::demand::Demand;
-use caraway_fleet::membership::Registry;
 
 /// Time after which an instance's report of requests under way counts no longer.
 const REPORT_AGE: Duration = Duration::from_secs(2);
@@ -52,7 +52,7 @@
     /// Requests for keys by service.
     pub demand: HashMap<Arc<str>, Demands>,
     /// Requests under way by target and instance.
-    pub running: HashMap<Arc<str>, Counts>,
+    running: HashMap<Arc<str>, Counts>,
     /// Mean time of a request by target, in seconds.
     pub times: HashMap<Arc<str>, f64>,
     /// Share of failures among the latest requests by target, and when it was last updated.
@@ -124,6 +124,13 @@
         self.running.iter().filter_map(of).collect()
     }
 
+    /// Returns the requests of all instances that are at a target.
+    pub fn running(&self, target: &str, now: Stamp) -> u32 {
+        let counts = self.running.get(target).into_iter().flat_map(HashMap::values);
+        let recent = counts.filter(|(_, at)| now.since(*at) < REPORT_AGE);
+        recent.map(|(count, _)| count).sum()
+    }
+
     /// Forgets an instance's requests under way, before its next report is recorded.
     pub fn clear_instance(&mut self, instance: &str) {
         for counts in self.running.values_mut() {
--- a/crates/fleet/tests/patterns.rs
+++ b/crates/fleet/tests/patterns.rs
@@ -28,6 +28,7 @@
 use caraway_fleet::ownership::Table;
 use caraway_fleet::plan;
 use caraway_fleet::plan::Candidate;
+use caraway_fleet::reports::Reports;
 
 fn life(index: usize) -> Life {
     Life { id: format!("t{index:02}").into(), born: 1 }
@@ -350,6 +351,37 @@
     assert!(admission::share(70.0, FOR_ADMISSION, 0.1, 4.0) < 0.6);
 }
 
+/// Pattern: an owner was full for a moment, and each of a hundred instances asks it once in ten seconds.
+/// It gets everything again after some seconds; counted by answers it was rationed for a minute.
+#[test]
+fn an_owner_that_was_full_gets_everything_again_soon() {
+    let at = Stamp::from_millis;
+    let mut gauge = gauge(0.1, 0);
+    for _ in 0..6 {
+        gauge.full(at(1000));
+    }
+    let admitted = (0..100).filter(|_| gauge.admit(at(1000))).count();
+    assert!(admitted < 40, "{admitted}");
+    assert!(!gauge.calm(at(1000)));
+    assert!((0..20).all(|_| gauge.admit(at(5000))));
+    assert!(gauge.calm(at(5000)));
+}
+
+/// Pattern: an instance is lost while its requests are at an owner. They are no longer counted; they had
+/// kept the owner rationed until the instance came back.
+#[test]
+fn requests_of_a_lost_instance_do_not_ration_an_owner() {
+    let at = Stamp::from_millis;
+    let mut reports = Reports::default();
+    let (target, lost, other): (Arc<str>, Arc<str>, Arc<str>) =
+        ("t".into(), "lost".into(), "other".into());
+    reports.add_load(&lost, &target, 14, (0, 0.0), at(1000));
+    reports.add_load(&other, &target, 2, (0, 0.0), at(1000));
+    assert_eq!(reports.running("t", at(1500)), 16);
+    reports.add_load(&other, &target, 3, (0, 0.0), at(3500));
+    assert_eq!(reports.running("t", at(3600)), 3);
+}
+
 /// Pattern: the owner of some keys is lost, and they come back only when its grants have run out. Those
 /// who ask first wait for a moment, as for a move; who asks later is told at once.
 #[test]
