--- a/bins/soak/src/world.rs
+++ b/bins/soak/src/world.rs
@@ -349,8 +349,7 @@
         Ok(())
     }
 
-    /// Starts instances again that have ended, kills those that do not stop in time, and notes which
-    /// configuration each has.
+    /// Starts instances again that have ended, and kills those that do not stop in time.
     ///
     /// # Errors
     ///
@@ -370,14 +369,6 @@
                     seat.instance.restart()?;
                     (seat.stopping, seat.paused) = (None, false);
                 }
-                continue;
-            }
-            if seat.paused {
-                continue;
-            }
-            let process = seat.instance.id();
-            if let Some(version) = version(&seat.instance) {
-                self.record.versions.push(Version { instance: index, process, version });
             }
         }
         Ok(())
@@ -409,13 +400,33 @@
         self.version
     }
 
-    /// Takes what the targets saw into the record.
+    /// Takes what the targets saw, and the configurations that the instances applied, into the record.
     pub fn collect(&mut self) {
+        for (instance, seat) in self.seats.iter().enumerate() {
+            self.record.versions.extend(versions(instance, &seat.instance.log()));
+        }
         self.record.runs = self.journal.runs();
         self.record.conflicts = self.journal.conflicts();
     }
 }
 
+/// Returns the versions of the configuration that the processes of an instance applied, from its log.
+pub fn versions(instance: usize, log: &str) -> Vec<Version> {
+    let mut process = 0;
+    let mut versions = Vec::new();
+    for line in log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok()) {
+        match line.get("name").and_then(Value::as_str) {
+            Some("edge-started") => process += 1,
+            Some("configuration-applied") => {
+                let version = line.get("version").and_then(Value::as_u64).unwrap_or(0);
+                versions.push(Version { instance, process, version });
+            }
+            _ => {}
+        }
+    }
+    versions
+}
+
 /// Returns the version of the configuration that an instance shows, or none if it does not answer.
 pub fn version(instance: &Instance) -> Option<u64> {
     let mut caller = Caller::open(instance.metrics).ok()?;
--- a/bins/soak/tests/promises.rs
+++ b/bins/soak/tests/promises.rs
@@ -17,6 +17,7 @@
 use caraway_soak::check::findings;
 use caraway_soak::plan;
 use caraway_soak::plan::Size;
+use caraway_soak::world;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -111,6 +112,17 @@
     assert_eq!(promises(&record), expected);
 }
 
+/// Guards against versions that are read from the wrong lines, or of another process.
+#[test]
+fn versions_are_read_from_logs() {
+    let log = "{\"name\":\"edge-started\"}\n{\"name\":\"configuration-applied\",\"version\":4}\n\
+               half a line\n{\"name\":\"configuration-old\",\"version\":2}\n\
+               {\"name\":\"edge-started\"}\n{\"name\":\"configuration-applied\",\"version\":3}\n";
+    let seen = world::versions(7, log);
+    let rows: Vec<_> = seen.iter().map(|v| (v.instance, v.process, v.version)).collect();
+    assert_eq!(rows, [(7, 1, 4), (7, 2, 3)]);
+}
+
 /// Guards against runs that nobody asked for, two owners, and requests that stay unserved.
 #[test]
 fn the_other_promises_are_checked() {
