Announce configurations and leaving targets to the instances

Cause: an instance learned of them with its next report, which comes every two seconds in a fleet of 300.

Change: the coordinator tells all instances that there is news, in a message without content, at most every 0.3 s; they report then, spread over a millisecond for each instance, and get what is new with the answer.

The process test with 300 registered instances fails without the announcement.

--- a/bins/edge/src/ingress.rs
+++ b/bins/edge/src/ingress.rs
@@ -371,6 +371,10 @@
                 small(StatusCode::OK, String::new())
             }
         },
+        peers::NEWS => {
+            state.news.notify_one();
+            small(StatusCode::OK, String::new())
+        }
         peers::RETIRED => match serde_json::from_slice::<peers::Ends>(&body) {
             Err(error) => invalid(error),
             Ok(ends) => {
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -38,6 +38,7 @@
 use crate::line::ask_release;
 use crate::metrics::Metrics;
 use crate::peers;
+use crate::peers::Announcer;
 use crate::pool::Failure;
 use crate::state::State;
 use crate::store::send;
@@ -87,6 +88,7 @@
     /// When the instances were last told the owners, and whether there is something to tell.
     told: Stamp,
     untold: bool,
+    announcer: Announcer,
     /// Whether the holdings have tokens of this term.
     renumbered: bool,
     tell: UnboundedSender<Outcome>,
@@ -189,6 +191,7 @@
         last_line: 0,
         told: now,
         untold: false,
+        announcer: Announcer::default(),
         renumbered: false,
         tell,
         work: JoinSet::new(),
@@ -241,6 +244,7 @@
             term.untold = false;
             term.publish();
         }
+        term.announcer.announce(&term.state, now, &mut term.work);
         term.renew(now);
         if now >= term.next_repair && term.coordinator.steady(now) {
             term.next_repair = now + REPAIR;
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -53,6 +53,16 @@
 /// Path of what a coordinator tells when it ends.
 pub const RETIRED: &str = "/retired";
 
+/// Path of the word that there is news, which makes an instance report at once.
+pub const NEWS: &str = "/news";
+
+/// Time between two such words, in which news gathers, for each instance of a large fleet and at least.
+const NEWS_PERIOD: Duration = Duration::from_millis(300);
+const NEWS_PERIOD_PER_INSTANCE: Duration = Duration::from_millis(1);
+
+/// Time for each instance over which the reports that follow are spread.
+const NEWS_SPREAD: Duration = Duration::from_millis(1);
+
 /// Time between two reports: load is known to others with about this delay.
 const PERIOD: Duration = Duration::from_millis(300);
 
@@ -156,7 +166,10 @@
     loop {
         let count = u32::try_from(state.instances.borrow().len()).unwrap_or(u32::MAX);
         let period = PERIOD.max(PERIOD_PER_INSTANCE.saturating_mul(count));
-        sleep(period.mul_f64(0.9 + 0.2 * rand::random::<f64>())).await;
+        let pause = period.mul_f64(0.9 + 0.2 * rand::random::<f64>());
+        if timeout(pause, state.news.notified()).await.is_ok() {
+            sleep((NEWS_SPREAD * count).mul_f64(rand::random())).await;
+        }
         let gone = state.registry.borrow_mut().expire(Clock.now());
         state.unlist(gone, state.revision.get());
         state.pool.expire();
@@ -425,6 +438,28 @@
     state.set_leader(name.as_deref(), term);
 }
 
+/// What the coordinator has told the others that there is news about.
+#[derive(Debug, Default)]
+pub struct Announcer {
+    known: (u64, u64),
+    at: Stamp,
+}
+
+impl Announcer {
+    /// Tells the other instances that there is a newer configuration, or that targets leave, if so. Each
+    /// gets it with the answer to the report that it sends then.
+    pub fn announce(&mut self, state: &Rc<State>, now: Stamp, work: &mut JoinSet<()>) {
+        let news = (state.version(), state.notices.get());
+        let count = u32::try_from(state.instances.borrow().len()).unwrap_or(u32::MAX);
+        let period = NEWS_PERIOD.max(NEWS_PERIOD_PER_INSTANCE.saturating_mul(count));
+        if news == self.known || now.since(self.at) < period {
+            return;
+        }
+        (self.known, self.at) = (news, now);
+        send_all(state, NEWS, &(), work);
+    }
+}
+
 /// Sends a change of the owners of keys to all other instances. An instance that gets no message, or
 /// does not have the version before, learns the owners with the answer to its next report.
 pub fn push(state: &Rc<State>, change: &Change, work: &mut JoinSet<()>) {
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -160,6 +160,10 @@
     pub gaps: RefCell<Gaps>,
     /// Notified when the view, the targets or the load changes.
     pub changed: Notify,
+    /// Notified when the coordinator has news.
+    pub news: Notify,
+    /// Number of targets that were seen to leave or to have left.
+    pub notices: Cell<u64>,
     /// Notified when the watch of the store is to start anew.
     pub rewatch: Notify,
     /// Notified when the coordinator changes.
@@ -213,6 +217,8 @@
             view: RefCell::default(),
             gaps: RefCell::default(),
             changed: Notify::new(),
+            news: Notify::new(),
+            notices: Cell::new(0),
             rewatch: Notify::new(),
             leader_changed: Notify::new(),
             gauges: RefCell::default(),
@@ -333,6 +339,9 @@
     fn note(&self, change: Option<Change>) {
         let revision = self.revision.get();
         let named = |target: &Target| (target.life.id.to_string(), target.service.to_string());
+        if matches!(change, Some(Change::Draining(_) | Change::Gone(_))) {
+            self.notices.set(self.notices.get() + 1);
+        }
         let event = match change {
             None => return,
             Some(Change::Joined(target)) => {
--- a/bins/edge/tests/process/configuration.rs
+++ b/bins/edge/tests/process/configuration.rs
@@ -21,6 +21,27 @@
     }
 }
 
+/// Guards against a version that waits for the next report of an instance, which comes every two seconds
+/// in a fleet of three hundred: it was in force after 2.4 s.
+#[test]
+fn a_version_reaches_a_large_fleet_in_time() {
+    let world = World::start(1, 0, 2);
+    for index in 0..298 {
+        let instance = serde_json::json!({ "address": "127.0.0.1:1", "processor": 0.1 });
+        world.store.put(&format!("caraway/instance/other-{index}"), &instance);
+    }
+    std::thread::sleep(Duration::from_secs(3));
+    for version in [5, 7, 9] {
+        world.store.put("op/config", &configuration(version));
+        let path = format!("/version-{version}/x");
+        for index in 0..2 {
+            let limit = Duration::from_millis(1200);
+            wait(limit, "in force", || world.get(index, &path, "v").status == 200);
+        }
+        std::thread::sleep(Duration::from_millis(700));
+    }
+}
+
 /// Guards against a change that is missed because the store forgot its history.
 #[test]
 fn a_version_arrives_though_the_history_is_gone() {
