Bound idle connections by what targets accept, forget instances that are gone, and log failed messages

Cause: the connections that a target accepts, stated by the configuration, were read and not used; entries of replaced instances stayed for ever and kept a part of the repeats and of the owners' queues; a longer idle limit of callers never fell again; failed reports and registrations showed in no log line.

Change: instances together keep half of a target's connections idle at most. The coordinator removes the entry of an instance that has sent no report for a minute; it registers again if it lives. A former idle limit ends when the connections that relied on it have.

--- a/bins/edge/src/answer.rs
+++ b/bins/edge/src/answer.rs
@@ -98,7 +98,7 @@
     fn finish(&mut self) {
         self.flight.end(self.ending);
         if let Some(connection) = self.connection.take() {
-            self.state.pool.put(self.target.address, connection);
+            self.state.keep(&self.target, connection);
         }
     }
 }
--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -383,12 +383,11 @@
 /// Finds out whether a target that broke a request off has crashed. A connection that opens is kept for
 /// the next request.
 fn probe(state: &Rc<State>, target: &Target) {
-    let (life, service, address) = (target.life.clone(), target.service.clone(), target.address);
-    let own = state.clone();
+    let (own, target) = (state.clone(), target.clone());
     state.probes.borrow_mut().spawn_local(async move {
-        match Connection::open(address, pool::OPEN).await {
-            Ok(connection) => own.pool.put(address, connection),
-            Err(_) => own.crashed(&life, &service),
+        match Connection::open(target.address, pool::OPEN).await {
+            Ok(connection) => own.keep(&target, connection),
+            Err(_) => own.crashed(&target.life, &target.service),
         }
     });
 }
--- a/bins/edge/src/ingress.rs
+++ b/bins/edge/src/ingress.rs
@@ -219,7 +219,9 @@
             continue;
         }
         let current = state.current.borrow();
-        let limits = current.as_ref().map(|c| (c.configuration.limits.head_time, c.idle_limit));
+        let boot = Clock.now();
+        let limits =
+            current.as_ref().map(|c| (c.configuration.limits.head_time, c.idle_limit(boot)));
         drop(current);
         let default = caraway_fleet::configuration::Limits::default();
         let (head_time, idle_time) = limits.unwrap_or((default.head_time, default.idle_time));
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -31,6 +31,7 @@
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
+use crate::feed::INSTANCES;
 use crate::feed::LEADER;
 use crate::feed::OWNERS;
 use crate::line::Line;
@@ -55,6 +56,9 @@
 /// Time between looks at the balance, in which enough requests are counted for a decision.
 const BALANCE: Duration = Duration::from_millis(480);
 
+/// Time between looks for instances that are gone.
+const CENSUS: Duration = Duration::from_secs(15);
+
 /// Time between two messages with the owners, in which confirmations gather.
 const TELL: Duration = Duration::from_millis(100);
 
@@ -80,6 +84,7 @@
     next_renewal: Stamp,
     next_repair: Stamp,
     next_balance: Stamp,
+    next_census: Stamp,
     renewing: bool,
     /// Connections for grants by number.
     lines: HashMap<u64, Rc<Mutex<Line>>>,
@@ -186,6 +191,7 @@
         next_renewal: sent + RENEWAL,
         next_repair: now,
         next_balance: now + BALANCE,
+        next_census: now + CENSUS,
         renewing: false,
         lines: HashMap::new(),
         last_line: 0,
@@ -250,6 +256,10 @@
             term.next_repair = now + REPAIR;
             term.plan(now).await;
         }
+        if now >= term.next_census && term.coordinator.steady(now) {
+            term.next_census = now + CENSUS;
+            term.forget_instances(now).await;
+        }
         term.call(Clock.now());
     }
 }
@@ -292,6 +302,27 @@
         }
     }
 
+    /// Removes the entries of instances that are gone.
+    async fn forget_instances(&mut self, now: Stamp) {
+        let silent = {
+            let instances = self.state.instances.borrow();
+            self.reports.borrow().silent(instances.keys(), self.started, now)
+        };
+        for name in silent {
+            let key = format!("{INSTANCES}{name}");
+            let removals = vec![key.as_str()];
+            let call = store::change(&Transaction { removals, ..Transaction::default() });
+            match send(&self.state, &call, "forget", Duration::ZERO).await {
+                Ok((200, _)) => emit(Event::InstanceForgotten { instance: name.to_string() }),
+                Ok((status, _)) => {
+                    let error = format!("the store answered {status}");
+                    emit(Event::TaskFailed { task: "removal of an instance".to_owned(), error });
+                }
+                Err(error) => emit(Event::StoreUnreachable { error: error.to_string() }),
+            }
+        }
+    }
+
     /// Ends the term: sends nothing more, tells the other instances what targets may still hold, and
     /// then lets another one take over.
     async fn end(mut self) {
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -194,7 +194,8 @@
                 compare(&state, knowledge.revision);
                 learn(&state, knowledge, &peer);
             }
-            Err(_) => {
+            Err(error) => {
+                emit(Event::PeerUnreached { peer: peer.to_string(), error });
                 accompany(&state, false);
                 // The next report goes to another instance.
                 failed = to_leader;
@@ -300,6 +301,7 @@
         for (service, keys) in &report.demand {
             reports.add_demand(service, keys);
         }
+        reports.heard(&report.name, now);
         reports.clear_instance(&report.name);
         for (target, running, ended, time, failed) in &report.loads {
             reports.add_load(&report.name, target, *running, (*ended, *time), now);
--- a/bins/edge/src/pool.rs
+++ b/bins/edge/src/pool.rs
@@ -24,7 +24,7 @@
 /// side closes it at the end, and a request must not cross that.
 const STATED_SHARE: f64 = 0.6;
 
-/// Idle connections that are kept for each address: one request in most cases finds one.
+/// Idle connections that are kept to the store and to other instances.
 const PER_ADDRESS: usize = 2;
 
 /// Largest body of an answer of the store or of an instance: a value has a megabyte at most, in
@@ -71,14 +71,19 @@
     }
 
     /// Keeps a connection whose answer is complete, if it can be used again.
-    pub fn put(&self, address: SocketAddr, mut connection: Connection) {
-        if !connection.reusable() {
+    pub fn put(&self, address: SocketAddr, connection: Connection) {
+        self.put_within(address, connection, PER_ADDRESS);
+    }
+
+    /// Keeps a connection whose answer is complete, if it can be used again and `most` are kept at most.
+    pub fn put_within(&self, address: SocketAddr, mut connection: Connection, most: usize) {
+        if most == 0 || !connection.reusable() {
             return;
         }
         connection.rest(Clock.now());
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(address).or_default();
-        if connections.len() >= PER_ADDRESS {
+        while connections.len() >= most {
             connections.remove(0);
         }
         connections.push(connection);
--- a/bins/edge/src/process.rs
+++ b/bins/edge/src/process.rs
@@ -187,8 +187,16 @@
         if !known && state.heard.get().is_some() {
             let puts = vec![(key.as_str(), value.as_slice(), 0)];
             let call = store::change(&Transaction { puts, ..Transaction::default() });
-            if let Ok((200, _)) = send(&state, &call, "register", Duration::ZERO).await {
-                state.instances.borrow_mut().insert(state.settings.name.clone(), instance);
+            let error = match send(&state, &call, "register", Duration::ZERO).await {
+                Ok((200, _)) => {
+                    state.instances.borrow_mut().insert(state.settings.name.clone(), instance);
+                    None
+                }
+                Ok((status, _)) => Some(format!("the store answered {status}")),
+                Err(error) => Some(error.to_string()),
+            };
+            if let Some(error) = error {
+                emit(Event::TaskFailed { task: "registration".to_owned(), error });
             }
         }
         sleep(Duration::from_millis(700)).await;
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -26,6 +26,7 @@
 use caraway_core::name;
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
+use caraway_fleet::admission;
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Divider;
 use caraway_fleet::gap::Gaps;
@@ -39,6 +40,7 @@
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
+use crate::http::Connection;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 
@@ -60,8 +62,17 @@
     pub configuration: Rc<Configuration>,
     /// As the store holds it, for instances that the store turns away.
     pub text: Arc<str>,
-    /// Longest idle limit that was in force lately; callers may still rely on it.
-    pub idle_limit: Duration,
+    /// A longer idle limit that was in force before, and until when callers may still rely on it.
+    former_idle: (Duration, Stamp),
+}
+
+impl Current {
+    /// Returns the time after which an idle connection of a caller may be closed.
+    pub fn idle_limit(&self, now: Stamp) -> Duration {
+        let (former, until) = self.former_idle;
+        let limit = self.configuration.limits.idle_time;
+        if now < until { limit.max(former) } else { limit }
+    }
 }
 
 /// An instance, as it registers in the store.
@@ -266,9 +277,11 @@
             return refuse("the text is not UTF-8".to_owned());
         };
         let mut current = self.current.borrow_mut();
-        let before = current.as_ref().map(|current| current.idle_limit).unwrap_or_default();
+        let now = Clock.now();
+        let former = current.as_ref().map(|current| current.idle_limit(now)).unwrap_or_default();
         *current = Some(Current {
-            idle_limit: configuration.limits.idle_time.max(before),
+            // A connection that was idle when the limit changed was to stay open that long.
+            former_idle: (former, now + former),
             configuration: Rc::new(configuration),
             text: text.into(),
         });
@@ -384,6 +397,18 @@
         }
     }
 
+    /// Keeps a connection to a target for another request.
+    pub fn keep(&self, target: &Target, connection: Connection) {
+        let current = self.current.borrow();
+        let services = current.as_ref().map(|current| &current.configuration.services);
+        let service = services.and_then(|services| services.get(&target.service));
+        let most = service.map_or(0, |service| {
+            admission::kept(service.connections, self.instances.borrow().len())
+        });
+        drop(current);
+        self.pool.put_within(target.address, connection, most);
+    }
+
     /// Runs a function on the load of a target.
     pub fn gauge<T>(&self, id: &Arc<str>, step: impl FnOnce(&mut Gauge) -> T) -> T {
         step(self.gauges.borrow_mut().entry(id.clone()).or_default())
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -85,3 +85,15 @@
     let part = (f64::from(slots) * ROUNDS / instances).round();
     (1..).find(|count| f64::from(*count) >= part).unwrap_or(1)
 }
+
+/// Idle connections that an instance keeps to a target: one request in most cases finds one.
+const KEPT: usize = 2;
+
+/// Part of the connections that a target accepts which all instances together keep idle, one in so many.
+const KEPT_PART: usize = 2;
+
+/// Returns how many idle connections one of several instances keeps to a target that accepts a number of
+/// connections from all of them.
+pub fn kept(accepted: usize, instances: usize) -> usize {
+    (accepted / KEPT_PART / instances.max(1)).min(KEPT)
+}
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -56,8 +56,6 @@
     pub least_rank: u32,
     /// Connections that a target accepts from all callers together.
     pub connections: usize,
-    /// Time for which a key without a handover is served slowly.
-    pub warm: Duration,
 }
 
 /// Limits of what a caller may send and how long it may be idle.
--- a/crates/fleet/src/reports.rs
+++ b/crates/fleet/src/reports.rs
@@ -12,6 +12,10 @@
 /// Time after which an instance's report of requests under way counts no longer.
 const REPORT_AGE: Duration = Duration::from_secs(2);
 
+/// Time without a report after which an instance is taken for gone. Its part of the repeats and of the
+/// queues of owners goes to the others then.
+const FORGOTTEN: Duration = Duration::from_secs(60);
+
 /// Weight of a request in the share of a target's failures, and the least share that is told.
 const FAILURE_WEIGHT: f64 = 0.1;
 const FAILING: f64 = 0.15;
@@ -57,6 +61,8 @@
     pub times: HashMap<Arc<str>, f64>,
     /// Share of failures among the latest requests by target, and when it was last updated.
     failures: HashMap<Arc<str>, (f64, Stamp)>,
+    /// When each instance last reported.
+    heard: HashMap<Arc<str>, Stamp>,
     /// Owners that cannot serve all requests for their keys, with the share that they can.
     pub shares: HashMap<Arc<str>, f64>,
 }
@@ -124,6 +130,22 @@
         self.running.iter().filter_map(of).collect()
     }
 
+    /// Records that an instance reported.
+    pub fn heard(&mut self, instance: &Arc<str>, now: Stamp) {
+        self.heard.insert(instance.clone(), now);
+    }
+
+    /// Returns which instances have sent no report for a minute, of those that are known since a moment.
+    pub fn silent<'a>(
+        &self,
+        instances: impl Iterator<Item = &'a Arc<str>>,
+        since: Stamp,
+        now: Stamp,
+    ) -> Vec<Arc<str>> {
+        let latest = |name: &Arc<str>| self.heard.get(name).copied().unwrap_or_default().max(since);
+        instances.filter(|name| now.since(latest(name)) > FORGOTTEN).cloned().collect()
+    }
+
     /// Returns the requests of all instances that are at a target.
     pub fn running(&self, target: &str, now: Stamp) -> u32 {
         let counts = self.running.get(target).into_iter().flat_map(HashMap::values);
--- a/crates/fleet/tests/patterns.rs
+++ b/crates/fleet/tests/patterns.rs
@@ -384,6 +384,21 @@
     assert_eq!(reports.running("t", at(3600)), 3);
 }
 
+/// Pattern: instances are replaced every day and their entries stay. Each had kept a part of the repeats
+/// and of the owners' queues that nobody used.
+#[test]
+fn an_instance_without_reports_is_taken_for_gone() {
+    let at = Stamp::from_millis;
+    let mut reports = Reports::default();
+    let names: Vec<Arc<str>> = vec!["here".into(), "gone".into(), "never".into()];
+    reports.heard(&names[0], at(100_000));
+    reports.heard(&names[1], at(30_000));
+    let silent = |now| reports.silent(names.iter(), at(20_000), at(now));
+    assert!(silent(79_000).is_empty());
+    assert_eq!(silent(85_000), vec![names[2].clone()]);
+    assert_eq!(silent(100_000), names[1..].to_vec());
+}
+
 /// Pattern: the owner of some keys is lost, and they come back only when its grants have run out. Those
 /// who ask first wait for a moment, as for a move; who asks later is told at once.
 #[test]
@@ -415,6 +430,23 @@
     assert_eq!(admission::window(slots, instances), expected);
 }
 
+/// Pattern: many instances, each with idle connections to a target that accepts a fixed number from all.
+#[yare::parameterized(
+    andina = { 232, 19, 2 },
+    grown = { 701, 102, 2 },
+    many_instances = { 232, 100, 1 },
+    more_than_connections = { 232, 300, 0 },
+    alone = { 1, 1, 0 },
+)]
+fn idle_connections_stay_within_what_a_target_accepts(
+    accepted: usize,
+    instances: usize,
+    kept: usize,
+) {
+    assert_eq!(admission::kept(accepted, instances), kept);
+    assert!(admission::kept(accepted, instances) * instances * 2 <= accepted);
+}
+
 fn gauge(seconds: f64, running: u32) -> Gauge {
     let mut gauge = Gauge::default();
     gauge.time = seconds;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -174,6 +174,12 @@
     /// A peer's newer list of targets or configuration was taken over.
     218 Info PeerFollowed "peer-followed" { peer: String, what: String, revision: u64 }
         "took over {what} of revision {revision} from instance {peer}"
+    /// Another instance did not answer a report; another one or the store is asked next.
+    219 Warn PeerUnreached "peer-unreached" { peer: String, error: String }
+        "instance {peer} did not answer a report: {error}"
+    /// An instance has sent no report for a minute; its entry was removed.
+    220 Info InstanceForgotten "instance-forgotten" { instance: String }
+        "instance {instance} sent no report for a minute and is no longer counted"
 
     /// The instance acquired a group.
     301 Info GroupAcquired "group-acquired"
