--- a/review/harness/src/cases/handover.rs
+++ b/review/harness/src/cases/handover.rs
@@ -35,9 +35,9 @@
     (number.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 48) as u16
 }
 
-pub fn run(root: &Path, folder: &Path, trouble: bool) -> Result<bool, String> {
+pub fn run(root: &Path, record: &Path, trouble: bool) -> Result<bool, String> {
     let fail = |error: std::io::Error| error.to_string();
-    let mut deployment = Deployment::start(root, folder, SERVERS, 0).map_err(fail)?;
+    let mut deployment = Deployment::start(root, record, SERVERS, 0).map_err(fail)?;
     for _ in 0..EDGES {
         deployment.add_edge(deployment.store.address).map_err(fail)?;
     }
--- a/review/harness/src/cases/memory.rs
+++ b/review/harness/src/cases/memory.rs
@@ -19,9 +19,9 @@
 const CALM_TIME: Duration = Duration::from_secs(8);
 const TROUBLE_TIME: Duration = Duration::from_secs(50);
 
-pub fn run(root: &Path, folder: &Path, trouble: bool) -> Result<bool, String> {
+pub fn run(root: &Path, record: &Path, trouble: bool) -> Result<bool, String> {
     let fail = |error: std::io::Error| error.to_string();
-    let mut deployment = Deployment::start(root, folder, SERVERS, 0).map_err(fail)?;
+    let mut deployment = Deployment::start(root, record, SERVERS, 0).map_err(fail)?;
     for _ in 0..EDGES {
         deployment.add_edge(deployment.store.address).map_err(fail)?;
     }
--- a/review/harness/src/cases/upload.rs
+++ b/review/harness/src/cases/upload.rs
@@ -40,9 +40,9 @@
     Ok(answer.lines().next().unwrap_or_default().to_owned())
 }
 
-pub fn run(root: &Path, folder: &Path, trouble: bool) -> Result<bool, String> {
+pub fn run(root: &Path, record: &Path, trouble: bool) -> Result<bool, String> {
     let fail = |error: io::Error| error.to_string();
-    let mut deployment = Deployment::start(root, folder, 1, SERVERS).map_err(fail)?;
+    let mut deployment = Deployment::start(root, record, 1, SERVERS).map_err(fail)?;
     for _ in 0..EDGES {
         deployment.add_edge(deployment.store.address).map_err(fail)?;
     }
--- a/review/harness/src/deployment.rs
+++ b/review/harness/src/deployment.rs
@@ -88,11 +88,11 @@
 }
 
 impl Deployment {
-    /// Starts a store with a configuration, and servers.
-    pub fn start(root: &Path, folder: &Path, keyed: usize, pool: usize) -> io::Result<Self> {
+    /// Starts a store with a configuration, and servers. The record is written to the file `record`.
+    pub fn start(root: &Path, record: &Path, keyed: usize, pool: usize) -> io::Result<Self> {
         let directory = std::env::temp_dir().join(format!("caraway-review-{}", std::process::id()));
         fs::create_dir_all(&directory)?;
-        let record = Arc::new(Record::create(&folder.join("record.txt"))?);
+        let record = Arc::new(Record::create(record)?);
         let store = Store::start()?;
         store.put("op/config", &configuration(1));
         let mut deployment = Self {
@@ -264,7 +264,6 @@
         for edge in &self.edges {
             lock(edge).kill();
         }
-        self.record.flush();
         let _ = fs::remove_dir_all(&self.directory);
     }
 }
--- a/review/harness/src/main.rs
+++ b/review/harness/src/main.rs
@@ -13,20 +13,23 @@
 
 fn main() -> ExitCode {
     let mut arguments = std::env::args().skip(1);
-    let (case, folder) = (arguments.next().unwrap_or_default(), arguments.next());
-    let folder = PathBuf::from(folder.unwrap_or_else(|| ".".to_owned()));
+    let (Some(case), Some(record)) = (arguments.next(), arguments.next()) else {
+        eprintln!("usage: caraway-review CASE RECORD, in the folder of the case");
+        return ExitCode::from(2);
+    };
+    let record = PathBuf::from(record);
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
-    let root = match folder.canonicalize() {
+    let root = match std::env::current_dir() {
         Ok(folder) => folder.join("../.."),
         Err(error) => {
-            eprintln!("{}: {error}", folder.display());
+            eprintln!("the folder of the case cannot be found: {error}");
             return ExitCode::from(2);
         }
     };
     let result = match case.as_str() {
-        "handover" => cases::handover::run(&root, &folder, trouble),
-        "memory" => cases::memory::run(&root, &folder, trouble),
-        "upload" => cases::upload::run(&root, &folder, trouble),
+        "handover" => cases::handover::run(&root, &record, trouble),
+        "memory" => cases::memory::run(&root, &record, trouble),
+        "upload" => cases::upload::run(&root, &record, trouble),
         _ => Err(format!("unknown case {case:?}")),
     };
     match result {
--- a/review/harness/src/record.rs
+++ b/review/harness/src/record.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io;
-use std::io::BufWriter;
+use std::io::LineWriter;
 use std::io::Write;
 use std::path::Path;
 use std::sync::Mutex;
@@ -14,13 +14,13 @@
 #[derive(Debug)]
 pub struct Record {
     started: Instant,
-    file: Mutex<BufWriter<File>>,
+    file: Mutex<LineWriter<File>>,
 }
 
 impl Record {
     /// Creates the record file, replacing an earlier one.
     pub fn create(path: &Path) -> io::Result<Self> {
-        let file = Mutex::new(BufWriter::new(File::create(path)?));
+        let file = Mutex::new(LineWriter::new(File::create(path)?));
         Ok(Self { started: Instant::now(), file })
     }
 
@@ -42,9 +42,4 @@
         println!("{:9.3} {text}", self.elapsed().as_secs_f64());
         self.line(text);
     }
-
-    /// Writes buffered lines to the file.
-    pub fn flush(&self) {
-        let _ = self.file.lock().unwrap_or_else(PoisonError::into_inner).flush();
-    }
 }
