--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -196,7 +196,7 @@
             continue;
         }
         let peer = to_leader.clone().or_else(|| random_peer(&state));
-        let instance = peer.as_ref().and_then(|peer| state.instances.borrow().get(peer).copied());
+        let instance = peer.as_ref().and_then(|peer| state.instances.borrow().get(peer).cloned());
         let (Some(peer), Some(Instance { address, .. })) = (peer, instance) else {
             set_watch_delegated(&state, false);
             continue;
--- a/bins/edge/src/process.rs
+++ b/bins/edge/src/process.rs
@@ -194,7 +194,11 @@
 async fn register(state: Rc<State>) {
     let key = format!("{}{}", sync::INSTANCE_PREFIX, state.settings.name);
     let address = SocketAddr::new(state.settings.ip, state.settings.peer_port);
-    let instance = Instance { address, cpu_share: state.settings.cpu_share };
+    let instance = Instance {
+        address,
+        domain: state.settings.domain.clone(),
+        cpu_share: state.settings.cpu_share,
+    };
     let value = serde_json::to_vec(&instance).unwrap_or_default();
     loop {
         let registered = state.instances.borrow().get(&state.settings.name) == Some(&instance);
@@ -203,7 +207,10 @@
             let call = store::change(&Transaction { puts, ..Transaction::default() });
             let error = match send(&state, &call, "register", Duration::ZERO).await {
                 Ok((200, _)) => {
-                    state.instances.borrow_mut().insert(state.settings.name.clone(), instance);
+                    state
+                        .instances
+                        .borrow_mut()
+                        .insert(state.settings.name.clone(), instance.clone());
                     None
                 }
                 Ok((status, _)) => Some(format!("the store responded with status {status}")),
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -38,6 +38,7 @@
 use caraway_fleet::membership::Registry;
 use caraway_fleet::membership::Target;
 use caraway_fleet::pause::Pauses;
+use caraway_fleet::rendezvous::Domains;
 use caraway_fleet::unowned::Ranges;
 use caraway_fleet::view::Change as OwnersChange;
 use caraway_fleet::view::View;
@@ -85,10 +86,13 @@
 }
 
 /// Registration of an instance in the store.
-#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Instance {
     /// Address of its listener for other instances.
     pub address: SocketAddr,
+    /// Failure domain of the instance; empty in registrations of earlier versions.
+    #[serde(default)]
+    pub domain: Arc<str>,
     /// CPU share of the instance, in cores.
     #[serde(rename = "processor")]
     pub cpu_share: f64,
@@ -530,6 +534,14 @@
         self.pool.put_within(target.address, connection, max_connections);
     }
 
+    /// Returns the failure domains of the known instances, including this one.
+    pub fn domains(&self) -> Domains {
+        let instances = self.instances.borrow();
+        let known = instances.iter().map(|(name, known)| (name.clone(), known.domain.clone()));
+        let this = (self.settings.name.clone(), self.settings.domain.clone());
+        known.chain(std::iter::once(this)).collect()
+    }
+
     /// Calls a function with the load estimate of a target.
     pub fn with_estimate<T>(&self, id: &Arc<str>, operate: impl FnOnce(&mut Estimate) -> T) -> T {
         operate(self.estimates.borrow_mut().entry(id.clone()).or_default())
