Divide the targets of services without keys among the instances of a large fleet

Cause: each request sampled seven of all targets, and each instance could have one request in flight at every target. With 122 instances and 6 slots this allows 122 requests at a target that holds 30, connections are hardly ever used again (the limit of idle connections, half of 232 divided by 122, is zero), and no instance sees a target often.

Change: `caraway_fleet::share` divides the targets by rendezvous hashing over the lists of instances and targets. An instance has 75 to 125% of the mean share, and two spare targets that it uses, one request at a time while they have free slots, if it can use none of its share. A request is not queued where it is expected to take more than 80% of its latency objective. Idle connections are limited by the number of instances that use the target.

--- a/bins/edge/src/forward/selection.rs
+++ b/bins/edge/src/forward/selection.rs
@@ -12,10 +12,12 @@
 use caraway_fleet::admission;
 use caraway_fleet::load::Admission;
 use caraway_fleet::load::Candidate;
+use caraway_fleet::load::Estimate;
 use caraway_fleet::load::choose;
 use caraway_fleet::membership::Member;
 use caraway_fleet::membership::Registry;
 use caraway_fleet::membership::Target;
+use caraway_fleet::share::Place;
 use caraway_fleet::unowned;
 
 use crate::forward::Call;
@@ -40,6 +42,11 @@
 const LOCAL_SAMPLE: usize = 4;
 const REMOTE_SAMPLE: usize = 3;
 
+/// Fraction of the latency objective that a request may be expected to take at a target without free
+/// slots if the targets of the service are divided among the instances. Beyond it, the request
+/// would be late and delay later ones.
+const MAX_QUEUEING_SHARE: f64 = 0.8;
+
 /// Fraction of selections in which a target without measurements is preferred, and the factor on
 /// its expected time in these. Without exploration, a new target that is slow while it warms up
 /// would receive no requests as long as others have capacity, and would never be measured.
@@ -218,34 +225,70 @@
         Ok(target.clone())
     }
 
+    /// Returns whether this instance may have another request in flight at a target of a service
+    /// without keys, at which it has a place if the targets are divided among the instances.
+    fn has_room(
+        &self,
+        estimate: &Estimate,
+        target: &Target,
+        place: Option<Place>,
+        now: Stamp,
+    ) -> bool {
+        let slots = target.slots;
+        let Some(place) = place else {
+            let instances = self.state.instances.borrow().len();
+            return estimate.in_flight < admission::in_flight_limit(slots, instances)
+                && admission::has_room(estimate.occupancy(now), slots);
+        };
+        let objective = self.route.latency_objective.as_secs_f64();
+        estimate.in_flight < place.limit
+            && (estimate.occupancy(now) < f64::from(slots.max(1))
+                || !place.spare
+                    && admission::has_room(estimate.occupancy(now), slots)
+                    && estimate.expected_time(slots, DEFAULT_SERVICE_TIME, now)
+                        < objective * MAX_QUEUEING_SHARE)
+    }
+
     /// Returns the targets of a service without keys that may receive the request: those that are
-    /// usable and have room. Falls back to ejected ones, then to usable ones that already failed
-    /// this request, then to those that are leaving but still serve.
+    /// usable and have room. If the targets are divided among the instances, these are those of
+    /// the share of this instance, or its spare ones if none of the share is usable. Falls back to
+    /// ejected ones, then to usable ones that already failed this request, then to those that are
+    /// leaving but still serve.
     fn eligible<'r>(&self, registry: &'r Registry, now: Stamp) -> Result<Vec<&'r Member>, Reason> {
+        let share = self.state.share(&self.service, now);
+        let share = share.as_deref();
         let estimates = self.state.estimates.borrow();
         let pauses = self.state.pauses.borrow();
-        let instances = self.state.instances.borrow().len();
         let (mut usable, mut ejected, mut failed) = (Vec::new(), Vec::new(), Vec::new());
-        let mut leaving = Vec::new();
-        let mut full = false;
+        let (mut spare, mut leaving) = (Vec::new(), Vec::new());
+        let (mut full, mut spare_full) = (false, false);
         let mut pause_end: Option<Stamp> = None;
         for member in registry.members().filter(|m| m.target.service == self.service) {
-            let (id, slots) = (&member.target.incarnation.id, member.target.slots);
+            let id = &member.target.incarnation.id;
             if self.state.is_drained(member, now) {
                 continue;
             }
+            let place = share.and_then(|share| share.place(id));
+            if share.is_some() && place.is_none() && member.draining_since.is_none() {
+                continue;
+            }
             if let Some(end) = pauses.end(&member.target.incarnation, now) {
                 pause_end = Some(pause_end.map_or(end, |first| first.min(end)));
                 continue;
             }
             let estimate = estimates.get(id);
             let is_usable = estimate.is_none_or(|estimate| estimate.is_usable(now));
-            let has_room = estimate.is_none_or(|estimate| {
-                estimate.in_flight < admission::in_flight_limit(slots, instances)
-                    && admission::has_room(estimate.occupancy(now), slots)
-            });
+            let has_room =
+                estimate.is_none_or(|estimate| self.has_room(estimate, &member.target, place, now));
             match (member.draining_since, self.selected.contains(id), is_usable) {
                 (Some(_), false, _) => leaving.push(member),
+                (None, false, true) if place.is_some_and(|place| place.spare) => {
+                    if has_room {
+                        spare.push(member);
+                    } else {
+                        spare_full = true;
+                    }
+                }
                 (None, false, true) if has_room => usable.push(member),
                 (None, false, true) => full = true,
                 (None, false, false) => ejected.push(member),
@@ -253,10 +296,10 @@
                 (Some(_), true, _) | (None, true, false) => {}
             }
         }
-        if usable.is_empty() && full {
+        if usable.is_empty() && (full || spare_full && spare.is_empty()) {
             return Err(Reason::InFlightLimit);
         }
-        let members = [usable, ejected, failed, leaving].into_iter().find(|m| !m.is_empty());
+        let members = [usable, spare, ejected, failed, leaving].into_iter().find(|m| !m.is_empty());
         match members {
             Some(members) => Ok(members),
             None if pause_end.is_some() => {
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -39,6 +39,8 @@
 use caraway_fleet::membership::Target;
 use caraway_fleet::pause::Pauses;
 use caraway_fleet::rendezvous::Domains;
+use caraway_fleet::share::Share;
+use caraway_fleet::share::Shares;
 use caraway_fleet::unowned::Ranges;
 use caraway_fleet::view::Change as OwnersChange;
 use caraway_fleet::view::View;
@@ -197,6 +199,8 @@
     pub pauses: RefCell<Pauses>,
     /// Keys of entries in the store that cannot be read.
     ignored_entries: RefCell<HashSet<String>>,
+    /// This instance's shares of the targets of services without keys.
+    shares: RefCell<Shares>,
     /// Load estimates by target id.
     pub estimates: RefCell<HashMap<Arc<str>, Estimate>>,
     /// Traffic splitters by route name.
@@ -258,6 +262,7 @@
             leader_changed: Notify::new(),
             pauses: RefCell::default(),
             ignored_entries: RefCell::default(),
+            shares: RefCell::default(),
             estimates: RefCell::default(),
             splitters: RefCell::default(),
             started: Clock.now(),
@@ -528,7 +533,10 @@
         let services = current.as_ref().map(|current| &current.configuration.services);
         let service = services.and_then(|services| services.get(&target.service));
         let max_connections = service.map_or(0, |service| {
-            admission::idle_connections(service.max_connections, self.instances.borrow().len())
+            let accepted = service.max_connections;
+            let shared = self.shares.borrow().idle_connections(target, accepted);
+            let equal = || admission::idle_connections(accepted, self.instances.borrow().len());
+            shared.unwrap_or_else(equal)
         });
         drop(current);
         self.pool.put_within(target.address, connection, max_connections);
@@ -542,6 +550,20 @@
         known.chain(std::iter::once(this)).collect()
     }
 
+    /// Returns this instance's share of the targets of a service without keys, or `None` if they
+    /// are not divided among the instances.
+    pub fn share(&self, service: &Arc<str>, now: Stamp) -> Option<Arc<Share>> {
+        let lists = || {
+            let registry = self.registry.borrow();
+            let listed = registry
+                .members()
+                .filter(|member| member.target.service == *service)
+                .filter(|member| member.draining_since.is_none());
+            (listed.map(|member| member.target.clone()).collect(), self.domains())
+        };
+        self.shares.borrow_mut().get(service, &self.settings.name, lists, now)
+    }
+
     /// Calls a function with the load estimate of a target.
     pub fn with_estimate<T>(&self, id: &Arc<str>, operate: impl FnOnce(&mut Estimate) -> T) -> T {
         operate(self.estimates.borrow_mut().entry(id.clone()).or_default())
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod plan;
 pub mod rendezvous;
 pub mod reports;
+pub mod share;
 pub mod unowned;
 pub mod view;
