Divide the requests to cold targets among few instances in advance

Cause: nothing limited the requests to a target that is warming up. With 122 instances and 132 targets, a cold target got 15 or 16 requests in a second and crashed; 14.3 are allowed.

Change: rendezvous hashing over the registered instances selects the few senders of each cold target, own failure domain first, each with a fixed number of requests per interval. No message is needed, so the bound also holds between instances that cannot reach each other. An instance sends only if each of its lists of the last 2 s selected it; one that has just started or is not registered sends nothing. The share is taken immediately before the request is sent, for every kind of request, and counts until the request is sent completely. A pooled target that takes no connection counts as cold for its warm-up time, unless a quarter of the service takes none. Responses may state the remaining warm-up time. Cold targets get no keys while warm ones exist, and lose theirs if at least half of the targets are warm. An entry that is passed on to another instance states the time that is left.

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -117,7 +117,8 @@
     selected: Vec<Arc<str>>,
     /// Number of selected targets to which the request could not be sent.
     unsent: usize,
-    /// End of the first pause among the targets that can serve the request, if all are paused.
+    /// End of the first pause among the targets that can serve the request, if all are paused, or
+    /// the time from which one of them may get a request again, if all are cold.
     pause_end: Cell<Option<Stamp>>,
     /// Time at which the caller stops waiting for the rest of a response.
     caller_deadline: Instant,
@@ -295,6 +296,7 @@
                     Ok(connection) => connection,
                     Err(error) => {
                         attempt.end(Outcome::Unreachable);
+                        self.state.suspect_cold(target);
                         self.state.record_crash(&target.incarnation, &target.service);
                         emit(Event::TargetUnreached {
                             target: target.incarnation.id.to_string(),
@@ -307,7 +309,7 @@
             }
         };
         // While the connection was opened, the target may have asked for a pause or have left.
-        if let Some(reason) = self.state.exclusion(target) {
+        if let Some(reason) = self.state.exclusion(target).or_else(|| self.take_warmup(target)) {
             attempt.end(Outcome::Deferred);
             self.state.keep_connection(target, connection);
             return Completion::Unsent(reason);
@@ -318,6 +320,7 @@
         let sent = Instant::now();
         let head = timeout_at(until, async {
             connection.send(&message).await?;
+            self.state.record_sent(target);
             connection.read_head().await
         });
         let head = tokio::select! {
@@ -465,6 +468,7 @@
             // Another target has got the address.
             return false;
         }
+        self.state.record_warmup(target, head);
         if header_text(head, field::LEAVING).is_some_and(field::is_leaving) {
             connection.close_after_response();
             let (now, source) = (Clock.now(), &self.state.settings.name);
--- a/bins/edge/src/forward/outcome.rs
+++ b/bins/edge/src/forward/outcome.rs
@@ -103,7 +103,8 @@
     reason: Reason,
 ) -> Response<Body> {
     let now = Clock.now();
-    let pause_end = call.and_then(|call| call.pause_end.get()).filter(|_| reason == Reason::Paused);
+    let has_end = matches!(reason, Reason::Paused | Reason::WarmingUp);
+    let pause_end = call.and_then(|call| call.pause_end.get()).filter(|_| has_end);
     let retry_after = pause_end
         .map_or(reason.retry_after(), |end| pause::return_delay(end, now, rand::random::<f64>()));
     emit(Event::RequestRefused {
--- a/bins/edge/src/forward/selection.rs
+++ b/bins/edge/src/forward/selection.rs
@@ -50,11 +50,29 @@
     /// Selects the target of the next attempt.
     pub(super) async fn select_target(&self) -> Result<Arc<Target>, Reason> {
         match self.key {
-            Some(key) => self.wait_for_owner(key).await,
+            Some(key) => {
+                let target = self.wait_for_owner(key).await?;
+                let limit = self.state.warmup_limit(&target.service);
+                let room = limit
+                    .map_or(Ok(()), |limit| self.state.check_warmup(&target, limit, Clock.now()));
+                room.map_or_else(|end| Err(self.wait_for_warmup(end)), |()| Ok(target))
+            }
             None => self.wait_for_room().await,
         }
     }
 
+    /// Takes a request out of this instance's share in a cold target; returns the reason if the
+    /// request must not be sent to it.
+    pub(super) fn take_warmup(&self, target: &Target) -> Option<Reason> {
+        self.state.take_warmup(target).err().map(|end| self.wait_for_warmup(end))
+    }
+
+    /// Notes when a cold target may get a request again.
+    fn wait_for_warmup(&self, end: Stamp) -> Reason {
+        self.pause_end.set(Some(end));
+        Reason::WarmingUp
+    }
+
     /// Returns a target of a service without keys, waiting until one may receive the request.
     async fn wait_for_room(&self) -> Result<Arc<Target>, Reason> {
         let wait = self.route.latency_objective.mul_f64(MAX_WAIT_SHARE);
@@ -229,6 +247,8 @@
         let mut leaving = Vec::new();
         let mut full = false;
         let mut pause_end: Option<Stamp> = None;
+        let limit = self.state.warmup_limit(&self.service);
+        let mut warmup_end: Option<Stamp> = None;
         for member in registry.members().filter(|m| m.target.service == self.service) {
             let (id, slots) = (&member.target.incarnation.id, member.target.slots);
             if self.state.is_drained(member, now) {
@@ -238,6 +258,12 @@
                 pause_end = Some(pause_end.map_or(end, |first| first.min(end)));
                 continue;
             }
+            if let Some(limit) = limit
+                && let Err(end) = self.state.check_warmup(&member.target, limit, now)
+            {
+                warmup_end = Some(warmup_end.map_or(end, |first| first.min(end)));
+                continue;
+            }
             let estimate = estimates.get(id);
             let is_usable = estimate.is_none_or(|estimate| estimate.is_usable(now));
             let has_room = estimate.is_none_or(|estimate| {
@@ -259,6 +285,10 @@
         let members = [usable, ejected, failed, leaving].into_iter().find(|m| !m.is_empty());
         match members {
             Some(members) => Ok(members),
+            None if warmup_end.is_some_and(|end| pause_end.is_none_or(|pause| end < pause)) => {
+                self.pause_end.set(warmup_end);
+                Err(Reason::WarmingUp)
+            }
             None if pause_end.is_some() => {
                 self.pause_end.set(pause_end);
                 Err(Reason::Paused)
--- a/bins/edge/src/leader/plan.rs
+++ b/bins/edge/src/leader/plan.rs
@@ -170,13 +170,22 @@
         let tables = self.coordinator.tables();
         let empty = caraway_fleet::ownership::Table::default();
         let keyed = configuration.services.iter().filter(|(_, service)| service.keyed);
-        for (service, _) in keyed {
+        for (service, settings) in keyed {
             let table = tables.get(service).unwrap_or(&empty);
             if table.holdings.is_empty() && now.since(self.started) < REGISTRATION_PERIOD {
                 continue;
             }
-            let candidates =
+            let usable =
                 candidates(service, &registry, &reports.service_times, &self.coordinator, now);
+            let is_cold = |candidate: &Candidate| {
+                let member = registry.get(&candidate.incarnation.id);
+                settings.warmup_rate > 0.0 && member.is_some_and(|member| now < member.warm_at)
+            };
+            let usable = usable.into_iter().map(|candidate| {
+                let cold = is_cold(&candidate);
+                (candidate, cold)
+            });
+            let candidates = plan::prefer_warm(usable.collect(), table);
             let counts: Vec<u32> =
                 candidates.iter().map(|c| reports.in_flight(&c.incarnation.id, now)).collect();
             let Reports { demand, admitted_shares, .. } = &mut *reports;
--- a/bins/edge/src/main.rs
+++ b/bins/edge/src/main.rs
@@ -18,6 +18,7 @@
 mod state;
 mod store;
 mod sync;
+mod warmup;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
--- a/bins/edge/src/metrics.rs
+++ b/bins/edge/src/metrics.rs
@@ -37,6 +37,8 @@
     pub departures: Family<Labels, Counter>,
     /// Pauses that targets asked for, by service.
     pub pauses: Family<Labels, Counter>,
+    /// Requests sent to cold targets by service.
+    pub cold_requests: Family<Labels, Counter>,
     /// Entries of the store that were ignored because they cannot be read.
     pub ignored_entries: Counter,
     /// Holdings that moved to another owner.
@@ -69,6 +71,7 @@
             messages: Family::default(),
             departures: Family::default(),
             pauses: Family::default(),
+            cold_requests: Family::default(),
             ignored_entries: Counter::default(),
             holdings_moved: Counter::default(),
             config_version: Gauge::default(),
@@ -89,6 +92,7 @@
         registry.register("messages", "Messages to instances", m.messages.clone());
         registry.register("targets_leaving", "Announced departures", m.departures.clone());
         registry.register("target_pauses", "Pauses of targets", m.pauses.clone());
+        registry.register("cold_requests", "Requests to cold targets", m.cold_requests.clone());
         registry.register("ignored_entries", "Unreadable entries", m.ignored_entries.clone());
         registry.register("holdings_moved", "Holdings with a new owner", m.holdings_moved.clone());
         registry.register("config_version", "Configuration in force", m.config_version.clone());
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -392,7 +392,7 @@
     let now = Clock.now();
     let add = |targets: &mut Targets, member: &Member| {
         let target = &member.target;
-        targets.listed.push((**target).clone());
+        targets.listed.push(member.entry(now));
         if let Some(since) = member.draining_since {
             targets.leaving.push((target.incarnation.id.clone(), millis(now.since(since))));
         }
--- a/bins/edge/src/reason.rs
+++ b/bins/edge/src/reason.rs
@@ -21,6 +21,8 @@
     Throttled,
     /// All targets that can serve the request have asked this instance for a pause.
     Paused,
+    /// The target is cold, and this instance has sent it what it may for now.
+    WarmingUp,
     /// The target is leaving and gets no more requests.
     Leaving,
     /// The owner of the key shed requests recently, and requests to it are backed off.
@@ -59,6 +61,7 @@
             Self::Overloaded => "the queue is longer than the time that is left",
             Self::Throttled => "the owner of the key gets more requests than it can answer",
             Self::Paused => "the target asked for a pause",
+            Self::WarmingUp => "the target is cold and gets few requests",
             Self::Leaving => "the target is leaving",
             Self::BackedOff => "the owner of the key turned requests away a moment ago",
             Self::InFlightLimit => "this instance has its part of requests at the target",
@@ -75,8 +78,7 @@
     }
 
     /// Returns the delay after which a caller should retry: the typical time until a key has an
-    /// owner or a queue has drained. Another target can be tried almost at once. A pause has an end
-    /// of its own, which replaces this delay.
+    /// owner or a queue has drained. Another target can be tried almost at once.
     pub fn retry_after(self) -> Duration {
         match self {
             Self::NoConfiguration | Self::NoOwner | Self::NotOwner | Self::Leaving => {
@@ -90,8 +92,9 @@
             | Self::BackedOff
             | Self::InFlightLimit
             | Self::Shed => Duration::from_millis(150),
+            // Both have an end of their own, which replaces this delay.
+            Self::Paused | Self::WarmingUp => Duration::from_millis(50),
             Self::NoTarget
-            | Self::Paused
             | Self::Unreachable
             | Self::ConnectionLost
             | Self::TimedOut
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -42,6 +42,7 @@
 use caraway_fleet::unowned::Ranges;
 use caraway_fleet::view::Change as OwnersChange;
 use caraway_fleet::view::View;
+use caraway_fleet::warmup::Shares;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
@@ -195,6 +196,8 @@
     pub leader_changed: Notify,
     /// Pauses that targets have asked this instance for.
     pub pauses: RefCell<Pauses>,
+    /// Shares of this instance in the requests to cold targets.
+    pub warmup: RefCell<Shares>,
     /// Keys of entries in the store that cannot be read.
     ignored_entries: RefCell<HashSet<String>>,
     /// Load estimates by target id.
@@ -236,7 +239,9 @@
 impl State {
     /// Creates the initial state, without data from the store.
     pub fn new(settings: Settings) -> Self {
+        let warmup = RefCell::new(Shares::new(settings.name.clone()));
         Self {
+            warmup,
             settings,
             pool: Pool::default(),
             metrics: Metrics::new(),
--- a/bins/edge/tests/process/cluster.rs
+++ b/bins/edge/tests/process/cluster.rs
@@ -85,6 +85,21 @@
         self.targets.push(target);
     }
 
+    /// Adds a target that is cold for some time and crashes if more than `max_arrivals` requests
+    /// arrive within a second of it.
+    pub fn add_cold_target(
+        &mut self,
+        id: &str,
+        service: &str,
+        time: Duration,
+        max_arrivals: usize,
+    ) {
+        let target = Target::start(id, service, false, &self.journal).unwrap();
+        target.make_cold(time, max_arrivals);
+        self.store.put(&target.registration_key(), &target.registration("ready"));
+        self.targets.push(target);
+    }
+
     pub fn add_instance(&mut self) {
         let program = Path::new(env!("CARGO_BIN_EXE_caraway-edge"));
         let instance = Instance::start(program, "a", self.store.address).unwrap();
--- a/bins/edge/tests/process/main.rs
+++ b/bins/edge/tests/process/main.rs
@@ -9,3 +9,4 @@
 mod ownership;
 mod responses;
 mod trouble;
+mod warmup;
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -56,6 +56,10 @@
     pub least_urgent_rank: u32,
     /// Number of connections that a target accepts from all callers together.
     pub max_connections: usize,
+    /// Time for which a target is cold after its start.
+    pub warmup_time: Duration,
+    /// Requests per second that a cold target tolerates; zero means no limit.
+    pub warmup_rate: f64,
 }
 
 /// Limits for the requests and idle connections of callers.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod reports;
 pub mod unowned;
 pub mod view;
+pub mod warmup;
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -109,6 +109,14 @@
     a.into_iter().chain(b).min()
 }
 
+impl Member {
+    /// Returns the registry entry as of now. The warm-up time that the entry stated has partly
+    /// passed, and an instance that gets the entry from here counts it from its arrival.
+    pub fn entry(&self, now: Stamp) -> Target {
+        Target { warmup: self.warm_at.since(now), ..(*self.target).clone() }
+    }
+}
+
 impl Registry {
     /// Returns all listed targets.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
@@ -207,6 +215,15 @@
         }
     }
 
+    /// Records the remaining warm-up time that a target stated in a response. Returns whether the
+    /// target was taken to be warm and is cold.
+    pub fn record_warmup(&mut self, id: &str, left: Duration, now: Stamp) -> bool {
+        let Some(member) = self.members.get_mut(id) else { return false };
+        let was_warm = member.warm_at <= now;
+        member.warm_at = now + left;
+        was_warm && !left.is_zero()
+    }
+
     /// Records that an incarnation announced its departure in a response at the time `at`. Returns
     /// the change if the target was not known to be draining.
     pub fn record_departure(
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -27,6 +27,27 @@
     pub service_time: f64,
 }
 
+/// Share of the targets of a service that must be warm for cold owners to lose their keys. With
+/// fewer, the few warm ones would get several times the keys that they can serve.
+const MIN_WARM_SHARE: f64 = 0.5;
+
+/// Returns the targets that may own keys, given all usable ones and whether each is cold. While
+/// there are warm ones, a cold target gets no keys. One that owns keys loses them if enough others
+/// are warm.
+pub fn prefer_warm(usable: Vec<(Candidate, bool)>, table: &Table) -> Vec<Candidate> {
+    let count = |number: usize| f64::from(u32::try_from(number).unwrap_or(u32::MAX));
+    let warm = usable.iter().filter(|(_, cold)| !cold).count();
+    let enough = count(warm) >= count(usable.len()) * MIN_WARM_SHARE;
+    let owns = |incarnation: &Incarnation| {
+        table.holdings.iter().any(|holding| holding.owner == *incarnation)
+    };
+    usable
+        .into_iter()
+        .filter(|(candidate, cold)| !cold || warm == 0 || (!enough && owns(&candidate.incarnation)))
+        .map(|(candidate, _)| candidate)
+        .collect()
+}
+
 struct Load<'a> {
     candidate: &'a Candidate,
     /// Requests per second.
--- a/crates/fleet/src/rendezvous.rs
+++ b/crates/fleet/src/rendezvous.rs
@@ -39,3 +39,24 @@
     ranked.sort_by(|a, b| b.cmp(a));
     ranked.into_iter().take(count).map(|(_, _, name)| name).collect()
 }
+
+/// Returns whether [`select`] includes a given instance. Computes only the weights that matter.
+pub fn is_selected(
+    name: &Arc<str>,
+    incarnation: &Incarnation,
+    domain: &str,
+    instances: &Domains,
+    count: usize,
+) -> bool {
+    let Some(own) = instances.get(name) else { return false };
+    let local = **own == *domain;
+    let before =
+        if local { 0 } else { instances.values().filter(|place| ***place == *domain).count() };
+    if before >= count {
+        return false;
+    }
+    let own = (weight(name, incarnation), name);
+    let peers = instances.iter().filter(|(_, place)| (***place == *domain) == local);
+    let ahead = peers.filter(|(other, _)| (weight(other, incarnation), *other) > own).count();
+    before + ahead < count
+}
--- a/crates/fleet/tests/rendezvous.rs
+++ b/crates/fleet/tests/rendezvous.rs
@@ -5,6 +5,7 @@
 
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::rendezvous::Domains;
+use caraway_fleet::rendezvous::is_selected;
 use caraway_fleet::rendezvous::select;
 
 fn instances(count: usize) -> Domains {
@@ -58,3 +59,21 @@
     assert_eq!(counts.len(), 10);
     assert!(counts.values().all(|count| (120..=280).contains(count)), "{counts:?}");
 }
+
+/// Guards against an instance that decides otherwise about itself than the others do.
+#[test]
+fn an_instance_is_selected_if_and_only_if_it_is_in_the_selection() {
+    for size in [1, 3, 9, 40] {
+        let all = instances(size);
+        for (id, count) in (0..30).flat_map(|id| [1, 4, 20].map(|count| (id, count))) {
+            let target = incarnation(id);
+            let selected = select(&target, "d1", &all, count);
+            for name in all.keys() {
+                let included = is_selected(name, &target, "d1", &all, count);
+                assert_eq!(included, selected.contains(&name));
+            }
+        }
+    }
+    let unknown = "other".into();
+    assert!(!is_selected(&unknown, &incarnation(1), "d1", &instances(3), 4));
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -189,6 +189,12 @@
     /// A target asked for a pause with a value that is not a number of seconds.
     223 Warn PauseInvalid "pause-invalid" { target: String, service: String, value: String }
         "target {target} of {service} asked for a pause of {value:?}, which is ignored"
+    /// A target that was taken to be warm stated in a response that it is cold.
+    240 Info TargetCold "target-cold" { target: String, service: String, left_ms: u64 }
+        "target {target} of {service} is cold for {left_ms} ms more and gets few requests"
+    /// A target stated its remaining warm-up time with a value that is not a number of milliseconds.
+    241 Warn WarmupInvalid "warmup-invalid" { target: String, service: String, value: String }
+        "target {target} of {service} stated a warm-up time of {value:?}, which is ignored"
 
     /// The instance acquired a group.
     301 Info GroupAcquired "group-acquired"
--- a/standins/production/src/instance.rs
+++ b/standins/production/src/instance.rs
@@ -48,7 +48,9 @@
          platform.heartbeat_ms=500\nplatform.platform.address={store}\n\
          terms.bounds.hold_max_ms=10000\nterms.bounds.grace_s=6\n\
          terms.bounds.drain_ms=2000\nterms.bounds.retry_budget_ratio=0.2\n\
-         terms.bounds.budget_slack=100\nterms.bounds.budget_window_s=10\n",
+         terms.bounds.budget_slack=100\nterms.bounds.budget_window_s=10\n\
+         terms.bounds.warmup_overshoot=1.5\nterms.bounds.warmup_slack=2\n\
+         terms.bounds.evacuate_ms=4000\n",
         port + 1,
         port + 2
     )
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -123,6 +123,18 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Window in which a cold target counts the requests that arrive.
+const WARMUP_WINDOW: Duration = Duration::from_secs(1);
+
+/// Warm-up of a target.
+#[derive(Clone, Copy, Debug)]
+struct Warmup {
+    /// Time at which the target is warm.
+    until: Instant,
+    /// Number of requests in any second above which the target crashes.
+    max_arrivals: usize,
+}
+
 #[derive(Debug)]
 struct Shared {
     id: String,
@@ -133,6 +145,8 @@
     down: AtomicBool,
     /// Whether all responses say that the target is leaving.
     leaving: AtomicBool,
+    /// Warm-up, if the target is cold or was.
+    warmup: Mutex<Option<Warmup>>,
     /// Value of `retry-after` with which all requests are refused, if any.
     pause: Mutex<Option<String>>,
     /// Fencing tokens seen, each with its first and last key.
@@ -188,6 +202,7 @@
             journal: journal.clone(),
             down: AtomicBool::new(false),
             leaving: AtomicBool::new(false),
+            warmup: Mutex::default(),
             pause: Mutex::default(),
             fences: Mutex::default(),
             holds: Mutex::default(),
@@ -219,7 +234,7 @@
         json!({
             "address": self.address.to_string(),
             "info": { "service": self.service, "version": "v1", "zone": "a", "capacity": 4 },
-            "status": { "state": state, "sequence": 1, "warmup_left_ms": 0 },
+            "status": { "state": state, "sequence": 1, "warmup_left_ms": self.shared.warmup_left_ms() },
             "born": self.born,
         })
     }
@@ -239,6 +254,18 @@
         *lock(&self.shared.pause) = value.map(str::to_owned);
     }
 
+    /// Makes the target cold for some time. In that time it crashes if more than `max_arrivals`
+    /// requests arrive within a second, and its responses state the remaining warm-up time.
+    pub fn make_cold(&self, time: Duration, max_arrivals: usize) {
+        let until = Instant::now() + time;
+        *lock(&self.shared.warmup) = Some(Warmup { until, max_arrivals });
+    }
+
+    /// Returns whether the target has crashed.
+    pub fn is_down(&self) -> bool {
+        self.shared.down.load(Ordering::SeqCst)
+    }
+
     /// Crashes the target: closes its listener and connections and ends its holds.
     pub fn crash(&self) {
         self.shared.crash();
@@ -246,6 +273,27 @@
 }
 
 impl Shared {
+    /// Returns the remaining warm-up time in milliseconds.
+    fn warmup_left_ms(&self) -> u64 {
+        let warmup = *lock(&self.warmup);
+        let left = warmup.map_or(Duration::ZERO, |warmup| {
+            warmup.until.saturating_duration_since(Instant::now())
+        });
+        u64::try_from(left.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Returns whether the target is cold and got more requests in a second than it tolerates.
+    fn is_overwhelmed(&self) -> bool {
+        let Some(warmup) = *lock(&self.warmup) else { return false };
+        if warmup.until <= Instant::now() {
+            return false;
+        }
+        let arrivals = lock(&self.journal.arrivals);
+        let recent =
+            |arrival: &&Arrival| arrival.target == self.id && arrival.at.elapsed() < WARMUP_WINDOW;
+        arrivals.iter().filter(recent).count() > warmup.max_arrivals
+    }
+
     fn crash(&self) {
         self.down.store(true, Ordering::SeqCst);
         // Wakes the accept loop so that it closes the listener before the connections are closed. A
@@ -388,6 +436,11 @@
         arrivals.push(arrival);
         arrivals.iter().filter(|a| a.target == shared.id && a.attempt == attempt).count() > 1
     };
+    if shared.is_overwhelmed() {
+        shared.crash();
+        return Ok(false);
+    }
+    let warmup_left = shared.warmup_left_ms().to_string();
     let refusal = |more: &[(&str, &str)]| {
         let id = ("carawayscale-attempt-id", attempt.as_str());
         let mut headers = vec![not_run[0], id];
@@ -449,6 +502,7 @@
         ("carawayscale-attempt-id", attempt.as_str()),
         ("carawayscale-response-signature", "proof"),
         ("carawayscale-server-load", "1,0,4"),
+        ("carawayscale-warmup-ms", warmup_left.as_str()),
     ];
     if shared.leaving.load(Ordering::SeqCst) {
         headers.push(("server-leaving", "1"));
