Name the shares of cold targets by their module

Change: the one of the warm-up module is named with its module. Result: the crate builds; no behavior changes.

--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -44,7 +44,7 @@
 use caraway_fleet::unowned::Ranges;
 use caraway_fleet::view::Change as OwnersChange;
 use caraway_fleet::view::View;
-use caraway_fleet::warmup::Shares;
+use caraway_fleet::warmup;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
@@ -199,7 +199,7 @@
     /// Pauses that targets have asked this instance for.
     pub pauses: RefCell<Pauses>,
     /// Shares of this instance in the requests to cold targets.
-    pub warmup: RefCell<Shares>,
+    pub warmup: RefCell<warmup::Shares>,
     /// Keys of entries in the store that cannot be read.
     ignored_entries: RefCell<HashSet<String>>,
     /// This instance's shares of the targets of services without keys.
@@ -243,7 +243,7 @@
 impl State {
     /// Creates the initial state, without data from the store.
     pub fn new(settings: Settings) -> Self {
-        let warmup = RefCell::new(Shares::new(settings.name.clone()));
+        let warmup = RefCell::new(warmup::Shares::new(settings.name.clone()));
         Self {
             warmup,
             settings,
