--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -44,6 +44,7 @@
 use caraway_fleet::unowned::Ranges;
 use caraway_fleet::view::Change as OwnersChange;
 use caraway_fleet::view::View;
+use caraway_fleet::warmup;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
@@ -197,6 +198,8 @@
     pub leader_changed: Notify,
     /// Pauses that targets have asked this instance for.
     pub pauses: RefCell<Pauses>,
+    /// Shares of this instance in the requests to cold targets.
+    pub warmup: RefCell<warmup::Shares>,
     /// Keys of entries in the store that cannot be read.
     ignored_entries: RefCell<HashSet<String>>,
     /// This instance's shares of the targets of services without keys.
@@ -240,7 +243,9 @@
 impl State {
     /// Creates the initial state, without data from the store.
     pub fn new(settings: Settings) -> Self {
+        let warmup = RefCell::new(warmup::Shares::new(settings.name.clone()));
         Self {
+            warmup,
             settings,
             pool: Pool::default(),
             metrics: Metrics::new(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod share;
 pub mod unowned;
 pub mod view;
+pub mod warmup;
