Give releases their own connections and bound all control calls

Change: a release opens a connection and closes it. pool::exchange_on is the only reader of complete responses; each call names its bounds of head, body and time, and whether the body is kept. At most 256 grants and 64 releases are in flight, renewals first; targets that do not respond can take only a part.

Found in the review of responses that are believed by place: marking a grant connection as idle discarded surplus bytes that had been read already, so the connection was used again; and a pooled connection was given to a request with the id of the latest response on it, so that a copy of that response was relayed (empty ids are legal). Both are mended.

Tests, each seen to fail on the code before: - a_copy_of_an_earlier_response_does_not_confirm_a_release: k1 got keys 600 ms before k0 had released them - endless_responses_to_grants_and_releases_are_not_collected: peak memory grew by 36,664 KiB, 24 MiB allowed - surplus_bytes_after_a_grant_end_its_connection: no new token in 6 s (one run of two; it depends on how the bytes arrive) - a_copy_of_a_response_with_the_same_id_is_not_believed: 200 instead of 500 - calls_in_flight_are_limited_and_renewals_go_first: 600 calls at once, and releases_in_flight_are_limited_...: 200 (both with the limits removed)

--- a/bins/edge/src/grant.rs
+++ b/bins/edge/src/grant.rs
@@ -16,10 +16,28 @@
 
 use crate::http;
 use crate::http::Connection;
+use crate::pool::Bounds;
 use crate::pool::CONNECT_TIMEOUT;
-use crate::pool::Failure;
+use crate::pool::Content;
 use crate::pool::exchange_on;
-use crate::state::State;
+
+/// Size limit of the head of a response to a grant. It has a few short fields.
+const MAX_GRANT_HEAD_BYTES: usize = 8 << 10;
+
+/// Size limit of the head of a response to a release, which contains the state to hand over.
+const MAX_RELEASE_HEAD_BYTES: usize = 32 << 10;
+
+/// Size limit of the body of a response to a grant or a release. The body is not used; an error
+/// message fits.
+const MAX_UNUSED_BYTES: usize = 16 << 10;
+
+/// Bounds of the response to a grant.
+const GRANT_BOUNDS: Bounds = Bounds {
+    head_bytes: MAX_GRANT_HEAD_BYTES,
+    content: Content::Skip(MAX_UNUSED_BYTES),
+    time: coordinator::CALL_TIMEOUT,
+    extension: Duration::ZERO,
+};
 
 /// Connection on which grants of a holding are sent. Each holding has its own: after a grant
 /// without a response the connection is closed, which invalidates every fencing token that was sent
@@ -42,7 +60,9 @@
         if call.connection.is_some() {
             return Reply::ConnectionGone;
         }
-        connection = Connection::open(address, CONNECT_TIMEOUT).await.ok();
+        let opened = Connection::open(address, CONNECT_TIMEOUT).await.ok();
+        // Bytes that arrive before the first request are no response to it.
+        connection = opened.filter(Connection::is_reusable);
     }
     let Some(mut connection) = connection else { return Reply::Unsent };
     if Clock.now() > issued + coordinator::SEND_TIMEOUT {
@@ -51,28 +71,43 @@
     }
     let (path, body) = grant::request(call);
     let request = http::request("POST", path, address, &body);
-    let limit = coordinator::CALL_TIMEOUT;
-    match exchange_on(&mut connection, &request, limit, Duration::ZERO).await {
+    match exchange_on(&mut connection, &request, &GRANT_BOUNDS).await {
         Ok((head, _)) => {
-            connection.set_idle(Clock.now());
-            channel.0 = Some(connection);
+            // Marking the connection as idle would discard surplus bytes that were read already.
+            if connection.is_reusable() {
+                connection.set_idle(Clock.now());
+                channel.0 = Some(connection);
+            }
             grant::reply(head.status, None)
         }
         Err(_) => Reply::Unknown,
     }
 }
 
-/// Sends a release. The target responds when its requests for the keys have completed.
-pub async fn send_release(state: &State, call: &Call, address: SocketAddr) -> Reply {
+/// Sends a release. The target responds within `limit`, when its requests for the keys have
+/// completed.
+///
+/// The connection is new and closed afterwards: on one that has carried another request, a late copy
+/// of the response to that would be taken for the confirmation, and the keys would have two owners.
+pub async fn send_release(call: &Call, address: SocketAddr, limit: Duration) -> Reply {
     let (path, body) = grant::request(call);
     let request = http::request("POST", path, address, &body);
-    match state.pool.exchange(address, &request, state.settings.max_grant_duration).await {
+    let connection = Connection::open(address, CONNECT_TIMEOUT).await.ok();
+    let Some(mut connection) = connection.filter(Connection::is_reusable) else {
+        return Reply::Unsent;
+    };
+    let bounds = Bounds {
+        head_bytes: MAX_RELEASE_HEAD_BYTES,
+        content: Content::Skip(MAX_UNUSED_BYTES),
+        time: limit,
+        extension: Duration::ZERO,
+    };
+    match exchange_on(&mut connection, &request, &bounds).await {
         Ok((head, _)) => {
             let handover = head.headers.get(header::HANDOVER);
             let handover = handover.and_then(|value| value.to_str().ok()).map(Arc::from);
             grant::reply(head.status, handover)
         }
-        Err(Failure::Unsent(_)) => Reply::Unsent,
-        Err(Failure::Sent(_)) => Reply::Unknown,
+        Err(_) => Reply::Unknown,
     }
 }
--- a/bins/edge/src/http.rs
+++ b/bins/edge/src/http.rs
@@ -106,6 +106,8 @@
     /// Ids of the requests that the peer has refused on this connection. Another copy of such a
     /// refusal would look like the response to the same request when it is sent again.
     refusals: Vec<Arc<str>>,
+    /// Id of the request that the peer responded to last.
+    answered: Option<Arc<str>>,
 }
 
 fn invalid(problem: &str) -> io::Error {
@@ -135,6 +137,7 @@
             keep_alive: None,
             idle_since: Stamp::default(),
             refusals: Vec::new(),
+            answered: None,
         })
     }
 
@@ -158,6 +161,18 @@
         !self.refusals.is_empty()
     }
 
+    /// Records that the peer responded to the request with this id.
+    pub fn record_response(&mut self, id: &Arc<str>) {
+        self.answered = Some(id.clone());
+    }
+
+    /// Returns whether a copy of an earlier response on the connection would look like the response
+    /// to a request with this id. Callers may send several requests with the same id, also an empty
+    /// one. A copy comes in place of the next response, so the latest one decides.
+    pub fn has_answered(&self, id: &str) -> bool {
+        self.has_refused(id) || self.answered.as_deref() == Some(id)
+    }
+
     /// Prevents that another request is sent on the connection.
     pub fn close_after_response(&mut self) {
         self.closing = true;
@@ -202,6 +217,15 @@
     ///
     /// Fails if the connection closes or the data is not a valid response.
     pub async fn read_head(&mut self) -> io::Result<Head> {
+        self.read_head_within(MAX_HEAD_BYTES).await
+    }
+
+    /// Reads the head of the next response like [`Connection::read_head`], with a size limit.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection closes, the data is not a valid response or the head is too long.
+    pub async fn read_head_within(&mut self, max_bytes: usize) -> io::Result<Head> {
         let mut interim = 0;
         // Size of the buffer at the latest attempt to parse it.
         let mut parsed = 0;
@@ -220,7 +244,7 @@
                     continue;
                 }
             }
-            if self.buffer.len() > MAX_HEAD_BYTES {
+            if self.buffer.len() > max_bytes {
                 return Err(invalid("the response head is too long"));
             }
             if poll_fn(|cx| self.poll_fill(cx)).await? == 0 {
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -432,13 +432,14 @@
                     .map(|m| m.target.address)
                     .or_else(|| registry.last_address(&call.incarnation))
             };
-            let (state, outcomes) = (self.state.clone(), self.outcome_sender.clone());
+            let outcomes = self.outcome_sender.clone();
+            let limit = self.state.settings.max_grant_duration;
             let channel = self.channel(&call);
             self.tasks.spawn_local(async move {
                 let reply = match (&call.request, address, &channel) {
                     (_, None, _) => Reply::Unsent,
                     (Request::Release, Some(address), _) => {
-                        send_release(&state, &call, address).await
+                        send_release(&call, address, limit).await
                     }
                     (Request::Grant { .. }, _, None) => Reply::ConnectionGone,
                     (Request::Grant { .. }, Some(address), Some((_, channel))) => {
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -41,6 +41,7 @@
 
 use crate::http;
 use crate::metrics::Metrics;
+use crate::pool::Bounds;
 use crate::state::Instance;
 use crate::state::Retirement;
 use crate::state::State;
@@ -531,7 +532,8 @@
         let (state, address, text) = (state.clone(), instance.address, text.clone());
         tasks.spawn_local(async move {
             let request = http::request("POST", path, address, &text);
-            let response = state.pool.exchange(address, &request, MESSAGE_TIMEOUT).await;
+            let response =
+                state.pool.exchange(address, &request, &Bounds::message(MESSAGE_TIMEOUT)).await;
             let result = if response.is_ok() { "answered" } else { "failed" };
             Metrics::count(&state.metrics.messages, "result", &format!("{path} {result}"));
         });
@@ -547,7 +549,7 @@
 ) -> Result<T, String> {
     let text = serde_json::to_string(body).map_err(|error| error.to_string())?;
     let request = http::request("POST", path, address, &text);
-    let response = state.pool.exchange(address, &request, MESSAGE_TIMEOUT).await;
+    let response = state.pool.exchange(address, &request, &Bounds::message(MESSAGE_TIMEOUT)).await;
     let (head, body) = response.map_err(|error| error.to_string())?;
     if head.status != 200 {
         return Err(format!("status {}", head.status));
--- a/bins/edge/src/pool.rs
+++ b/bins/edge/src/pool.rs
@@ -29,13 +29,48 @@
 /// Maximum number of idle connections to the store and to each other instance.
 const MAX_IDLE_PER_ADDRESS: usize = 2;
 
-/// Size limit of a response body from the store or an instance: a page contains several values,
-/// each of up to a megabyte, in base64.
-const MAX_BODY_BYTES: usize = 16 << 20;
+/// Size limit of the head of a response from the store or another instance.
+const MAX_HEAD_BYTES: usize = 8 << 10;
+
+/// Size limit of the body of a message of another instance, which contains at most the registry of
+/// all targets and all owners of keys.
+const MAX_MESSAGE_BYTES: usize = 16 << 20;
+
+/// What happens to the body of a response.
+#[derive(Clone, Copy, Debug)]
+pub enum Content {
+    /// It is kept. The exchange fails if it has more than this many bytes.
+    Keep(usize),
+    /// It is not used and not kept. The exchange fails if it has more than this many bytes.
+    Skip(usize),
+}
+
+/// Bounds of the response to one call. The exchange fails if the response exceeds one of them.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// Size limit of the head.
+    pub head_bytes: usize,
+    /// What happens to the body, with its size limit.
+    pub content: Content,
+    /// Time until the head is complete, and longest pause between two parts of the body.
+    pub time: Duration,
+    /// Time in addition to `time` for a body that keeps arriving.
+    pub extension: Duration,
+}
 
-/// Additional time for a large response body that keeps arriving: a page of values of a megabyte
-/// takes seconds on a slow link.
-const LARGE_BODY_TIME: Duration = Duration::from_secs(5);
+impl Bounds {
+    /// Returns the bounds of a message to another instance.
+    pub const fn message(time: Duration) -> Self {
+        let content = Content::Keep(MAX_MESSAGE_BYTES);
+        Self { head_bytes: MAX_HEAD_BYTES, content, time, extension: Duration::ZERO }
+    }
+
+    /// Returns the bounds of a call to the store whose response has a body of up to `body_bytes`.
+    pub const fn store(time: Duration, extension: Duration, body_bytes: usize) -> Self {
+        let content = Content::Keep(body_bytes);
+        Self { head_bytes: MAX_HEAD_BYTES, content, time, extension }
+    }
+}
 
 /// Pool of idle connections.
 #[derive(Debug, Default)]
@@ -63,8 +98,8 @@
 
 impl Pool {
     /// Takes a reusable connection that has been idle for less than `max_idle`, for a request with
-    /// the given id. A connection on which the peer has refused this request before is closed: a
-    /// late copy of the refusal would be taken for the next response.
+    /// the given id. A connection on which the peer has refused a request with this id, or has just
+    /// responded to one, is closed: a late copy would be taken for the next response.
     pub fn take(&self, address: SocketAddr, max_idle: Duration, id: &str) -> Option<Connection> {
         let now = Clock.now();
         let mut idle = self.idle.borrow_mut();
@@ -72,7 +107,7 @@
         while let Some(connection) = connections.pop() {
             let fresh =
                 now.since(connection.idle_since) < max_reuse_idle(&connection).min(max_idle);
-            if fresh && !connection.has_refused(id) && connection.is_reusable() {
+            if fresh && !connection.has_answered(id) && connection.is_reusable() {
                 return Some(connection);
             }
         }
@@ -118,50 +153,29 @@
         });
     }
 
-    /// Sends a request and reads the complete response. A connection that fails is reset, so that
-    /// no part of the request is delivered later.
-    ///
-    /// # Errors
+    /// Sends a request to the store or another instance and reads the complete response. A
+    /// connection that fails is reset, so that no part of the request is delivered later.
     ///
-    /// Fails if there is no complete response within `limit`.
-    pub async fn exchange(
-        &self,
-        address: SocketAddr,
-        request: &[u8],
-        limit: Duration,
-    ) -> Result<(Head, BytesMut), Failure> {
-        self.exchange_within(address, request, limit, Duration::ZERO).await
-    }
-
-    /// Sends a request whose response may be large, and reads the complete response.
+    /// The response is believed because it is the next one on its connection. This is right only for
+    /// peers that send one response to each request, which targets in trouble do not.
     ///
     /// # Errors
     ///
-    /// Fails like [`Pool::exchange`], but a body that keeps arriving may take longer.
-    pub async fn exchange_large(
-        &self,
-        address: SocketAddr,
-        request: &[u8],
-        limit: Duration,
-    ) -> Result<(Head, BytesMut), Failure> {
-        self.exchange_within(address, request, limit, LARGE_BODY_TIME).await
-    }
-
-    async fn exchange_within(
+    /// Fails if there is no complete response within the bounds.
+    pub async fn exchange(
         &self,
         address: SocketAddr,
         request: &[u8],
-        limit: Duration,
-        extension: Duration,
+        bounds: &Bounds,
     ) -> Result<(Head, BytesMut), Failure> {
         let connection = self.take(address, DEFAULT_IDLE_TIMEOUT, "");
         let mut connection = match connection {
             Some(connection) => connection,
-            None => Connection::open(address, CONNECT_TIMEOUT.min(limit))
+            None => Connection::open(address, CONNECT_TIMEOUT.min(bounds.time))
                 .await
                 .map_err(Failure::Unsent)?,
         };
-        let response = exchange_on(&mut connection, request, limit, extension).await;
+        let response = exchange_on(&mut connection, request, bounds).await;
         let response = response.map_err(Failure::Sent)?;
         self.put(address, connection);
         Ok(response)
@@ -175,36 +189,42 @@
         .map_or(DEFAULT_IDLE_TIMEOUT, |timeout| timeout.mul_f64(ANNOUNCED_TIMEOUT_SHARE))
 }
 
-/// Sends a request on a connection and reads the complete response. After an error the connection must be
-/// dropped, which resets it so that no part of the request is delivered later.
+/// Sends a request on a connection and reads the complete response. After an error the connection
+/// must be dropped, which resets it so that no part of the request is delivered later.
 ///
 /// # Errors
 ///
-/// Fails if there is no complete response within `limit`. A body that keeps arriving, with no pause
-/// longer than `limit`, may take `extension` in addition.
+/// Fails if there is no complete response within the bounds.
 pub async fn exchange_on(
     connection: &mut Connection,
     request: &[u8],
-    limit: Duration,
-    extension: Duration,
+    bounds: &Bounds,
 ) -> io::Result<(Head, BytesMut)> {
     connection.reset_on_close();
     let started = Instant::now();
-    let head = timeout(limit, async {
+    let head = timeout(bounds.time, async {
         connection.send(request).await?;
-        connection.read_head().await
+        connection.read_head_within(bounds.head_bytes).await
     });
     let head = head.await??;
-    let end = started + limit + extension;
+    let end = started + bounds.time + bounds.extension;
+    let (limit, kept) = match bounds.content {
+        Content::Keep(limit) => (limit, true),
+        Content::Skip(limit) => (limit, false),
+    };
     let mut body = BytesMut::new();
+    let mut length = 0_usize;
     loop {
-        let until = end.min(Instant::now() + limit);
+        let until = end.min(Instant::now() + bounds.time);
         let Some(bytes) = timeout_at(until, connection.read_body()).await?? else {
             return Ok((head, body));
         };
-        if body.len() + bytes.len() > MAX_BODY_BYTES {
+        length = length.saturating_add(bytes.len());
+        if length > limit {
             return Err(io::Error::other("the response is too long"));
         }
-        body.extend_from_slice(&bytes);
+        if kept {
+            body.extend_from_slice(&bytes);
+        }
     }
 }
--- a/bins/edge/src/store.rs
+++ b/bins/edge/src/store.rs
@@ -9,6 +9,7 @@
 
 use crate::http;
 use crate::metrics::Metrics;
+use crate::pool::Bounds;
 use crate::pool::Failure;
 use crate::state::State;
 
@@ -17,6 +18,20 @@
 /// conflict, it renews no grants: both fit into two thirds of a grant.
 pub const CALL_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Additional time for a page that keeps arriving: one with values of a megabyte takes seconds on a
+/// slow link.
+const PAGE_TIME: Duration = Duration::from_secs(5);
+
+/// Size limit of a page of entries or changes: it contains several values, each of up to a megabyte,
+/// in base64.
+const MAX_PAGE_BYTES: usize = 16 << 20;
+
+/// Size limit of a single entry: a value of up to a megabyte, in base64, and its fields.
+const MAX_ENTRY_BYTES: usize = 2 << 20;
+
+/// Size limit of a response without entries.
+const MAX_RESULT_BYTES: usize = 256 << 10;
+
 /// Sends a call. `wait` extends [`CALL_TIMEOUT`] by the time for which a watch waits for changes.
 ///
 /// # Errors
@@ -31,11 +46,13 @@
     let address = state.settings.store_address;
     let request = http::request(call.method, &call.path, address, &call.body);
     let limit = CALL_TIMEOUT + wait;
-    let response = if matches!(kind, "range" | "watch") {
-        state.pool.exchange_large(address, &request, limit).await
-    } else {
-        state.pool.exchange(address, &request, limit).await
+    let (extension, body_bytes) = match kind {
+        "range" | "watch" => (PAGE_TIME, MAX_PAGE_BYTES),
+        "key" => (Duration::ZERO, MAX_ENTRY_BYTES),
+        _ => (Duration::ZERO, MAX_RESULT_BYTES),
     };
+    let bounds = Bounds::store(limit, extension, body_bytes);
+    let response = state.pool.exchange(address, &request, &bounds).await;
     if response.is_err() && kind != "watch" {
         // The pending watch may be waiting on a dead connection as well; it is restarted on a new one.
         state.watch_restart.notify_waiters();
--- a/bins/edge/tests/process/main.rs
+++ b/bins/edge/tests/process/main.rs
@@ -5,6 +5,7 @@
 
 mod cluster;
 mod configuration;
+mod control;
 mod lifecycle;
 mod ownership;
 mod responses;
--- a/bins/edge/tests/process/trouble.rs
+++ b/bins/edge/tests/process/trouble.rs
@@ -370,3 +370,15 @@
     }
     assert_eq!(lines(), 1);
 }
+
+/// Guards against a copy of the response to another request that had the same id, such as an empty
+/// one: it was taken for the response to the next request on the connection.
+#[yare::parameterized(
+    empty = { "" },
+    repeated = { "same" },
+)]
+fn a_copy_of_a_response_with_the_same_id_is_not_believed(attempt: &str) {
+    let cluster = Cluster::start(1, 0, 1);
+    assert_eq!(cluster.get(0, "/read/repeat-later", attempt).status, 200);
+    assert_eq!(cluster.get(0, "/read/fail-at-p0", attempt).status, 500);
+}
--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -8,6 +8,9 @@
 //! of. Grants of the new term do not shorten this wait, even if they are confirmed: a target holds
 //! its keys until the latest expiry of all grants that it accepted, under any token.
 
+mod call;
+mod limits;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -16,6 +19,13 @@
 
 use caraway_core::time::Stamp;
 
+pub use crate::coordinator::call::Call;
+pub use crate::coordinator::call::Reply;
+pub use crate::coordinator::call::Request;
+pub use crate::coordinator::limits::Class;
+use crate::coordinator::limits::InFlight;
+pub use crate::coordinator::limits::MAX_GRANTS_IN_FLIGHT;
+pub use crate::coordinator::limits::MAX_RELEASES_IN_FLIGHT;
 use crate::holds::Holds;
 use crate::membership::Incarnation;
 use crate::membership::Registry;
@@ -86,59 +96,6 @@
     duration.mul_f64(1.03) + Duration::from_millis(50)
 }
 
-/// A call to a target.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Call {
-    /// Service that the keys belong to.
-    pub service: Arc<str>,
-    /// Incarnation of the target that is called.
-    pub incarnation: Incarnation,
-    /// First key.
-    pub first: u16,
-    /// Last key.
-    pub last: u16,
-    /// Fencing token of the call.
-    pub fence: u64,
-    /// Requested operation.
-    pub request: Request,
-    /// Connection on which this token was first sent, or `None` for a new token. A grant must not
-    /// move to another connection: a new incarnation of the target may use the same address and
-    /// must not receive a token of the old one.
-    pub connection: Option<u64>,
-}
-
-/// Operation that a call requests.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Request {
-    /// Permits the target to serve the keys for a limited time.
-    Grant {
-        /// Length of the grant, counted from the arrival of the call.
-        duration: Duration,
-        /// State that the previous owner handed over.
-        handover: Option<Arc<str>>,
-    },
-    /// Asks the target to finish its requests for the keys and give them up.
-    Release,
-}
-
-/// Outcome of a call.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum Reply {
-    /// The target carried the call out.
-    Done {
-        /// State for the next owner.
-        handover: Option<Arc<str>>,
-    },
-    /// The target has seen a higher fencing token and refused the call.
-    Fenced,
-    /// No response arrived, or it leaves the outcome open. The connection is closed.
-    Unknown,
-    /// Nothing was sent.
-    Unsent,
-    /// Nothing was sent because the connection on which the token was first sent is gone.
-    ConnectionGone,
-}
-
 #[derive(Clone, Debug, Default)]
 struct Status {
     /// Whether a call is in flight.
@@ -190,6 +147,8 @@
     holds: Holds,
     /// Highest token of each service at the takeover.
     takeover_fences: BTreeMap<Arc<str>, u64>,
+    /// Calls in flight.
+    in_flight: InFlight,
 }
 
 /// A holding and whether its owner serves the keys.
@@ -218,8 +177,8 @@
         };
         let services = tables.into_iter().map(|(service, table)| (service, state(table)));
         let services = services.collect();
-        let recipients = HashMap::new();
-        Self { options, confirmed_at, services, recipients, holds, takeover_fences }
+        let (recipients, in_flight) = (HashMap::new(), InFlight::default());
+        Self { options, confirmed_at, services, recipients, holds, takeover_fences, in_flight }
     }
 
     /// Returns the tables with the same owners under new tokens, to be written at the start of a
@@ -397,7 +356,7 @@
     /// [`Coordinator::record_reply`].
     pub fn due_calls(&mut self, registry: &Registry, now: Stamp) -> Vec<Call> {
         self.holds.remove_expired(now);
-        let mut calls = Vec::new();
+        let mut due = Vec::new();
         let services: Vec<Arc<str>> = self.services.keys().cloned().collect();
         for service in services {
             let holdings = match self.services.get(&service) {
@@ -405,10 +364,31 @@
                 None => continue,
             };
             for holding in holdings {
-                self.due_calls_of(&service, &holding, registry, now, &mut calls);
+                self.due_calls_of(&service, &holding, registry, now, &mut due);
             }
         }
-        calls
+        // Within a class, the call that has waited longest goes first.
+        due.sort_by_key(|(last_sent, call)| (call.class, *last_sent));
+        let due = due.into_iter().map(|(_, call)| call);
+        due.filter(|call| self.in_flight.admits(call.class) && self.start(call, now)).collect()
+    }
+
+    /// Records that a call is sent. Returns false if its holding is not known.
+    fn start(&mut self, call: &Call, now: Stamp) -> bool {
+        let Some(state) = self.services.get_mut(&call.service) else { return false };
+        let status = if let Request::Grant { duration, .. } = &call.request {
+            let recipient = self.recipients.entry(call.incarnation.clone()).or_default();
+            recipient.calls_in_flight += 1;
+            recipient.longest_in_flight = recipient.longest_in_flight.max(*duration);
+            state.grants.entry((call.first, call.last, call.fence)).or_default()
+        } else {
+            let fence = call.fence + 1;
+            let id = (call.first, call.last, fence, call.incarnation.clone());
+            state.releases.entry(id).or_default()
+        };
+        (status.in_flight, status.last_sent) = (true, Some(now));
+        self.in_flight.add(call.class);
+        true
     }
 
     fn due_calls_of(
@@ -417,7 +397,7 @@
         holding: &Holding,
         registry: &Registry,
         now: Stamp,
-        calls: &mut Vec<Call>,
+        due: &mut Vec<(Option<Stamp>, Call)>,
     ) {
         let (first, last, fence) = holding.id();
         let mut waiting = false;
@@ -433,6 +413,7 @@
                 continue;
             }
             waiting = true;
+            let silent = self.is_unresponsive(incarnation, now);
             let Some(state) = self.services.get_mut(service) else { return };
             let status =
                 state.releases.entry((first, last, fence, incarnation.clone())).or_default();
@@ -442,7 +423,6 @@
             if status.in_flight || recent {
                 continue;
             }
-            (status.in_flight, status.last_sent) = (true, Some(now));
             let call = Call {
                 service: service.clone(),
                 incarnation: incarnation.clone(),
@@ -451,8 +431,9 @@
                 fence: holding.release_fence(),
                 request: Request::Release,
                 connection: None,
+                class: if silent { Class::SilentRelease } else { Class::Release },
             };
-            calls.push(call);
+            due.push((status.last_sent, call));
         }
         let known = registry.get(&holding.owner.id);
         let replaced = known.is_some_and(|member| member.target.incarnation != holding.owner);
@@ -466,20 +447,16 @@
         let confirmation_age = now.since(self.confirmed_at);
         let Some(state) = self.services.get_mut(service) else { return };
         let status = state.grants.entry((first, last, fence)).or_default();
-        let interval =
-            if status.granted && !status.last_failed { renewal } else { GRANT_RETRY_INTERVAL };
+        let confirmed = status.granted && !status.last_failed;
+        let interval = if confirmed { renewal } else { GRANT_RETRY_INTERVAL };
         let recent = status.last_sent.is_some_and(|last_sent| now.since(last_sent) < interval);
         let unconfirmed =
             status.connection.is_none() && confirmation_age > NEW_FENCE_CONFIRMATION_AGE;
         if status.in_flight || status.connection_gone || recent || unconfirmed {
             return;
         }
-        (status.in_flight, status.last_sent) = (true, Some(now));
         let (handover, connection) = (status.handover.clone(), status.connection);
-        let recipient = self.recipients.entry(holding.owner.clone()).or_default();
-        recipient.calls_in_flight += 1;
-        recipient.longest_in_flight = recipient.longest_in_flight.max(duration);
-        calls.push(Call {
+        let call = Call {
             service: service.clone(),
             incarnation: holding.owner.clone(),
             first,
@@ -487,7 +464,9 @@
             fence,
             request: Request::Grant { duration, handover },
             connection,
-        });
+            class: if confirmed { Class::Renewal } else { Class::Grant },
+        };
+        due.push((status.last_sent, call));
     }
 
     /// Returns the connections that carry tokens in use.
@@ -520,6 +499,7 @@
         connection: Option<u64>,
         now: Stamp,
     ) -> bool {
+        self.in_flight.remove(call.class);
         match &call.request {
             Request::Grant { duration, .. } => {
                 self.record_grant_reply(call, *duration, reply, connection, now)
--- a/crates/fleet/tests/coordinator.rs
+++ b/crates/fleet/tests/coordinator.rs
@@ -4,6 +4,7 @@
 #![allow(clippy::indexing_slicing, clippy::unwrap_used)]
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,6 +12,8 @@
 use caraway_fleet::coordinator::CALL_TIMEOUT;
 use caraway_fleet::coordinator::Call;
 use caraway_fleet::coordinator::Coordinator;
+use caraway_fleet::coordinator::MAX_GRANTS_IN_FLIGHT;
+use caraway_fleet::coordinator::MAX_RELEASES_IN_FLIGHT;
 use caraway_fleet::coordinator::Options;
 use caraway_fleet::coordinator::Reply;
 use caraway_fleet::coordinator::Request;
@@ -236,6 +239,101 @@
     assert!(left[0].1 > Duration::from_secs(3), "{left:?}");
 }
 
+/// Guards against targets that do not respond, or a takeover of many holdings, that take all
+/// connections and buffers of a small machine, or hold up the renewals of the other targets.
+#[test]
+fn calls_in_flight_are_limited_and_renewals_go_first() {
+    const HOLDINGS: u16 = 600;
+    const SILENT: u16 = 300;
+    const CALL_MS: u64 = 600;
+    let ids: Vec<String> = (0..HOLDINGS).map(|index| format!("t{index:03}")).collect();
+    let names: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let registry = registry(&names);
+    let owners: Vec<_> = (0..HOLDINGS).map(|index| (index * 10, index * 10 + 9)).collect();
+    let owners: Vec<_> =
+        owners.iter().zip(&names).map(|((first, last), id)| (*first, *last, *id)).collect();
+    let mut coordinator = Coordinator::new(options(), tables(&owners), START, START);
+    let renewed = coordinator.with_renewed_fences();
+    coordinator.adopt(renewed);
+    let silent = |call: &Call| call.first < SILENT * 10;
+    let mut pending: Vec<(u64, Call)> = Vec::new();
+    let mut granted_at: HashMap<u16, u64> = HashMap::new();
+    for ms in (0..20_000).step_by(20) {
+        coordinator.confirm_leadership(at(ms));
+        let (done, rest) = pending.into_iter().partition(|(end, _)| *end <= ms);
+        pending = rest;
+        for (_, call) in done {
+            let reply = if ms >= 5000 && silent(&call) {
+                Reply::Unknown
+            } else {
+                granted_at.insert(call.first, ms);
+                Reply::Done { handover: None }
+            };
+            coordinator.record_reply(&call, &reply, Some(u64::from(call.first)), at(ms));
+        }
+        for call in coordinator.due_calls(&registry, at(ms)) {
+            let time = if ms >= 5000 && silent(&call) { CALL_MS } else { 20 };
+            pending.push((ms + time, call));
+        }
+        assert!(pending.len() <= MAX_GRANTS_IN_FLIGHT, "{} calls at {ms} ms", pending.len());
+        // All holdings are granted within the first half second. A renewal is at most one timeout
+        // late: renewals at targets that have just become silent are in flight for that long.
+        if ms >= 500 {
+            let late = (SILENT..HOLDINGS).find(|index| {
+                granted_at.get(&(index * 10)).is_none_or(|granted| ms - granted > 1700)
+            });
+            assert_eq!(late, None, "at {ms} ms");
+        }
+    }
+}
+
+/// Guards against releases at targets that do not respond, which last until their timeout and hold
+/// up those at targets that respond.
+#[test]
+fn releases_in_flight_are_limited_and_silent_targets_do_not_hold_up_others() {
+    const SILENT: u16 = 200;
+    const HOLDINGS: u16 = 240;
+    let ids: Vec<String> = (0..HOLDINGS).map(|index| format!("t{index:03}")).collect();
+    let mut names: Vec<&str> = ids.iter().map(String::as_str).collect();
+    names.push("z");
+    let registry = registry(&names);
+    let owner = |index: u16| (index * 10, index * 10 + 9, names[usize::from(index)]);
+    let owners: Vec<_> = (0..HOLDINGS).map(owner).collect();
+    let mut coordinator = Coordinator::new(options(), tables(&owners), START, START);
+    let renewed = coordinator.with_renewed_fences();
+    coordinator.adopt(renewed);
+    // The silent targets become known as such by their grants.
+    for ms in (0..2000).step_by(50) {
+        coordinator.confirm_leadership(at(ms));
+        for call in coordinator.due_calls(&registry, at(ms)) {
+            let silent = call.first < SILENT * 10;
+            let reply = if silent { Reply::Unknown } else { Reply::Done { handover: None } };
+            coordinator.record_reply(&call, &reply, Some(1), at(ms));
+        }
+    }
+    let moved = |index: u16| Move { first: index * 10, last: index * 10 + 9, to: incarnation("z") };
+    let moves: Vec<_> = (0..HOLDINGS).map(|index| (Arc::from("s"), moved(index))).collect();
+    let proposed = coordinator.propose(&moves);
+    coordinator.adopt(proposed);
+    let mut released = HashSet::new();
+    let mut in_flight = 0;
+    for ms in (2000..3000).step_by(50) {
+        coordinator.confirm_leadership(at(ms));
+        for call in coordinator.due_calls(&registry, at(ms)) {
+            if call.request != Request::Release || call.first >= SILENT * 10 {
+                released.insert(call.first);
+                coordinator.record_reply(&call, &Reply::Done { handover: None }, None, at(ms));
+            } else {
+                in_flight += 1;
+            }
+        }
+        assert!(in_flight <= MAX_RELEASES_IN_FLIGHT, "{in_flight} at {ms} ms");
+    }
+    let missing = (SILENT..HOLDINGS).find(|index| !released.contains(&(index * 10)));
+    assert_eq!(missing, None, "a target that responds has not released its keys");
+    assert!(in_flight > 0);
+}
+
 /// Guards against a coordinator whose processor share is too small for the fleet.
 #[test]
 fn instances_with_larger_processor_shares_campaign_first() {
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -138,8 +138,14 @@
     /// Fencing tokens seen, each with its first and last key.
     fences: Mutex<Vec<(u16, u16, u64)>>,
     holds: Mutex<Vec<Hold>>,
-    /// Refusals that will be written once more, by the id of their connection.
-    refusals: Mutex<HashMap<u64, Vec<u8>>>,
+    /// Responses that will be written once more, by the id of their connection.
+    copies: Mutex<HashMap<u64, Vec<u8>>>,
+    /// Keyword of the endless response to all grants and releases, if any.
+    endless: Mutex<Option<String>>,
+    /// Whether each response to a grant is written twice.
+    doubling: AtomicBool,
+    /// Time that a release takes.
+    release_time: Mutex<Duration>,
     /// Open connections by id.
     streams: Mutex<HashMap<u64, TcpStream>>,
 }
@@ -191,7 +197,10 @@
             pause: Mutex::default(),
             fences: Mutex::default(),
             holds: Mutex::default(),
-            refusals: Mutex::default(),
+            copies: Mutex::default(),
+            endless: Mutex::default(),
+            doubling: AtomicBool::new(false),
+            release_time: Mutex::default(),
             streams: Mutex::default(),
         });
         let serving = shared.clone();
@@ -239,6 +248,22 @@
         *lock(&self.shared.pause) = value.map(str::to_owned);
     }
 
+    /// Answers all grants and releases with an endless response; `keyword` is one of the keywords of
+    /// [`misbehavior`](crate::misbehavior).
+    pub fn answer_calls_endlessly(&self, keyword: &str) {
+        *lock(&self.shared.endless) = Some(keyword.to_owned());
+    }
+
+    /// Writes each response to a grant twice from now on.
+    pub fn double_grant_responses(&self) {
+        self.shared.doubling.store(true, Ordering::SeqCst);
+    }
+
+    /// Makes each release take some time, as while requests for the keys complete.
+    pub fn set_release_time(&self, time: Duration) {
+        *lock(&self.shared.release_time) = time;
+    }
+
     /// Crashes the target: closes its listener and connections and ends its holds.
     pub fn crash(&self) {
         self.shared.crash();
@@ -274,8 +299,11 @@
             return Ok(());
         }
         match request.path.as_str() {
-            "/v1/grant" => output.write_all(&grant(shared, &request))?,
-            "/v1/release" => output.write_all(&release(shared, &request))?,
+            "/v1/grant" | "/v1/release" => {
+                if !control(shared, &request, id, &mut output)? {
+                    return Ok(());
+                }
+            }
             _ => {
                 if !execute(shared, &request, &stream, id, &mut output)? {
                     return Ok(());
@@ -286,6 +314,35 @@
     Ok(())
 }
 
+/// Carries out a grant or a release. Returns whether the connection stays open.
+fn control(
+    shared: &Shared,
+    request: &Request,
+    connection: u64,
+    output: &mut TcpStream,
+) -> io::Result<bool> {
+    let endless = lock(&shared.endless).clone();
+    if let Some(keyword) = endless {
+        return match misbehavior::send_unended(&keyword, "", output) {
+            Some(result) => result.map(|()| false),
+            None => Ok(false),
+        };
+    }
+    if let Some(copy) = lock(&shared.copies).remove(&connection) {
+        output.write_all(&copy)?;
+    }
+    if request.path == "/v1/release" {
+        output.write_all(&release(shared, request))?;
+        return Ok(true);
+    }
+    let response = grant(shared, request);
+    output.write_all(&response)?;
+    if shared.doubling.load(Ordering::SeqCst) {
+        output.write_all(&response)?;
+    }
+    Ok(true)
+}
+
 fn number(body: &Value, name: &str) -> u64 {
     body.get(name).and_then(Value::as_u64).unwrap_or(0)
 }
@@ -328,6 +385,8 @@
     let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let (first, last, fence) = range(&body);
     lock(&shared.fences).push((first, last, fence));
+    let time = *lock(&shared.release_time);
+    thread::sleep(time);
     let now = Instant::now();
     let end_holds = |holds: &mut Vec<Hold>| {
         let mut rest = Vec::new();
@@ -409,12 +468,12 @@
     }
     if has("shed-once") && !arrived_before {
         let refusal = refusal(&[]);
-        lock(&shared.refusals).insert(connection, refusal.clone());
+        lock(&shared.copies).insert(connection, refusal.clone());
         output.write_all(&refusal)?;
         return Ok(true);
     }
-    // A faulty target writes its earlier refusal once more and executes the next request.
-    if let Some(copy) = lock(&shared.refusals).remove(&connection) {
+    // A faulty target writes its earlier response once more and executes the next request.
+    if let Some(copy) = lock(&shared.copies).remove(&connection) {
         output.write_all(&copy)?;
     }
     let mut run = Run {
@@ -492,6 +551,9 @@
         // Sends surplus bytes after the response: a second response to the same request.
         output.write_all(&encoded)?;
     }
+    if has("repeat-later") {
+        lock(&shared.copies).insert(connection, encoded.clone());
+    }
     if has("late-second") {
         let mut copy = output.try_clone()?;
         thread::spawn(move || {
