Split the messages between instances into modules

Cause: peers.rs held the encoded messages, the handling of reports and the sending of messages in one file of 556 lines, and several lines of work change it at the same time.

Behavior and encoding are unchanged.

--- /dev/null
+++ b/bins/edge/src/peers/message.rs
@@ -0,0 +1,107 @@
+//! Messages between instances, as they are encoded.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use caraway_core::time::Stamp;
+use caraway_fleet::membership::Incarnation;
+use caraway_fleet::membership::Target;
+use caraway_fleet::view::Version;
+use caraway_fleet::view::View;
+
+use crate::state::Instance;
+use crate::state::Retirement;
+
+/// Path of a report.
+pub const REPORT_PATH: &str = "/report";
+
+/// Path of a change of the owners.
+pub const OWNERS_PATH: &str = "/owners";
+
+/// Path of the announcement of outstanding grants by a retiring coordinator.
+pub const RETIRED_PATH: &str = "/retired";
+
+/// Path of an announcement that an update is available, which makes the receiver report at once.
+pub const ANNOUNCEMENT_PATH: &str = "/news";
+
+/// A report to the coordinator.
+#[derive(Debug, Default, Deserialize, Serialize)]
+pub struct Report {
+    pub(super) name: Arc<str>,
+    pub(super) config: u64,
+    pub(super) revision: u64,
+    pub(super) owners: Version,
+    pub(super) demand: BTreeMap<Arc<str>, Vec<(u16, u32)>>,
+    /// For each target: in-flight requests, completed requests and their total service time in
+    /// seconds, and failed requests.
+    pub(super) loads: Vec<(Arc<str>, u32, u32, f64, u32)>,
+    pub(super) crashes: Crashes,
+    #[serde(default)]
+    pub(super) departures: Departures,
+}
+
+/// Crashes: fingerprint of the request, target, start time of its incarnation, and age in milliseconds.
+pub(super) type Crashes = Vec<(u64, Arc<str>, u64, u64)>;
+
+/// Targets that have recently announced their departure, and the milliseconds since.
+pub(super) type Departures = Vec<(Incarnation, u64)>;
+
+/// Response to a report: what the reporting instance does not know yet.
+#[derive(Debug, Default, Deserialize, Serialize)]
+pub struct Update {
+    pub(super) revision: u64,
+    pub(super) config: Option<String>,
+    pub(super) owners: Option<View>,
+    /// For each target: in-flight requests of other instances, and mean service time in seconds.
+    pub(super) loads: Vec<(Arc<str>, f64, f64)>,
+    /// Failing targets with their failure ratios.
+    pub(super) failing: Vec<(Arc<str>, f64)>,
+    /// Overloaded owners of keys with the share of requests that they can serve.
+    pub(super) shares: HashMap<Arc<str>, f64>,
+    pub(super) crashes: Crashes,
+    #[serde(default)]
+    pub(super) departures: Departures,
+    /// Whether the responding instance is the coordinator.
+    pub(super) leading: bool,
+    /// Whether the responding instance is up to date with the store.
+    pub(super) fresh: bool,
+    pub(super) targets: Option<Targets>,
+    pub(super) instances: Option<BTreeMap<Arc<str>, Instance>>,
+    /// Name of the coordinator, if there is one, and the revision of this information.
+    pub(super) leader: (Option<Arc<str>>, u64),
+}
+
+/// Targets that have changed since the revision of a report, or all targets.
+#[derive(Debug, Default, Deserialize, Serialize)]
+pub(super) struct Targets {
+    pub(super) all: bool,
+    pub(super) listed: Vec<Target>,
+    pub(super) gone: Vec<Arc<str>>,
+    /// Draining targets among the listed ones, with the milliseconds since they were first seen draining.
+    pub(super) leaving: Vec<(Arc<str>, u64)>,
+}
+
+/// Announcement of the outstanding grants of a retiring coordinator.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct RetirementNotice {
+    /// Revision of the tables that the coordinator wrote last.
+    pub(super) written: u64,
+    /// Targets, and the milliseconds for which they may still hold keys.
+    pub(super) ends: Vec<(Incarnation, u64)>,
+}
+
+impl RetirementNotice {
+    /// Converts the announcement to the clock of this instance.
+    pub fn received(self, now: Stamp) -> Retirement {
+        let expiry = |(incarnation, left)| (incarnation, now + Duration::from_millis(left));
+        Retirement {
+            tables_revision: self.written,
+            grant_expiries: self.ends.into_iter().map(expiry).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/bins/edge/src/peers/report.rs
@@ -0,0 +1,192 @@
+//! Reports: what an instance tells the coordinator, and what the response contains.
+
+use std::cell::RefCell;
+use std::sync::Arc;
+use std::time::Duration;
+
+use caraway_call::quarantine;
+use caraway_call::quarantine::Crash;
+use caraway_call::quarantine::Fingerprint;
+use caraway_core::name;
+use caraway_core::time::Clock;
+use caraway_core::time::Stamp;
+use caraway_core::time::millis;
+use caraway_fleet::membership::Incarnation;
+use caraway_fleet::membership::Member;
+use caraway_fleet::reports::Reports;
+
+use crate::peers::check_lag;
+use crate::peers::message::Crashes;
+use crate::peers::message::Departures;
+use crate::peers::message::Report;
+use crate::peers::message::Targets;
+use crate::peers::message::Update;
+use crate::state::State;
+
+/// Age of the latest response of the store above which an instance does not count as up to date.
+/// While the store is available, the coordinator's watch and lease renewals yield a response at
+/// least every 400 ms.
+const MAX_STORE_AGE: Duration = Duration::from_millis(900);
+
+/// Returns whether this instance is up to date with the store.
+pub(super) fn is_fresh(state: &State) -> bool {
+    let now = Clock.now();
+    !state.store_failing.get()
+        && state.last_store_response.get().is_some_and(|at| now.since(at) < MAX_STORE_AGE)
+}
+
+/// Builds a report and resets the counts that it contains.
+pub(super) fn build_report(state: &State) -> Report {
+    let demand = std::mem::take(&mut *state.demand.borrow_mut());
+    let demand = demand.into_iter().map(|(service, keys)| (service, keys.into_iter().collect()));
+    let mut loads = Vec::new();
+    for (id, estimate) in state.estimates.borrow_mut().iter_mut() {
+        let (completed, time) = std::mem::take(&mut estimate.unreported);
+        let failed = std::mem::take(&mut estimate.unreported_failures);
+        if estimate.in_flight > 0 || completed > 0 || failed > 0 {
+            loads.push((id.clone(), estimate.in_flight, completed, time, failed));
+        }
+    }
+    Report {
+        name: state.settings.name.clone(),
+        config: state.version(),
+        revision: state.revision.get(),
+        owners: state.view.borrow().version,
+        demand: demand.collect(),
+        loads,
+        crashes: crashes(state),
+        departures: departures(state),
+    }
+}
+
+fn departures(state: &State) -> Departures {
+    let now = Clock.now();
+    let registry = state.registry.borrow();
+    let row =
+        |(incarnation, at): (&Incarnation, Stamp)| (incarnation.clone(), millis(now.since(at)));
+    registry.recent_departures(now).map(row).collect()
+}
+
+pub(super) fn merge_departures(state: &State, departures: Departures, source: &str) {
+    let now = Clock.now();
+    for (incarnation, age) in departures {
+        state.record_departure(&incarnation, now - Duration::from_millis(age), source);
+    }
+}
+
+fn crashes(state: &State) -> Crashes {
+    let now = Clock.now();
+    let reports = state.quarantine.borrow().reports(now);
+    let row = |report: quarantine::Report| {
+        let target = report.crash.target.as_str().into();
+        (report.fingerprint.0, target, report.crash.incarnation, millis(report.age))
+    };
+    reports.into_iter().map(row).collect()
+}
+
+pub(super) fn merge_crashes(state: &State, crashes: Crashes) {
+    let now = Clock.now();
+    for (fingerprint, target, incarnation, age) in crashes {
+        let report = quarantine::Report {
+            fingerprint: Fingerprint(fingerprint),
+            crash: Crash { target: name::Target::new(&target), incarnation },
+            age: Duration::from_millis(age),
+        };
+        state.quarantine.borrow_mut().merge(report, now);
+    }
+}
+
+/// Records a report and returns what the reporting instance does not know yet.
+pub fn handle_report(state: &State, reports: &RefCell<Reports>, report: Report) -> Update {
+    let now = Clock.now();
+    check_lag(state, report.revision);
+    let mut update = Update {
+        revision: state.revision.get(),
+        leading: state.leading.get(),
+        fresh: is_fresh(state),
+        ..Update::default()
+    };
+    merge_crashes(state, report.crashes);
+    update.crashes = crashes(state);
+    merge_departures(state, report.departures, &report.name);
+    update.departures = departures(state);
+    if state.leading.get() {
+        let mut reports = reports.borrow_mut();
+        for (service, keys) in &report.demand {
+            reports.add_demand(service, keys);
+        }
+        reports.mark_reported(&report.name, now);
+        reports.clear_instance(&report.name);
+        for (target, in_flight, completed, time, failed) in &report.loads {
+            reports.add_load(&report.name, target, *in_flight, (*completed, *time), now);
+            reports.add_outcomes(target, *completed, *failed, now);
+        }
+        update.failing = reports.failing(now);
+        update.loads = pooled_loads(state, &reports, &report.name, now);
+        update.shares.clone_from(&reports.admitted_shares);
+    }
+    if let Some(current) = state.active_configuration.borrow().as_ref()
+        && current.configuration.version > report.config
+    {
+        update.config = Some(current.text.to_string());
+    }
+    let view = state.view.borrow();
+    if view.version > report.owners {
+        update.owners = Some(view.clone());
+    }
+    if state.revision.get() > report.revision {
+        update.targets = Some(targets_since(state, report.revision));
+        update.instances = Some(state.instances.borrow().clone());
+        let name = state.leader.borrow().as_ref().map(|leader| leader.name.clone());
+        update.leader = (name, state.leader_revision.get());
+    }
+    update
+}
+
+/// Returns the load of targets of services without keys. For keyed services, where the owner of a
+/// key is the only choice, the admitted shares are sent instead.
+fn pooled_loads(
+    state: &State,
+    reports: &Reports,
+    except: &str,
+    now: Stamp,
+) -> Vec<(Arc<str>, f64, f64)> {
+    let registry = state.registry.borrow();
+    let configuration = state.configuration();
+    let is_keyed = |service: &str| {
+        let settings = configuration.as_ref().and_then(|current| current.services.get(service));
+        settings.is_some_and(|service| service.keyed)
+    };
+    let is_pooled = |id: &str| registry.get(id).is_some_and(|m| !is_keyed(&m.target.service));
+    let mut loads = reports.loads(except, now);
+    loads.retain(|(id, _, _)| is_pooled(id));
+    loads
+}
+
+/// Returns the targets that have changed after a revision, or all targets if the history does not
+/// reach back to it.
+fn targets_since(state: &State, revision: u64) -> Targets {
+    let registry = state.registry.borrow();
+    let mut targets = Targets::default();
+    let now = Clock.now();
+    let add = |targets: &mut Targets, member: &Member| {
+        let target = &member.target;
+        targets.listed.push((**target).clone());
+        if let Some(since) = member.draining_since {
+            targets.leaving.push((target.incarnation.id.clone(), millis(now.since(since))));
+        }
+    };
+    let Some(ids) = state.history.borrow().after(revision) else {
+        targets.all = true;
+        let present = registry.members().filter(|member| member.missing_since.is_none());
+        present.for_each(|member| add(&mut targets, member));
+        return targets;
+    };
+    for id in ids {
+        match registry.get(&id) {
+            Some(member) => add(&mut targets, member),
+            None => targets.gone.push(id),
+        }
+    }
+    targets
+}
