Give every state of following an exit that needs no message

Cause: the flag watch_delegated said that the coordinator watches the store for an instance. While the coordinator was silent, every instance watched the store. Late pages and responses replaced newer entries, and the outage flag stayed set until the next error.

Change: crates/fleet/src/following.rs has the states Store, Delegated and Coordinating; Delegated ends 1.5 s after the report that was last answered by an instance that is up to date. Two deputies in each failure domain watch the store while the coordinator is silent or out of date, and the others ask them. Failed calls to the store back off from 0.3 to 2 s. Entries of targets and instances are compared by revision. Targets that are missing after an outage keep their grace period on instances that follow others. An instance is not ready if its view is older than twice the longest grant (20 s); the metric caraway_view_age_ms and event 610 show the source and its age. The load that the coordinator sent is no longer reset by responses of other instances.

The test an_odd_entry_is_logged_once kept the store busy for 100 ms, which can fall between two calls; it now waits until the instance has seen the outage.

Result: cargo test -p caraway-edge -p caraway-fleet -p caraway-telemetry passes. Of the new process tests, three failed on the earlier code: 27 store calls of 9 instances in 3 s without a coordinator (at most 18 allowed), still ready when cut off, and missing targets kept after the outage. The process test of an instance frozen as the coordinator passes on the earlier code too; the property test breaks a model of the earlier flag in more than 100 of 200 sequences.

--- a/bins/edge/src/ingress.rs
+++ b/bins/edge/src/ingress.rs
@@ -319,7 +319,7 @@
 /// Serves the platform's readiness checks.
 pub async fn readiness(state: Rc<State>, listener: TcpListener) {
     accept(listener, move |request| {
-        let ready = !state.stopping.get() && state.configuration().is_some();
+        let ready = !state.stopping.get() && state.configuration().is_some() && state.is_current();
         let status = if request.uri().path() != field::READY_PATH {
             StatusCode::NOT_FOUND
         } else if ready {
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -134,6 +134,7 @@
         let own_share = state.settings.cpu_share;
         let delay = election::delay(&name, state.leader_revision.get(), own_share, largest_share);
         sleep(delay).await;
+        state.wait_for_store().await;
         if state.leader.borrow().is_some() || state.stopping.get() {
             continue;
         }
@@ -141,11 +142,9 @@
             Ok(Some((term, outcomes))) => {
                 let (term_number, holdings) = (term.number, term.holdings());
                 emit(Event::CoordinatorElected { term: term_number, holdings });
-                state.leading.set(true);
-                // The coordinator watches the store itself.
-                state.watch_restart.notify_waiters();
+                state.begin_term();
                 let (term, reason) = lead(term, outcomes).await;
-                state.leading.set(false);
+                state.end_term();
                 emit(Event::CoordinatorEnded { term: term_number, reason });
                 term.end().await;
             }
--- a/bins/edge/src/metrics.rs
+++ b/bins/edge/src/metrics.rs
@@ -45,6 +45,9 @@
     pub config_version: Gauge,
     /// Time since the store last responded, in milliseconds.
     pub store_silence_ms: Gauge,
+    /// Time since the store, or an instance that is up to date with it, was last heard from, in
+    /// milliseconds.
+    pub view_age_ms: Gauge,
     /// Requests in flight.
     pub in_flight: Gauge,
     /// Log lines dropped since the start.
@@ -73,6 +76,7 @@
             holdings_moved: Counter::default(),
             config_version: Gauge::default(),
             store_silence_ms: Gauge::default(),
+            view_age_ms: Gauge::default(),
             in_flight: Gauge::default(),
             dropped_lines: Gauge::default(),
             coordinator: Gauge::default(),
@@ -97,6 +101,7 @@
             "Time since the store answered",
             m.store_silence_ms.clone(),
         );
+        registry.register("view_age_ms", "Age of the view of the store", m.view_age_ms.clone());
         registry.register("running", "Requests being served", m.in_flight.clone());
         registry.register("dropped_lines", "Log lines dropped", m.dropped_lines.clone());
         registry.register("coordinator", "Whether it coordinates", m.coordinator.clone());
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -15,7 +15,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use rand::seq::IteratorRandom;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::task::JoinSet;
@@ -25,6 +24,7 @@
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
 use caraway_core::time::millis;
+use caraway_fleet::following::News;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::reports::Reports;
 use caraway_fleet::view::Change;
@@ -33,15 +33,16 @@
 
 use crate::http;
 use crate::metrics::Metrics;
-use crate::state::Instance;
 use crate::state::State;
 
 pub use self::message::ANNOUNCEMENT_PATH;
 pub use self::message::OWNERS_PATH;
 pub use self::message::REPORT_PATH;
 pub use self::message::RETIRED_PATH;
+use self::message::Report;
 pub use self::message::RetirementNotice;
 use self::message::Update;
+use self::report::build_query;
 use self::report::build_report;
 pub use self::report::handle_report;
 use self::update::apply_update;
@@ -61,6 +62,12 @@
 /// 150 reports a second.
 const REPORT_INTERVAL_PER_INSTANCE: Duration = Duration::from_micros(6600);
 
+/// Interval between reports while an instance looks for another one that is up to date, and the
+/// time for which it does after it last followed one. Its last news is older by an interval between
+/// reports, so it watches the store itself during most of that time.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(150);
+const SEARCH_TIME: Duration = Duration::from_secs(2);
+
 /// Timeout of a message to another instance.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -82,53 +89,90 @@
 
 /// Sends reports periodically, and after announcements, until the process exits.
 pub async fn run(state: Rc<State>, reports: Rc<RefCell<Reports>>) {
-    let mut failed_leader: Option<Arc<str>> = None;
+    // Position of the instance to ask if the coordinator is not up to date.
+    let mut attempt = 0;
+    // Whether another instance is looked for, and when one was last followed.
+    let (mut searching, mut followed_at) = (true, Clock.now());
+    // Time until which the coordinator is not asked, since it failed to respond or is not up to
+    // date: neither its timeout nor a crowd of reports must delay the search for another source.
+    let mut skip_leader_until = Stamp::default();
     loop {
         let count = u32::try_from(state.instances.borrow().len()).unwrap_or(u32::MAX);
         let period = REPORT_INTERVAL.max(REPORT_INTERVAL_PER_INSTANCE.saturating_mul(count));
-        let pause = period.mul_f64(0.9 + 0.2 * rand::random::<f64>());
+        let urgent = searching && Clock.now().since(followed_at) < SEARCH_TIME;
+        let pause = if urgent { SEARCH_INTERVAL } else { period };
+        let pause = pause.mul_f64(0.9 + 0.2 * rand::random::<f64>());
         if timeout(pause, state.announcement.notified()).await.is_ok() {
             sleep((ANNOUNCEMENT_SPREAD * count).mul_f64(rand::random())).await;
         }
         let gone = state.registry.borrow_mut().expire(Clock.now());
         state.record_removals(gone, state.revision.get());
         state.pool.expire();
-        let leader = state.leader.borrow().as_ref().map(|leader| leader.name.clone());
-        let to_leader = leader.filter(|leader| failed_leader.as_ref() != Some(leader));
-        failed_leader = None;
-        let report = build_report(&state);
-        if to_leader.as_ref() == Some(&state.settings.name) {
+        if state.leading.get() {
+            let report = build_report(&state);
             let update = handle_report(&state, &reports, report);
             apply_update(&state, update, &state.settings.name.clone());
+            (attempt, searching, followed_at) = (0, false, Clock.now());
             continue;
         }
-        let peer = to_leader.clone().or_else(|| random_peer(&state));
-        let instance = peer.as_ref().and_then(|peer| state.instances.borrow().get(peer).cloned());
-        let (Some(peer), Some(Instance { address, .. })) = (peer, instance) else {
-            set_watch_delegated(&state, false);
+        let leader = state.other_leader().filter(|_| Clock.now() >= skip_leader_until);
+        let mut reached_leader = false;
+        if let Some(leader) = leader {
+            let response = exchange(&state, &leader, &build_report(&state)).await;
+            reached_leader = response.is_some();
+            if response == Some(true) {
+                (attempt, searching, followed_at) = (0, false, Clock.now());
+                continue;
+            }
+            skip_leader_until = Clock.now() + period;
+        }
+        // A deputy that is up to date itself needs no other source.
+        if reached_leader && state.is_fresh() && state.is_deputy() {
+            (attempt, searching, followed_at) = (0, false, Clock.now());
+            continue;
+        }
+        let name = &state.settings.name;
+        let Some(source) = state.with_fleet(|fleet| fleet.source(name, attempt).cloned()) else {
             continue;
         };
-        match call::<Update>(&state, address, REPORT_PATH, &report).await {
-            Ok(update) => {
-                set_watch_delegated(&state, update.fresh && update.leading);
-                check_lag(&state, update.revision);
-                apply_update(&state, update, &peer);
-            }
-            Err(error) => {
-                emit(Event::PeerUnreached { peer: peer.to_string(), error });
-                set_watch_delegated(&state, false);
-                // The next report goes to another instance.
-                failed_leader = to_leader;
-            }
+        searching = exchange(&state, &source, &build_query(&state)).await != Some(true);
+        if searching {
+            attempt += 1;
+        } else {
+            followed_at = Clock.now();
         }
     }
 }
 
-/// Sets whether the coordinator watches the store for this instance; if it no longer does, the
-/// watch is restarted.
-fn set_watch_delegated(state: &State, delegated: bool) {
-    if state.watch_delegated.replace(delegated) && !delegated {
-        state.watch_restart.notify_waiters();
+/// Sends a report to another instance and applies the response. Returns whether this instance
+/// follows the other one, or `None` if it did not respond.
+async fn exchange(state: &State, peer: &Arc<str>, report: &Report) -> Option<bool> {
+    let address = state.instances.borrow().get(peer).map(|instance| instance.address)?;
+    let sent = Clock.now();
+    match call::<Update>(state, address, REPORT_PATH, report).await {
+        Ok(update) => {
+            let news = News {
+                source: peer.clone(),
+                leading: update.leading,
+                fresh: update.fresh,
+                sent,
+                age: Duration::from_millis(update.age_ms),
+            };
+            let fresh = update.fresh;
+            check_lag(state, update.revision);
+            apply_update(state, update, peer);
+            Some(state.follow(|following, deputy, now| {
+                if !fresh {
+                    following.record_failure(peer, deputy);
+                }
+                following.record_news(news, deputy, now)
+            }))
+        }
+        Err(error) => {
+            emit(Event::PeerUnreached { peer: peer.to_string(), error });
+            state.follow(|following, deputy, _| following.record_failure(peer, deputy));
+            None
+        }
     }
 }
 
@@ -150,12 +194,6 @@
     }
 }
 
-fn random_peer(state: &State) -> Option<Arc<str>> {
-    let instances = state.instances.borrow();
-    let others = instances.keys().filter(|name| **name != state.settings.name);
-    others.choose(&mut rand::rng()).cloned()
-}
-
 /// Announces updates of the coordinator to the other instances.
 #[derive(Debug, Default)]
 pub struct Announcer {
--- a/bins/edge/src/peers/message.rs
+++ b/bins/edge/src/peers/message.rs
@@ -43,6 +43,9 @@
     pub(super) crashes: Crashes,
     #[serde(default)]
     pub(super) departures: Departures,
+    /// Whether the sender hears from no coordinator that is up to date.
+    #[serde(default)]
+    pub(super) seeking: bool,
 }
 
 /// Crashes: fingerprint of the request, target, start time of its incarnation, and age in milliseconds.
@@ -70,6 +73,9 @@
     pub(super) leading: bool,
     /// Whether the responding instance is up to date with the store.
     pub(super) fresh: bool,
+    /// Milliseconds since the responding instance last heard from the store.
+    #[serde(default)]
+    pub(super) age_ms: u64,
     pub(super) targets: Option<Targets>,
     pub(super) instances: Option<BTreeMap<Arc<str>, Instance>>,
     /// Name of the coordinator, if there is one, and the revision of this information.
@@ -81,9 +87,16 @@
 pub(super) struct Targets {
     pub(super) all: bool,
     pub(super) listed: Vec<Target>,
+    /// Revisions of the entries of the listed targets, in the same order.
+    #[serde(default)]
+    pub(super) revisions: Vec<u64>,
     pub(super) gone: Vec<Arc<str>>,
     /// Draining targets among the listed ones, with the milliseconds since they were first seen draining.
     pub(super) leaving: Vec<(Arc<str>, u64)>,
+    /// Listed targets whose entries have been missing since an outage of the store, with the
+    /// milliseconds since.
+    #[serde(default)]
+    pub(super) missing: Vec<(Arc<str>, u64)>,
 }
 
 /// Announcement of the outstanding grants of a retiring coordinator.
--- a/bins/edge/src/peers/report.rs
+++ b/bins/edge/src/peers/report.rs
@@ -23,18 +23,6 @@
 use crate::peers::message::Update;
 use crate::state::State;
 
-/// Age of the latest response of the store above which an instance does not count as up to date.
-/// While the store is available, the coordinator's watch and lease renewals yield a response at
-/// least every 400 ms.
-const MAX_STORE_AGE: Duration = Duration::from_millis(900);
-
-/// Returns whether this instance is up to date with the store.
-pub(super) fn is_fresh(state: &State) -> bool {
-    let now = Clock.now();
-    !state.store_failing.get()
-        && state.last_store_response.get().is_some_and(|at| now.since(at) < MAX_STORE_AGE)
-}
-
 /// Builds a report and resets the counts that it contains.
 pub(super) fn build_report(state: &State) -> Report {
     let demand = std::mem::take(&mut *state.demand.borrow_mut());
@@ -56,6 +44,21 @@
         loads,
         crashes: crashes(state),
         departures: departures(state),
+        seeking: false,
+    }
+}
+
+/// Builds a report to an instance other than the coordinator, which has no use for the load.
+pub(super) fn build_query(state: &State) -> Report {
+    Report {
+        name: state.settings.name.clone(),
+        config: state.version(),
+        revision: state.revision.get(),
+        owners: state.view.borrow().version,
+        crashes: crashes(state),
+        departures: departures(state),
+        seeking: true,
+        ..Report::default()
     }
 }
 
@@ -100,10 +103,14 @@
 pub fn handle_report(state: &State, reports: &RefCell<Reports>, report: Report) -> Update {
     let now = Clock.now();
     check_lag(state, report.revision);
+    if report.seeking {
+        state.follow(|following, deputy, now| following.record_question(deputy, now));
+    }
     let mut update = Update {
         revision: state.revision.get(),
         leading: state.leading.get(),
-        fresh: is_fresh(state),
+        fresh: state.is_fresh(),
+        age_ms: millis(state.view_age()),
         ..Update::default()
     };
     merge_crashes(state, report.crashes);
@@ -172,14 +179,17 @@
     let add = |targets: &mut Targets, member: &Member| {
         let target = &member.target;
         targets.listed.push((**target).clone());
+        targets.revisions.push(registry.entry_revision(&target.incarnation.id));
+        if let Some(since) = member.missing_since {
+            targets.missing.push((target.incarnation.id.clone(), millis(now.since(since))));
+        }
         if let Some(since) = member.draining_since {
             targets.leaving.push((target.incarnation.id.clone(), millis(now.since(since))));
         }
     };
     let Some(ids) = state.history.borrow().after(revision) else {
         targets.all = true;
-        let present = registry.members().filter(|member| member.missing_since.is_none());
-        present.for_each(|member| add(&mut targets, member));
+        registry.members().for_each(|member| add(&mut targets, member));
         return targets;
     };
     for id in ids {
--- a/bins/edge/src/peers/update.rs
+++ b/bins/edge/src/peers/update.rs
@@ -1,6 +1,5 @@
 //! Application of what another instance has sent in response to a report.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -13,6 +12,9 @@
 use crate::peers::report::merge_departures;
 use crate::state::State;
 
+/// Age at which the load that the coordinator has sent no longer counts, as that of reports.
+const MAX_LOAD_AGE: Duration = Duration::from_secs(2);
+
 /// Applies what another instance has sent in response to a report.
 pub(super) fn apply_update(state: &State, update: Update, peer: &Arc<str>) {
     let revision = update.revision;
@@ -28,7 +30,10 @@
     if let Some(view) = update.owners {
         state.apply_view(view);
     }
-    {
+    // Only the coordinator knows the load. What it last said is used until it is out of date.
+    let now = Clock.now();
+    if update.leading || now.since(state.loads_at.get()) > MAX_LOAD_AGE {
+        state.loads_at.set(now);
         let mut estimates = state.estimates.borrow_mut();
         for estimate in estimates.values_mut() {
             estimate.others_in_flight = 0.0;
@@ -49,32 +54,39 @@
             }
         }
     }
+    if update.fresh && revision > 0 && revision == state.revision.get() {
+        // The state was complete as of this revision.
+        state.synchronized.set(true);
+    }
     if revision <= state.revision.get() {
         return;
     }
     let Some(targets) = update.targets else { return };
     if targets.all {
         log_update("all targets");
-        let ids: HashSet<&Arc<str>> = targets.listed.iter().map(|t| &t.incarnation.id).collect();
-        let listed = |id: &str| ids.contains(&Arc::from(id));
-        let gone = state.registry.borrow_mut().reconcile(&listed, false, Clock.now());
-        state.record_removals(gone, revision);
+        let listed = targets.listed.iter().map(|target| target.incarnation.id.clone()).collect();
+        state.reconcile_targets(&listed, false, revision);
         state.history.borrow_mut().restart(revision);
     }
     for id in &targets.gone {
-        let change = state.registry.borrow_mut().remove(id, Clock.now());
-        state.record_removals(change.into_iter().collect(), revision);
+        state.remove_target(id, revision);
     }
     state.revision.set(revision);
-    for target in targets.listed {
-        state.record_target(target, revision);
+    let revisions = targets.revisions.iter().copied().chain(std::iter::repeat(revision));
+    for (target, entry_revision) in targets.listed.into_iter().zip(revisions) {
+        state.record_target(target, entry_revision);
     }
-    let now = Clock.now();
     for (id, age) in &targets.leaving {
         state.registry.borrow_mut().update_draining_since(id, now - Duration::from_millis(*age));
     }
+    for (id, age) in &targets.missing {
+        state.record_missing(id, now - Duration::from_millis(*age));
+    }
     if let Some(instances) = update.instances {
-        *state.instances.borrow_mut() = instances;
+        state.replace_instances(instances, revision);
+    }
+    if update.fresh {
+        state.synchronized.set(true);
     }
     let (name, term) = update.leader;
     state.set_leader(name.as_deref(), term);
--- a/bins/edge/src/process.rs
+++ b/bins/edge/src/process.rs
@@ -203,14 +203,17 @@
     loop {
         let registered = state.instances.borrow().get(&state.settings.name) == Some(&instance);
         if !registered && state.last_store_response.get().is_some() {
+            state.wait_for_store().await;
             let puts = vec![(key.as_str(), value.as_slice(), 0)];
             let call = store::change(&Transaction { puts, ..Transaction::default() });
             let error = match send(&state, &call, "register", Duration::ZERO).await {
-                Ok((200, _)) => {
-                    state
-                        .instances
-                        .borrow_mut()
-                        .insert(state.settings.name.clone(), instance.clone());
+                Ok((200, body)) => {
+                    let revision = match store::parse_change(200, &body) {
+                        Ok(store::Change::Applied(revision)) => revision,
+                        _ => state.revision.get(),
+                    };
+                    let registration = Some(instance.clone());
+                    state.record_instance(&state.settings.name, registration, revision);
                     None
                 }
                 Ok((status, _)) => Some(format!("the store responded with status {status}")),
@@ -250,6 +253,7 @@
         metrics.config_version.set(number(state.version()));
         metrics.coordinator.set(i64::from(state.leading.get()));
         let silence = state.last_store_response.get().map_or(Duration::ZERO, |at| now.since(at));
+        metrics.view_age_ms.set(number(millis(state.view_age())));
         metrics.store_silence_ms.set(i64::try_from(silence.as_millis()).unwrap_or(i64::MAX));
     }
 }
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -1,12 +1,13 @@
 //! State shared by the tasks of the process, all of which run on one thread.
 
+mod entries;
+mod source;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -29,8 +30,10 @@
 use caraway_fleet::admission;
 use caraway_fleet::allowance;
 use caraway_fleet::allowance::Allowance;
+use caraway_fleet::backoff::Backoff;
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Splitter;
+use caraway_fleet::following::Following;
 use caraway_fleet::load::Estimate;
 use caraway_fleet::membership::Change;
 use caraway_fleet::membership::Incarnation;
@@ -50,13 +53,12 @@
 use crate::pool::Pool;
 use crate::reason::Reason;
 
+pub use self::entries::History;
+
 /// Time before the end of a target's drain time from which it receives no more requests. It covers
 /// the time in which a request is in transit.
 const DRAIN_MARGIN: Duration = Duration::from_millis(500);
 
-/// Maximum number of unreadable entries that are remembered, so that each is logged once.
-const MAX_IGNORED_ENTRIES: usize = 4096;
-
 /// A request is refused after three crashes, since a single connection may also break, or a target
 /// end, for other reasons. Two minutes are longer than a target takes to start.
 const QUARANTINE: quarantine::Options = quarantine::Options {
@@ -116,41 +118,6 @@
     pub grant_expiries: HashMap<Incarnation, Stamp>,
 }
 
-/// Number of changes kept in the history: enough for several seconds, even while all targets are replaced.
-const MAX_HISTORY: usize = 1024;
-
-/// History of changes of the listed targets.
-#[derive(Debug, Default)]
-pub struct History {
-    changes: VecDeque<(u64, Arc<str>)>,
-    /// Revision up to which changes have been dropped.
-    dropped_revision: u64,
-}
-
-impl History {
-    fn add(&mut self, revision: u64, id: &Arc<str>) {
-        if self.changes.len() >= MAX_HISTORY
-            && let Some((dropped, _)) = self.changes.pop_front()
-        {
-            self.dropped_revision = self.dropped_revision.max(dropped);
-        }
-        self.changes.push_back((revision, id.clone()));
-    }
-
-    /// Clears the history after the targets were read as of a revision.
-    pub fn restart(&mut self, revision: u64) {
-        self.changes.clear();
-        self.dropped_revision = revision;
-    }
-
-    /// Returns the ids of the targets that changed after a revision, or `None` if the history does
-    /// not reach back to it.
-    pub fn after(&self, revision: u64) -> Option<BTreeSet<Arc<str>>> {
-        let later = self.changes.iter().filter(|(at, _)| *at > revision);
-        (revision >= self.dropped_revision).then(|| later.map(|(_, id)| id.clone()).collect())
-    }
-}
-
 /// State of the process.
 #[derive(Debug)]
 pub struct State {
@@ -172,9 +139,12 @@
     pub last_store_response: Cell<Option<Stamp>>,
     /// Own revision at the time when another instance was first seen to know a newer one, and that time.
     pub peer_ahead: Cell<Option<(u64, Stamp)>>,
-    /// Whether this instance relies on the coordinator, which responds to its reports and watches
-    /// the store, instead of watching the store itself.
-    pub watch_delegated: Cell<bool>,
+    /// From whom this instance learns the contents of the store.
+    following: RefCell<Following>,
+    /// Delay between calls to the store that fail.
+    pub store_backoff: RefCell<Backoff>,
+    /// Notified when the store responds again after failures.
+    pub store_recovered: Notify,
     /// Whether the latest attempt to follow the store failed.
     pub store_failing: Cell<bool>,
     /// Recent changes of the listed targets, for incremental updates to other instances.
@@ -199,6 +169,8 @@
     ignored_entries: RefCell<HashSet<String>>,
     /// Load estimates by target id.
     pub estimates: RefCell<HashMap<Arc<str>, Estimate>>,
+    /// When the coordinator last sent the load of other instances.
+    pub loads_at: Cell<Stamp>,
     /// Traffic splitters by route name.
     pub splitters: RefCell<HashMap<Arc<str>, Splitter>>,
     /// Time at which the process started.
@@ -217,6 +189,10 @@
     pub response_sizes: RefCell<HashMap<Arc<str>, f64>>,
     /// Registered instances by name.
     pub instances: RefCell<BTreeMap<Arc<str>, Instance>>,
+    /// Revisions of the latest known changes of the registrations, including removals.
+    instance_revisions: RefCell<BTreeMap<Arc<str>, u64>>,
+    /// Revision as of which a registration of an instance last changed.
+    pub instances_revision: Cell<u64>,
     /// The coordinator, if there is one.
     pub leader: RefCell<Option<Leader>>,
     /// Outstanding grants announced by the latest coordinator that retired.
@@ -237,7 +213,6 @@
     /// Creates the initial state, without data from the store.
     pub fn new(settings: Settings) -> Self {
         Self {
-            settings,
             pool: Pool::default(),
             metrics: Metrics::new(),
             active_configuration: RefCell::default(),
@@ -246,7 +221,9 @@
             synchronized: Cell::new(false),
             last_store_response: Cell::new(None),
             peer_ahead: Cell::new(None),
-            watch_delegated: Cell::new(false),
+            following: RefCell::new(Following::new(settings.name.clone(), Clock.now())),
+            store_backoff: RefCell::default(),
+            store_recovered: Notify::new(),
             store_failing: Cell::new(false),
             history: RefCell::default(),
             view: RefCell::default(),
@@ -259,6 +236,7 @@
             pauses: RefCell::default(),
             ignored_entries: RefCell::default(),
             estimates: RefCell::default(),
+            loads_at: Cell::new(Stamp::default()),
             splitters: RefCell::default(),
             started: Clock.now(),
             allowances: RefCell::default(),
@@ -268,6 +246,8 @@
             quarantine: RefCell::new(Quarantine::new(QUARANTINE)),
             response_sizes: RefCell::default(),
             instances: RefCell::default(),
+            instance_revisions: RefCell::default(),
+            instances_revision: Cell::new(0),
             leader: RefCell::default(),
             retirement: RefCell::default(),
             leader_revision: Cell::new(0),
@@ -275,6 +255,7 @@
             exiting: Cell::new(false),
             exit_notice: Notify::new(),
             leading: Cell::new(false),
+            settings,
         }
     }
 
@@ -338,16 +319,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Sets the coordinator as of a revision, unless a newer one is known.
-    pub fn set_leader(&self, name: Option<&str>, revision: u64) {
-        if revision <= self.leader_revision.get() {
-            return;
-        }
-        self.leader_revision.set(revision);
-        *self.leader.borrow_mut() = name.map(|name| Leader { name: name.into(), term: revision });
-        self.leader_changed.notify_waiters();
-    }
-
     /// Records the retirement of a coordinator, unless a newer one is known.
     pub fn record_retirement(&self, retirement: Retirement) {
         let mut latest = self.retirement.borrow_mut();
@@ -379,21 +350,6 @@
         }
     }
 
-    /// Records that an entry in the store cannot be read, and logs it the first time.
-    pub fn ignore_entry(&self, key: &str, error: &str) {
-        let mut ignored = self.ignored_entries.borrow_mut();
-        if ignored.len() >= MAX_IGNORED_ENTRIES || !ignored.insert(key.to_owned()) {
-            return;
-        }
-        self.metrics.ignored_entries.inc();
-        emit(Event::EntryIgnored { key: key.to_owned(), error: error.to_owned() });
-    }
-
-    /// Records that an entry in the store can be read, or was removed.
-    pub fn accept_entry(&self, key: &str) {
-        self.ignored_entries.borrow_mut().remove(key);
-    }
-
     /// Records that a target has announced its departure in a response at the time `at`, according
     /// to the named instance.
     pub fn record_departure(&self, incarnation: &Incarnation, at: Stamp, source: &str) {
@@ -444,60 +400,6 @@
         member.is_some_and(|member| self.is_drained(member, now)).then_some(Reason::Leaving)
     }
 
-    /// Records the registration of a target as of a revision.
-    pub fn record_target(&self, target: Target, revision: u64) {
-        self.history.borrow_mut().add(revision, &target.incarnation.id);
-        let change = self.registry.borrow_mut().put(target, Clock.now());
-        self.report_change(change);
-    }
-
-    /// Records changes of targets, such as removals, as of a revision.
-    pub fn record_removals(&self, changes: Vec<Change>, revision: u64) {
-        for change in changes {
-            if let Change::Gone(target) = &change {
-                self.history.borrow_mut().add(revision, &target.incarnation.id);
-            }
-            self.report_change(Some(change));
-        }
-    }
-
-    /// Logs a change of the listed targets and updates the state that depends on it.
-    fn report_change(&self, change: Option<Change>) {
-        let revision = self.revision.get();
-        let id_and_service =
-            |target: &Target| (target.incarnation.id.to_string(), target.service.to_string());
-        if matches!(change, Some(Change::Draining(_) | Change::Gone(_))) {
-            self.departures.set(self.departures.get() + 1);
-        }
-        let event = match change {
-            None => return,
-            Some(Change::Joined(target)) => {
-                if let Some(previous) =
-                    self.registry.borrow().previous_incarnation(&target.incarnation)
-                {
-                    self.record_crash(&previous, &target.service);
-                }
-                let (id, service) = id_and_service(&target);
-                let (address, born) = (target.address.to_string(), target.incarnation.born);
-                self.estimates.borrow_mut().remove(&target.incarnation.id);
-                Event::TargetListed { target: id, service, address, born, revision }
-            }
-            Some(Change::Draining(target)) => {
-                let (target, service) = id_and_service(&target);
-                Event::TargetDraining { target, service, revision }
-            }
-            Some(Change::Gone(target)) => {
-                self.pool.remove(target.address);
-                self.record_crash(&target.incarnation, &target.service);
-                self.estimates.borrow_mut().remove(&target.incarnation.id);
-                let (target, service) = id_and_service(&target);
-                Event::TargetUnlisted { target, service, revision }
-            }
-        };
-        emit(event);
-        self.changed.notify_waiters();
-    }
-
     /// Records that an incarnation of a target is unreachable or has ended. Requests that it broke
     /// off shortly before are suspected as the cause.
     pub fn record_crash(&self, incarnation: &Incarnation, service: &str) {
--- a/bins/edge/src/store.rs
+++ b/bins/edge/src/store.rs
@@ -5,7 +5,6 @@
 use bytes::BytesMut;
 
 use caraway_adapter::store::Call;
-use caraway_core::time::Clock;
 
 use crate::http;
 use crate::metrics::Metrics;
@@ -42,13 +41,18 @@
     }
     let result = match &response {
         Ok((head, _)) if head.status < 400 || head.status == 404 || head.status == 412 => {
-            state.last_store_response.set(Some(Clock.now()));
+            state.record_store_response();
             "ok"
         }
+        // The store has compacted its history; it is available.
+        Ok((head, _)) if head.status == 410 => "compacted",
         Ok(_) => "refused",
         Err(Failure::Unsent(_)) => "unsent",
         Err(Failure::Sent(_)) => "unanswered",
     };
+    if matches!(result, "refused" | "unsent" | "unanswered") {
+        state.record_store_failure();
+    }
     Metrics::count(&state.metrics.store_calls, "call", &format!("{kind}_{result}"));
     response.map(|(head, body)| (head.status, body))
 }
--- a/bins/edge/src/sync.rs
+++ b/bins/edge/src/sync.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use caraway_adapter::configuration;
 use caraway_adapter::store;
@@ -42,65 +43,65 @@
 /// Size of a watch response from which on the next watch starts at once.
 const LARGE_RESPONSE_BYTES: usize = 256 << 10;
 
-/// Delay between attempts while the store fails.
-const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Longest time for which the watch of a deputy waits. A deputy counts as up to date only if the
+/// store has responded within the last 900 ms, and it makes no other calls.
+const DEPUTY_WATCH_WAIT: Duration = Duration::from_millis(600);
 
-/// Follows the store until the process exits.
+/// Interval at which an instance that follows another one checks whether it still does.
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Follows the store, or waits while another instance is followed, until the process exits.
 pub async fn run(state: Rc<State>) {
     let mut outage_start: Option<Stamp> = None;
     loop {
-        let result = follow(&state, outage_start.is_some()).await;
-        let error = match result {
-            Ok(()) => continue,
-            Err(error) => error,
-        };
-        let now = Clock.now();
+        let Err(error) = follow(&state, &mut outage_start).await else { continue };
         state.store_failing.set(true);
         // Forces a full read after the outage: registrations missing in it are kept for a grace
         // period, unlike those that are removed while the store is watched.
         state.synchronized.set(false);
         if outage_start.is_none() {
             emit(Event::StoreUnreachable { error });
+            outage_start = Some(Clock.now());
         }
-        let since = *outage_start.get_or_insert(now);
-        sleep(RETRY_DELAY).await;
-        if state.last_store_response.get().is_some_and(|at| at > since) {
-            let outage_ms = millis(now.since(since));
-            emit(Event::StoreReachable { outage_ms });
-            outage_start = None;
-        }
+        state.wait_for_store().await;
     }
 }
 
-/// Reads everything unless the state is complete, then watches for changes until a restart of the
-/// watch is requested.
-async fn follow(state: &Rc<State>, outage: bool) -> Result<(), String> {
-    if !state.synchronized.get() {
-        let revision = read_snapshot(state, outage).await?;
-        state.revision.set(state.revision.get().max(revision));
-        state.synchronized.set(true);
-    }
+/// Records that the store has responded, which ends an outage.
+fn end_outage(state: &State, outage_start: &mut Option<Stamp>) {
     state.store_failing.set(false);
+    if let Some(start) = outage_start.take() {
+        emit(Event::StoreReachable { outage_ms: millis(Clock.now().since(start)) });
+    }
+}
+
+/// Reads everything unless the state is complete, then watches for changes until a restart of the
+/// watch is requested or another instance is followed.
+async fn follow(state: &Rc<State>, outage_start: &mut Option<Stamp>) -> Result<(), String> {
+    // The first watch responds at once and thereby shows that this instance is up to date.
+    let mut wait = Duration::ZERO;
     loop {
-        if state.watch_delegated.get() && !state.leading.get() {
-            // Each call to the store is billed; the coordinator forwards the changes that it receives.
-            state.watch_restart.notified().await;
+        if !state.watches_store() {
+            // Each call to the store is billed; another instance forwards its changes.
+            let _ = timeout(CHECK_INTERVAL, state.watch_restart.notified()).await;
             return Ok(());
         }
+        if !state.synchronized.get() {
+            let revision = read_snapshot(state, outage_start.is_some()).await?;
+            state.revision.set(state.revision.get().max(revision));
+            state.synchronized.set(true);
+            end_outage(state, outage_start);
+        }
         let after = state.revision.get();
-        let call = store::watch("", after, WATCH_WAIT);
+        let call = store::watch("", after, wait);
         let response = tokio::select! {
-            response = send(state, &call, "watch", WATCH_WAIT) => response,
+            response = send(state, &call, "watch", wait) => response,
             () = state.watch_restart.notified() => return Ok(()),
         };
         let size = response.as_ref().map_or(0, |(_, body)| body.len());
         let page = match response {
             Ok((status, body)) => store::parse_page(status, &body),
-            // A failed watch does not imply an outage of the store; the full read that follows shows one.
-            Err(_) => {
-                state.synchronized.set(false);
-                return Ok(());
-            }
+            Err(error) => return Err(error.to_string()),
         };
         let page = match page {
             Ok(page) => page,
@@ -111,12 +112,14 @@
             }
             Err(error) => return Err(error.to_string()),
         };
+        end_outage(state, outage_start);
         apply(state, &page);
         state.revision.set(state.revision.get().max(page.revision));
         // After a large response, more changes are probably waiting.
         if !page.items.is_empty() && size < LARGE_RESPONSE_BYTES {
             sleep(BATCH_DELAY).await;
         }
+        wait = if state.leading.get() { WATCH_WAIT } else { DEPUTY_WATCH_WAIT };
     }
 }
 
@@ -153,11 +156,10 @@
 
 /// Removes targets, instances and the coordinator that are missing in a complete read.
 fn remove_unlisted(state: &State, seen: &HashSet<String>, outage: bool, revision: u64) {
-    let listed = |id: &str| seen.contains(&format!("{}{id}", target::PREFIX));
-    let gone = state.registry.borrow_mut().reconcile(&listed, outage, Clock.now());
-    state.record_removals(gone, revision);
+    let listed = seen.iter().filter_map(|key| key.strip_prefix(target::PREFIX)).map(Into::into);
+    state.reconcile_targets(&listed.collect(), outage, revision);
     let registered = |name: &str| seen.contains(&format!("{INSTANCE_PREFIX}{name}"));
-    state.instances.borrow_mut().retain(|name, _| registered(name));
+    state.retain_instances(&registered, revision);
     if !seen.contains(COORDINATOR_KEY) {
         state.set_leader(None, revision);
     }
@@ -182,8 +184,7 @@
         match &item.value {
             None => {
                 state.accept_entry(&item.key);
-                let change = state.registry.borrow_mut().remove(id, Clock.now());
-                state.record_removals(change.into_iter().collect(), item.revision);
+                state.remove_target(id, item.revision);
             }
             Some(value) => match target::read(id, value) {
                 Ok(target) => {
@@ -195,15 +196,9 @@
         }
     } else if let Some(name) = item.key.strip_prefix(INSTANCE_PREFIX) {
         let instance = item.value.as_deref().map(serde_json::from_slice);
-        let mut instances = state.instances.borrow_mut();
-        match instance {
-            Some(Ok(instance)) => {
-                instances.insert(name.into(), instance);
-            }
-            Some(Err(error)) => state.ignore_entry(&item.key, &error.to_string()),
-            None => {
-                instances.remove(name);
-            }
+        match instance.transpose() {
+            Ok(instance) => state.record_instance(name, instance, item.revision),
+            Err(error) => state.ignore_entry(&item.key, &error.to_string()),
         }
     } else if item.key == OWNERS_KEY {
         // The coordinator's messages are newer and more detailed; the tables are used until its first one.
--- a/bins/edge/tests/process/main.rs
+++ b/bins/edge/tests/process/main.rs
@@ -5,6 +5,7 @@
 
 mod cluster;
 mod configuration;
+mod following;
 mod lifecycle;
 mod ownership;
 mod responses;
--- a/bins/edge/tests/process/trouble.rs
+++ b/bins/edge/tests/process/trouble.rs
@@ -361,10 +361,12 @@
     cluster.store.put_raw("servers/raw", json!("*** not base64 ***"));
     let lines = || cluster.instances[0].log().matches("\"key\":\"servers/raw\"").count();
     wait(Duration::from_secs(5), "logged", || lines() > 0);
+    let outages = || cluster.instances[0].log().matches("\"store-unreachable\"").count();
     for _ in 0..3 {
-        let reads = cluster.store.range_calls();
+        let (reads, before) = (cluster.store.range_calls(), outages());
         cluster.store.set_mode(Mode::Busy);
-        thread::sleep(Duration::from_millis(100));
+        // The instance makes no call for a while after a watch that returned changes.
+        wait(Duration::from_secs(2), "an outage", || outages() > before);
         cluster.store.set_mode(Mode::Up);
         wait(Duration::from_secs(5), "read again", || cluster.store.range_calls() > reads);
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,11 +8,13 @@
 
 pub mod admission;
 pub mod allowance;
+pub mod backoff;
 pub mod balance;
 pub mod configuration;
 pub mod coordinator;
 pub mod demand;
 pub mod election;
+pub mod following;
 pub mod load;
 pub mod membership;
 pub mod ownership;
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -102,6 +102,9 @@
     addresses: HashMap<SocketAddr, Arc<str>>,
     /// Incarnations that have announced their departure in a response, with the time.
     departures: HashMap<Incarnation, Stamp>,
+    /// Revision of the latest known change of each entry, including removals, and when this
+    /// process learned of it.
+    revisions: HashMap<Arc<str>, (u64, Stamp)>,
 }
 
 /// Returns the earlier of two times of which either may be unknown.
@@ -120,6 +123,33 @@
         self.members.get(id)
     }
 
+    /// Returns the revision of the latest known change of an entry, or zero.
+    pub fn entry_revision(&self, id: &str) -> u64 {
+        self.revisions.get(id).map_or(0, |(revision, _)| *revision)
+    }
+
+    /// Records the revision of a change of an entry. Returns whether to apply the change: a change
+    /// that is older than what is known must not replace it. The revision of a removed entry is
+    /// retained for [`FORMER_RETENTION`], longer than any response is under way.
+    pub fn accept(&mut self, id: &Arc<str>, revision: u64, now: Stamp) -> bool {
+        let (known, at) = self.revisions.entry(id.clone()).or_insert((revision, now));
+        if *known > revision {
+            return false;
+        }
+        (*known, *at) = (revision, now);
+        true
+    }
+
+    /// Records that the entry of a target has been missing since an outage of the store, as another
+    /// instance knows.
+    pub fn record_missing(&mut self, id: &str, since: Stamp) {
+        if let Some(member) = self.members.get_mut(id)
+            && member.draining_since.is_none()
+        {
+            member.missing_since.get_or_insert(since);
+        }
+    }
+
     /// Records an entry and returns the change that it means, if any.
     pub fn put(&mut self, target: Target, now: Stamp) -> Option<Change> {
         let target = Arc::new(target);
@@ -271,6 +301,9 @@
         };
         let gone = self.members.iter().filter(|(_, member)| expired(member));
         let gone: Vec<Arc<str>> = gone.map(|(id, _)| id.clone()).collect();
+        let members = &self.members;
+        self.revisions
+            .retain(|id, (_, at)| members.contains_key(id) || now.since(*at) < FORMER_RETENTION);
         gone.iter().filter_map(|id| self.remove(id, now)).collect()
     }
 }
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -297,6 +297,9 @@
     /// An entry in the store cannot be parsed and is ignored.
     609 Warn EntryIgnored "entry-ignored" { key: String, error: String }
         "entry {key} is ignored: {error}"
+    /// The instance follows the store, or another instance, from now on.
+    610 Info FollowingChanged "following-changed" { mode: String, age_ms: u64 }
+        "changes are learned from {mode}; the view is {age_ms} ms old"
 
     /// An operator declared that an instance or a target is gone.
     802 Warn DeclaredGone "declared-gone" { what: String, source: String }
