--- a/bins/edge/tests/process/main.rs
+++ b/bins/edge/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod configuration;
 mod control;
+mod following;
 mod lifecycle;
 mod ownership;
 mod responses;
