--- a/bins/edge/tests/process/main.rs
+++ b/bins/edge/tests/process/main.rs
@@ -5,6 +5,8 @@
 
 mod cluster;
 mod configuration;
+mod control;
+mod following;
 mod lifecycle;
 mod ownership;
 mod responses;
