--- a/bins/edge/tests/process/ownership.rs
+++ b/bins/edge/tests/process/ownership.rs
@@ -16,8 +16,12 @@
         let name = String::from_utf8(value).unwrap();
         cluster.instances.iter().position(|instance| instance.name == name)
     };
-    wait(Duration::from_secs(5), "a coordinator", || name().is_some());
-    name().unwrap()
+    let mut index = None;
+    wait(Duration::from_secs(5), "a coordinator", || {
+        index = name();
+        index.is_some()
+    });
+    index.unwrap()
 }
 
 /// Returns the first key, last key, owner and fencing token of each holding in the store.
