Send other instances only what they do not have

Cause: a report whose version was slightly behind got the whole owner table; all crashes of the last two minutes were part of every report and every response; all instances were sent with each change. An instance that started read everything from the store, about ten calls, although others had it.

Change: owners are sent as the sum of the changes since the reporter's version (view::Log, 256 changes); each crash is sent to an instance once (changelog::Changelog, peers/crashes.rs); instances are sent if a registration has changed. An instance that starts, or was cut off, gets everything from the coordinator or a deputy if one is up to date, after one call that finds other instances. caraway_message_bytes_total counts bytes by kind. A response that keeps arriving may take longer than 0.5 s, since a large configuration does on a slow link.

A suspicion that was cleared by a response is no longer brought back by the next report of another instance about the same crash.

On the code before, an instance that started beside a coordinator made 4 range reads with 125 entries, now 1.

Not done: loads only for targets that the reporter uses (docs/design/messages.md).

--- a/bins/edge/src/ingress.rs
+++ b/bins/edge/src/ingress.rs
@@ -363,7 +363,7 @@
             Err(error) => invalid(error),
             Ok(report) => {
                 let update = peers::handle_report(state, reports, report);
-                match serde_json::to_string(&update) {
+                match peers::encode_update(state, &update) {
                     Ok(text) => reply(StatusCode::OK, text),
                     Err(error) => reply(StatusCode::INTERNAL_SERVER_ERROR, error.to_string()),
                 }
--- a/bins/edge/src/metrics.rs
+++ b/bins/edge/src/metrics.rs
@@ -33,6 +33,9 @@
     pub grant_calls: Family<Labels, Counter>,
     /// Messages other than reports to other instances, by path and result.
     pub messages: Family<Labels, Counter>,
+    /// Bytes sent to other instances in the bodies of messages, by kind: the path of a message, or
+    /// the field of the response to a report.
+    pub message_bytes: Family<Labels, Counter>,
     /// Announcements of targets that they are leaving, by service.
     pub departures: Family<Labels, Counter>,
     /// Pauses that targets asked for, by service.
@@ -70,6 +73,7 @@
             store_calls: Family::default(),
             grant_calls: Family::default(),
             messages: Family::default(),
+            message_bytes: Family::default(),
             departures: Family::default(),
             pauses: Family::default(),
             ignored_entries: Counter::default(),
@@ -91,6 +95,7 @@
         registry.register("store_calls", "Calls to the store", m.store_calls.clone());
         registry.register("grant_calls", "Calls about keys", m.grant_calls.clone());
         registry.register("messages", "Messages to instances", m.messages.clone());
+        registry.register("message_bytes", "Bytes to instances", m.message_bytes.clone());
         registry.register("targets_leaving", "Announced departures", m.departures.clone());
         registry.register("target_pauses", "Pauses of targets", m.pauses.clone());
         registry.register("ignored_entries", "Unreadable entries", m.ignored_entries.clone());
@@ -113,6 +118,12 @@
         family.get_or_create(&[(name, value.to_owned())]).inc();
     }
 
+    /// Counts bytes that are sent to another instance.
+    pub fn count_bytes(&self, kind: &str, bytes: usize) {
+        let count = self.message_bytes.get_or_create(&[("kind", kind.to_owned())]);
+        count.inc_by(u64::try_from(bytes).unwrap_or(u64::MAX));
+    }
+
     /// Encodes the metrics in the text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -5,11 +5,13 @@
 //! if the responding instance has newer ones, so that an instance that cannot reach the store stays
 //! up to date.
 
+mod crashes;
 mod message;
 mod report;
 mod update;
 
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -17,6 +19,7 @@
 
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -35,6 +38,7 @@
 use crate::metrics::Metrics;
 use crate::state::State;
 
+pub use self::crashes::CrashLog;
 pub use self::message::ANNOUNCEMENT_PATH;
 pub use self::message::OWNERS_PATH;
 pub use self::message::REPORT_PATH;
@@ -68,6 +72,9 @@
 const SEARCH_INTERVAL: Duration = Duration::from_millis(150);
 const SEARCH_TIME: Duration = Duration::from_secs(2);
 
+/// Length of the encoded values of a field that has no content.
+const EMPTY_BYTES: usize = 5;
+
 /// Timeout of a message to another instance.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -118,7 +125,7 @@
         let leader = state.other_leader().filter(|_| Clock.now() >= skip_leader_until);
         let mut reached_leader = false;
         if let Some(leader) = leader {
-            let response = exchange(&state, &leader, &build_report(&state)).await;
+            let response = exchange(&state, &leader, build_report(&state)).await;
             reached_leader = response.is_some();
             if response == Some(true) {
                 (attempt, searching, followed_at) = (0, false, Clock.now());
@@ -135,7 +142,7 @@
         let Some(source) = state.with_fleet(|fleet| fleet.source(name, attempt).cloned()) else {
             continue;
         };
-        searching = exchange(&state, &source, &build_query(&state)).await != Some(true);
+        searching = exchange(&state, &source, build_query(&state)).await != Some(true);
         if searching {
             attempt += 1;
         } else {
@@ -146,11 +153,16 @@
 
 /// Sends a report to another instance and applies the response. Returns whether this instance
 /// follows the other one, or `None` if it did not respond.
-async fn exchange(state: &State, peer: &Arc<str>, report: &Report) -> Option<bool> {
+async fn exchange(state: &State, peer: &Arc<str>, mut report: Report) -> Option<bool> {
     let address = state.instances.borrow().get(peer).map(|instance| instance.address)?;
+    let crashes_sent;
+    (report.crashes, crashes_sent, report.crashes_received) =
+        state.crashes.borrow().for_report(peer);
     let sent = Clock.now();
-    match call::<Update>(state, address, REPORT_PATH, report).await {
+    match call::<Update>(state, address, REPORT_PATH, &report).await {
         Ok(update) => {
+            let received = update.crashes_sent;
+            state.crashes.borrow_mut().record_response(peer, crashes_sent, received);
             let news = News {
                 source: peer.clone(),
                 leading: update.leading,
@@ -222,6 +234,7 @@
 /// not have the version that it is based on, receives the owners in the response to its next
 /// report.
 pub fn push_owners(state: &Rc<State>, change: &Change, tasks: &mut JoinSet<()>) {
+    state.owner_changes.borrow_mut().add(change.clone());
     broadcast(state, OWNERS_PATH, change, tasks);
 }
 
@@ -240,10 +253,12 @@
             return;
         }
     };
+    let kind = path.trim_start_matches('/');
     let instances = state.instances.borrow();
     let others = instances.iter().filter(|(name, _)| **name != state.settings.name);
     for (_, instance) in others {
         let (state, address, text) = (state.clone(), instance.address, text.clone());
+        state.metrics.count_bytes(kind, text.len());
         tasks.spawn_local(async move {
             let request = http::request("POST", path, address, &text);
             let response = state.pool.exchange(address, &request, MESSAGE_TIMEOUT).await;
@@ -261,11 +276,29 @@
     body: &impl Serialize,
 ) -> Result<T, String> {
     let text = serde_json::to_string(body).map_err(|error| error.to_string())?;
+    state.metrics.count_bytes(path.trim_start_matches('/'), text.len());
     let request = http::request("POST", path, address, &text);
-    let response = state.pool.exchange(address, &request, MESSAGE_TIMEOUT).await;
+    // A configuration of a megabyte takes longer than the timeout on a slow link.
+    let response = state.pool.exchange_large(address, &request, MESSAGE_TIMEOUT).await;
     let (head, body) = response.map_err(|error| error.to_string())?;
     if head.status != 200 {
         return Err(format!("status {}", head.status));
     }
     serde_json::from_slice(&body).map_err(|error| error.to_string())
 }
+
+/// Encodes the response to a report and counts the bytes of each of its fields.
+///
+/// # Errors
+///
+/// Fails if it cannot be encoded.
+pub fn encode_update(state: &State, update: &Update) -> serde_json::Result<String> {
+    let text = serde_json::to_string(update)?;
+    let fields: HashMap<&str, &RawValue> = serde_json::from_str(&text)?;
+    for (name, value) in fields {
+        // Fields that are empty are a constant part of each response.
+        let kind = if value.get().len() > EMPTY_BYTES { name } else { "other" };
+        state.metrics.count_bytes(&format!("update_{kind}"), name.len() + value.get().len());
+    }
+    Ok(text)
+}
--- a/bins/edge/src/peers/message.rs
+++ b/bins/edge/src/peers/message.rs
@@ -11,6 +11,7 @@
 use caraway_core::time::Stamp;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::membership::Target;
+use caraway_fleet::view::Change as OwnersChange;
 use caraway_fleet::view::Version;
 use caraway_fleet::view::View;
 
@@ -40,7 +41,11 @@
     /// For each target: in-flight requests, completed requests and their total service time in
     /// seconds, and failed requests.
     pub(super) loads: Vec<(Arc<str>, u32, u32, f64, u32)>,
+    /// Crashes that the receiver does not have.
     pub(super) crashes: Crashes,
+    /// Position up to which crashes of the receiver were received.
+    #[serde(default)]
+    pub(super) crashes_received: Position,
     #[serde(default)]
     pub(super) departures: Departures,
     /// Whether the sender hears from no coordinator that is up to date.
@@ -51,6 +56,15 @@
 /// Crashes: fingerprint of the request, target, start time of its incarnation, and age in milliseconds.
 pub(super) type Crashes = Vec<(u64, Arc<str>, u64, u64)>;
 
+/// Position in the log of crashes of a process.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+pub(super) struct Position {
+    /// Random number of the process, or zero.
+    pub(super) epoch: u64,
+    /// Position after the latest crash that was sent.
+    pub(super) next: u64,
+}
+
 /// Targets that have recently announced their departure, and the milliseconds since.
 pub(super) type Departures = Vec<(Incarnation, u64)>;
 
@@ -59,15 +73,22 @@
 pub struct Update {
     pub(super) revision: u64,
     pub(super) config: Option<String>,
+    /// All owners, if the reporter's version is unknown here.
     pub(super) owners: Option<View>,
+    /// Owners that have changed since the reporter's version.
+    #[serde(default)]
+    pub(super) owner_change: Option<OwnersChange>,
     /// For each target: in-flight requests of other instances, and mean service time in seconds.
     pub(super) loads: Vec<(Arc<str>, f64, f64)>,
     /// Failing targets with their failure ratios.
     pub(super) failing: Vec<(Arc<str>, f64)>,
     /// Overloaded owners of keys with the share of requests that they can serve.
     pub(super) shares: HashMap<Arc<str>, f64>,
+    /// Crashes that the reporter does not have, and the position after them.
     pub(super) crashes: Crashes,
     #[serde(default)]
+    pub(super) crashes_sent: Position,
+    #[serde(default)]
     pub(super) departures: Departures,
     /// Whether the responding instance is the coordinator.
     pub(super) leading: bool,
@@ -77,6 +98,7 @@
     #[serde(default)]
     pub(super) age_ms: u64,
     pub(super) targets: Option<Targets>,
+    /// All registered instances, if one has changed since the reporter's revision.
     pub(super) instances: Option<BTreeMap<Arc<str>, Instance>>,
     /// Name of the coordinator, if there is one, and the revision of this information.
     pub(super) leader: (Option<Arc<str>>, u64),
--- a/bins/edge/src/peers/report.rs
+++ b/bins/edge/src/peers/report.rs
@@ -4,10 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use caraway_call::quarantine;
-use caraway_call::quarantine::Crash;
-use caraway_call::quarantine::Fingerprint;
-use caraway_core::name;
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
 use caraway_core::time::millis;
@@ -16,7 +12,7 @@
 use caraway_fleet::reports::Reports;
 
 use crate::peers::check_lag;
-use crate::peers::message::Crashes;
+use crate::peers::crashes::merge_crashes;
 use crate::peers::message::Departures;
 use crate::peers::message::Report;
 use crate::peers::message::Targets;
@@ -42,9 +38,8 @@
         owners: state.view.borrow().version,
         demand: demand.collect(),
         loads,
-        crashes: crashes(state),
         departures: departures(state),
-        seeking: false,
+        ..Report::default()
     }
 }
 
@@ -55,7 +50,6 @@
         config: state.version(),
         revision: state.revision.get(),
         owners: state.view.borrow().version,
-        crashes: crashes(state),
         departures: departures(state),
         seeking: true,
         ..Report::default()
@@ -77,28 +71,6 @@
     }
 }
 
-fn crashes(state: &State) -> Crashes {
-    let now = Clock.now();
-    let reports = state.quarantine.borrow().reports(now);
-    let row = |report: quarantine::Report| {
-        let target = report.crash.target.as_str().into();
-        (report.fingerprint.0, target, report.crash.incarnation, millis(report.age))
-    };
-    reports.into_iter().map(row).collect()
-}
-
-pub(super) fn merge_crashes(state: &State, crashes: Crashes) {
-    let now = Clock.now();
-    for (fingerprint, target, incarnation, age) in crashes {
-        let report = quarantine::Report {
-            fingerprint: Fingerprint(fingerprint),
-            crash: Crash { target: name::Target::new(&target), incarnation },
-            age: Duration::from_millis(age),
-        };
-        state.quarantine.borrow_mut().merge(report, now);
-    }
-}
-
 /// Records a report and returns what the reporting instance does not know yet.
 pub fn handle_report(state: &State, reports: &RefCell<Reports>, report: Report) -> Update {
     let now = Clock.now();
@@ -113,8 +85,9 @@
         age_ms: millis(state.view_age()),
         ..Update::default()
     };
-    merge_crashes(state, report.crashes);
-    update.crashes = crashes(state);
+    merge_crashes(state, report.crashes, &report.name);
+    (update.crashes, update.crashes_sent) =
+        state.crashes.borrow().for_update(&report.name, report.crashes_received);
     merge_departures(state, report.departures, &report.name);
     update.departures = departures(state);
     if state.leading.get() {
@@ -139,11 +112,15 @@
     }
     let view = state.view.borrow();
     if view.version > report.owners {
-        update.owners = Some(view.clone());
+        update.owner_change = state.owner_changes.borrow().between(report.owners, view.version);
+        if update.owner_change.is_none() {
+            update.owners = Some(view.clone());
+        }
     }
     if state.revision.get() > report.revision {
         update.targets = Some(targets_since(state, report.revision));
-        update.instances = Some(state.instances.borrow().clone());
+        let changed = state.instances_revision.get() > report.revision;
+        update.instances = changed.then(|| state.instances.borrow().clone());
         let name = state.leader.borrow().as_ref().map(|leader| leader.name.clone());
         update.leader = (name, state.leader_revision.get());
     }
--- a/bins/edge/src/peers/update.rs
+++ b/bins/edge/src/peers/update.rs
@@ -7,8 +7,8 @@
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
+use crate::peers::crashes::merge_crashes;
 use crate::peers::message::Update;
-use crate::peers::report::merge_crashes;
 use crate::peers::report::merge_departures;
 use crate::state::State;
 
@@ -25,8 +25,11 @@
         log_update("the configuration");
         state.configure(text.as_bytes(), revision, peer);
     }
-    merge_crashes(state, update.crashes);
+    merge_crashes(state, update.crashes, peer);
     merge_departures(state, update.departures, peer);
+    if let Some(change) = update.owner_change {
+        state.apply_owner_change(change);
+    }
     if let Some(view) = update.owners {
         state.apply_view(view);
     }
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -43,6 +43,7 @@
 use caraway_fleet::pause::Pauses;
 use caraway_fleet::rendezvous::Domains;
 use caraway_fleet::unowned::Ranges;
+use caraway_fleet::view;
 use caraway_fleet::view::Change as OwnersChange;
 use caraway_fleet::view::View;
 use caraway_telemetry::event::Event;
@@ -50,6 +51,7 @@
 
 use crate::http::Connection;
 use crate::metrics::Metrics;
+use crate::peers::CrashLog;
 use crate::pool::Pool;
 use crate::reason::Reason;
 
@@ -151,6 +153,8 @@
     pub history: RefCell<History>,
     /// Owners of the keys of all keyed services.
     pub view: RefCell<View>,
+    /// Recent changes of the owners, for other instances.
+    pub owner_changes: RefCell<view::Log>,
     /// Key ranges that requests have found without an owner.
     pub unowned: RefCell<Ranges>,
     /// Notified when the view, the targets or the load changes.
@@ -185,6 +189,8 @@
     pub crash_probes: RefCell<JoinSet<()>>,
     /// Requests that have crashed targets.
     pub quarantine: RefCell<Quarantine>,
+    /// Crashes that are passed on to other instances.
+    pub crashes: RefCell<CrashLog>,
     /// Mean response size by service, in bytes.
     pub response_sizes: RefCell<HashMap<Arc<str>, f64>>,
     /// Registered instances by name.
@@ -227,6 +233,7 @@
             store_failing: Cell::new(false),
             history: RefCell::default(),
             view: RefCell::default(),
+            owner_changes: RefCell::default(),
             unowned: RefCell::default(),
             changed: Notify::new(),
             announcement: Notify::new(),
@@ -244,6 +251,7 @@
             suspicions: RefCell::default(),
             crash_probes: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(QUARANTINE)),
+            crashes: RefCell::new(CrashLog::new(QUARANTINE.retention)),
             response_sizes: RefCell::default(),
             instances: RefCell::default(),
             instance_revisions: RefCell::default(),
@@ -346,6 +354,7 @@
     pub fn apply_owner_change(&self, change: OwnersChange) {
         let changed = self.view.borrow().with_change(&change);
         if let Some(view) = changed {
+            self.owner_changes.borrow_mut().add(change);
             self.apply_view(view);
         }
     }
@@ -408,6 +417,7 @@
             let crash =
                 Crash { target: name::Target::new(&incarnation.id), incarnation: incarnation.born };
             self.quarantine.borrow_mut().record_crash(fingerprint, crash, now);
+            self.crashes.borrow_mut().add(fingerprint, &incarnation.id, incarnation.born);
             emit(Event::TargetCrashed {
                 target: incarnation.id.to_string(),
                 service: service.to_owned(),
--- a/bins/edge/src/sync.rs
+++ b/bins/edge/src/sync.rs
@@ -23,6 +23,9 @@
 use crate::state::State;
 use crate::store::send;
 
+/// Key prefix of the entries that instances write.
+const OWN_PREFIX: &str = "caraway/";
+
 /// Key prefix of the registrations of instances.
 pub const INSTANCE_PREFIX: &str = "caraway/instance/";
 
@@ -47,6 +50,20 @@
 /// store has responded within the last 900 ms, and it makes no other calls.
 const DEPUTY_WATCH_WAIT: Duration = Duration::from_millis(600);
 
+/// Time in which an instance that starts registers: it does so 700 ms after its start.
+const REGISTRATION_TIME: Duration = Duration::from_millis(900);
+
+/// Mean time for which an instance that has just started waits for another one to send everything:
+/// a deputy that starts at the same moment has read it by then.
+const START_TIME: Duration = Duration::from_secs(2);
+
+/// Mean time for which an instance waits for another one to send everything after an outage of the
+/// store. A configuration has to be in force 2.5 s after it was acknowledged.
+const SOURCE_TIME: Duration = Duration::from_secs(1);
+
+/// Interval of checks whether another instance has sent everything.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Interval at which an instance that follows another one checks whether it still does.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -87,6 +104,9 @@
             return Ok(());
         }
         if !state.synchronized.get() {
+            if wait_for_source(state).await? {
+                return Ok(());
+            }
             let revision = read_snapshot(state, outage_start.is_some()).await?;
             state.revision.set(state.revision.get().max(revision));
             state.synchronized.set(true);
@@ -123,6 +143,45 @@
     }
 }
 
+/// Waits until another instance that is up to date has sent everything, which saves a full read of
+/// the store. Returns whether one has.
+async fn wait_for_source(state: &Rc<State>) -> Result<bool, String> {
+    let started = state.revision.get() == 0;
+    if started {
+        discover(state).await?;
+        if state.instances.borrow().is_empty() {
+            // All instances may be starting for the first time.
+            sleep(REGISTRATION_TIME).await;
+            discover(state).await?;
+        }
+    }
+    let others = state.instances.borrow().keys().any(|name| *name != state.settings.name);
+    // A deputy is the source of others, unless it has just started beside a coordinator.
+    let waits = !state.is_deputy() || started && state.other_leader().is_some();
+    if state.leading.get() || !others || !waits {
+        return Ok(false);
+    }
+    let limit = if started { START_TIME } else { SOURCE_TIME };
+    let end = Clock.now() + limit.mul_f64(0.75 + 0.5 * rand::random::<f64>());
+    while Clock.now() < end && !state.leading.get() {
+        if state.synchronized.get() {
+            return Ok(true);
+        }
+        sleep(POLL_INTERVAL).await;
+    }
+    Ok(state.synchronized.get())
+}
+
+/// Reads the coordinator's record and the first registrations of instances with one call, to find
+/// other instances.
+async fn discover(state: &Rc<State>) -> Result<(), String> {
+    let call = store::read_range(OWN_PREFIX, None);
+    let response = send(state, &call, "range", Duration::ZERO).await;
+    let (status, body) = response.map_err(|error| error.to_string())?;
+    apply(state, &store::parse_page(status, &body).map_err(|error| error.to_string())?);
+    Ok(())
+}
+
 /// Reads all keys and returns the revision of the first page.
 async fn read_snapshot(state: &Rc<State>, outage: bool) -> Result<u64, String> {
     // Includes unreadable entries: they replace no earlier ones.
--- a/bins/edge/tests/process/following.rs
+++ b/bins/edge/tests/process/following.rs
@@ -143,3 +143,52 @@
     cluster.store.compact();
     wait(Duration::from_millis(1500), "unlisted", || logged("\"target-unlisted\""));
 }
+
+/// Guards against an instance that reads everything from the store when it starts or restarts,
+/// although another one that is up to date can send it: a full read takes about ten calls.
+#[test]
+fn an_instance_that_starts_gets_everything_from_the_coordinator() {
+    let mut cluster = Cluster::start(1, 2, 2);
+    // More entries than fit on three pages.
+    for index in 0..120 {
+        let mut registration = cluster.targets[0].registration("draining");
+        registration["address"] = serde_json::json!(format!("127.0.0.1:{}", 1000 + index));
+        cluster.store.put(&format!("servers/far-{index}"), &registration);
+    }
+    cluster.wait_owned(0);
+    thread::sleep(Duration::from_secs(1));
+    let reads = cluster.store.range_calls();
+    cluster.add_instance();
+    cluster.wait_ready(2);
+    cluster.wait_owned(2);
+    assert_eq!(cluster.get(2, "/read/x", "first").status, 200);
+    assert_eq!(cluster.store.range_calls() - reads, 1, "range reads");
+    cluster.store.put("op/config", &configuration(5));
+    wait(APPLY_LIMIT, "version 5", || cluster.get(2, "/version-5/x", "v").status == 200);
+    // It needs no full read either when it has to watch the store itself.
+    let coordinator = coordinator(&cluster).unwrap();
+    cluster.instances[coordinator].kill();
+    cluster.store.put("op/config", &configuration(6));
+    wait(APPLY_LIMIT, "version 6", || cluster.get(2, "/version-6/x", "v").status == 200);
+    assert_eq!(cluster.store.range_calls() - reads, 1, "range reads");
+}
+
+/// Guards against messages that repeat what the receiver has: the owners, the instances and all
+/// crashes of two minutes were part of nearly every response.
+#[test]
+fn responses_contain_only_what_changed() {
+    let cluster = Cluster::start(1, 3, 2);
+    cluster.wait_owned(0);
+    cluster.wait_owned(1);
+    thread::sleep(Duration::from_secs(3));
+    let leader = coordinator(&cluster).unwrap();
+    let bytes = |kind: &str| {
+        metric(&cluster, leader, &format!("caraway_message_bytes_total{{kind=\"{kind}\"}}"))
+    };
+    let kinds = ["update_owners", "update_instances", "update_crashes", "update_config"];
+    let before = kinds.map(bytes);
+    let reports = bytes("update_other");
+    thread::sleep(Duration::from_secs(2));
+    assert!(bytes("update_other") > reports, "no responses were counted");
+    assert_eq!(kinds.map(bytes), before);
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod allowance;
 pub mod backoff;
 pub mod balance;
+pub mod changelog;
 pub mod configuration;
 pub mod coordinator;
 pub mod demand;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -127,6 +128,59 @@
     }
 }
 
+/// Maximum number of changes and of their ranges in a [`Log`]. Several seconds of changes fit; an
+/// instance that lacks more gets the whole view.
+const MAX_CHANGES: usize = 256;
+const MAX_SPANS: usize = 4096;
+
+/// Consecutive changes up to the current view, for instances whose view is a little older.
+#[derive(Clone, Debug, Default)]
+pub struct Log {
+    changes: VecDeque<Change>,
+    /// Number of ranges in the changes.
+    spans: usize,
+}
+
+impl Change {
+    fn span_count(&self) -> usize {
+        self.services.values().map(|owners| owners.spans.len()).sum()
+    }
+}
+
+impl Log {
+    /// Adds a change. Earlier changes are dropped unless it is based on the latest of them.
+    pub fn add(&mut self, change: Change) {
+        if self.changes.back().is_some_and(|latest| latest.to != change.from) {
+            self.changes.clear();
+            self.spans = 0;
+        }
+        self.spans += change.span_count();
+        self.changes.push_back(change);
+        while self.changes.len() > MAX_CHANGES || self.spans > MAX_SPANS {
+            let Some(dropped) = self.changes.pop_front() else { break };
+            self.spans -= dropped.span_count();
+        }
+    }
+
+    /// Returns the difference between two versions, or `None` if the log does not contain it.
+    pub fn between(&self, from: Version, to: Version) -> Option<Change> {
+        if self.changes.back()?.to != to {
+            return None;
+        }
+        let start = self.changes.iter().position(|change| change.from == from)?;
+        let mut changes = self.changes.iter().skip(start);
+        let mut sum = changes.next()?.clone();
+        for change in changes {
+            sum.to = change.to;
+            sum.coordinator = change.coordinator.clone();
+            for (service, owners) in &change.services {
+                sum.services.entry(service.clone()).or_default().replace(owners);
+            }
+        }
+        Some(sum)
+    }
+}
+
 /// Collects ranges in key order and numbers their owners.
 #[derive(Default)]
 struct Builder {
