Evacuate failure domains on request of the operator

Cause: the key op/evacuate/ZONE in the store had no effect; requests went on to the targets of the domain for any time.

Change: instances learn of evacuations from the store and from each other's reports and updates, each with its revision and age, and older knowledge never replaces newer. Pooled targets of the domain get nothing while others can serve. The coordinator moves the keys with handover in batches, the busiest last, which begin within half of the usable time. Requests for keys that have not moved go to the old owner until the domain is closed and are then refused with Retry-After. After the evacuation the targets count as cold for 2 s, and get keys again one after the other over 5 s, only when they are warm. Without the bound in the settings nothing changes.

--- a/bins/edge/src/forward/selection.rs
+++ b/bins/edge/src/forward/selection.rs
@@ -160,7 +160,7 @@
         let member = registry
             .get(&incarnation.id)
             .filter(|member| member.target.incarnation == *incarnation)?;
-        let leaving = self.state.is_drained(member, Clock.now());
+        let leaving = self.state.is_barred(member, Clock.now());
         let target = (granted && !leaving).then(|| member.target.clone())?;
         let first = view.services.get(&self.service)?.span(key)?.first;
         self.state.unowned.borrow_mut().mark_served(&self.service, first);
@@ -238,7 +238,8 @@
 
     /// Returns the targets of a service without keys that may receive the request: those that are
     /// usable and have room. Falls back to ejected ones, then to usable ones that already failed
-    /// this request, then to those that are leaving but still serve.
+    /// this request, then to those that are leaving but still serve, then to those in an evacuated
+    /// failure domain as long as the bound allows.
     fn eligible<'r>(&self, registry: &'r Registry, now: Stamp) -> Result<Vec<&'r Member>, Reason> {
         let estimates = self.state.estimates.borrow();
         let pauses = self.state.pauses.borrow();
@@ -249,11 +250,18 @@
         let mut pause_end: Option<Stamp> = None;
         let limit = self.state.warmup_limit(&self.service);
         let mut warmup_end: Option<Stamp> = None;
+        let evacuations = self.state.evacuations.borrow();
+        let (mut evacuating, mut closed) = (Vec::new(), false);
         for member in registry.members().filter(|m| m.target.service == self.service) {
             let (id, slots) = (&member.target.incarnation.id, member.target.slots);
             if self.state.is_drained(member, now) {
                 continue;
             }
+            let evacuated = evacuations.is_evacuated(&member.target.domain);
+            if evacuated && evacuations.is_closed(&member.target.domain, now) {
+                closed = true;
+                continue;
+            }
             if let Some(end) = pauses.end(&member.target.incarnation, now) {
                 pause_end = Some(pause_end.map_or(end, |first| first.min(end)));
                 continue;
@@ -270,6 +278,12 @@
                 estimate.in_flight < admission::in_flight_limit(slots, instances)
                     && admission::has_room(estimate.occupancy(now), slots)
             });
+            if evacuated {
+                if has_room && !self.selected.contains(id) {
+                    evacuating.push(member);
+                }
+                continue;
+            }
             match (member.draining_since, self.selected.contains(id), is_usable) {
                 (Some(_), false, _) => leaving.push(member),
                 (None, false, true) if has_room => usable.push(member),
@@ -282,7 +296,8 @@
         if usable.is_empty() && full {
             return Err(Reason::InFlightLimit);
         }
-        let members = [usable, ejected, failed, leaving].into_iter().find(|m| !m.is_empty());
+        let members =
+            [usable, ejected, failed, leaving, evacuating].into_iter().find(|m| !m.is_empty());
         match members {
             Some(members) => Ok(members),
             None if warmup_end.is_some_and(|end| pause_end.is_none_or(|pause| end < pause)) => {
@@ -293,6 +308,7 @@
                 self.pause_end.set(pause_end);
                 Err(Reason::Paused)
             }
+            None if closed => Err(Reason::Evacuated),
             None if self.unsent > 0 => Err(Reason::Unreachable),
             None => Err(Reason::NoTarget),
         }
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -27,6 +27,7 @@
 use caraway_fleet::coordinator::Request;
 use caraway_fleet::coordinator::Tables;
 use caraway_fleet::election;
+use caraway_fleet::evacuation::Batches;
 use caraway_fleet::reports::Reports;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
@@ -100,6 +101,8 @@
     /// Whether the owners have changed since.
     publish_pending: bool,
     announcer: Announcer,
+    /// Moves out of evacuated failure domains.
+    batches: Batches,
     /// Whether the holdings have fencing tokens of this term.
     fences_renewed: bool,
     outcome_sender: UnboundedSender<Outcome>,
@@ -209,6 +212,7 @@
         last_published: now,
         publish_pending: false,
         announcer: Announcer::default(),
+        batches: Batches::default(),
         fences_renewed: false,
         outcome_sender,
         tasks: JoinSet::new(),
--- a/bins/edge/src/leader/plan.rs
+++ b/bins/edge/src/leader/plan.rs
@@ -15,9 +15,11 @@
 use caraway_fleet::coordinator::Coordinator;
 use caraway_fleet::coordinator::Tables;
 use caraway_fleet::demand;
+use caraway_fleet::evacuation;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::membership::Registry;
 use caraway_fleet::ownership::Move;
+use caraway_fleet::ownership::Table;
 use caraway_fleet::plan;
 use caraway_fleet::plan::Candidate;
 use caraway_fleet::reports::Reports;
@@ -150,6 +152,7 @@
         let mut reports = self.reports.borrow_mut();
         let registry = self.state.registry.borrow();
         reports.retain_listed(&registry);
+        let evacuations = self.state.evacuations.borrow();
         let rebalance = now >= self.next_balance;
         if rebalance {
             self.next_balance = now + BALANCE_INTERVAL;
@@ -168,7 +171,7 @@
         }
         let rebalance = rebalance && moves.is_empty();
         let tables = self.coordinator.tables();
-        let empty = caraway_fleet::ownership::Table::default();
+        let empty = Table::default();
         let keyed = configuration.services.iter().filter(|(_, service)| service.keyed);
         for (service, settings) in keyed {
             let table = tables.get(service).unwrap_or(&empty);
@@ -185,7 +188,12 @@
                 let cold = is_cold(&candidate);
                 (candidate, cold)
             });
-            let candidates = plan::prefer_warm(usable.collect(), table);
+            let domain = |incarnation: &Incarnation| {
+                let member = registry.get(&incarnation.id);
+                member.map(|member| member.target.domain.clone()).unwrap_or_default()
+            };
+            let (usable, leaving) = evacuations.divide(usable.collect(), table, &domain, now);
+            let candidates = plan::prefer_warm(usable, table);
             let counts: Vec<u32> =
                 candidates.iter().map(|c| reports.in_flight(&c.incarnation.id, now)).collect();
             let Reports { demand, admitted_shares, .. } = &mut *reports;
@@ -212,12 +220,21 @@
                     admitted_shares.remove(id);
                 }
             }
-            let repairs = plan::repair(table, &candidates, demand);
+            let is_leaving = |incarnation: &Incarnation| leaving.contains(incarnation);
+            let receivers = &candidates;
+            let in_view = evacuation::Service { name: service, table, receivers, demand };
+            let batch = self.batches.next(in_view, &is_leaving, &evacuations, now);
+            let with_reason =
+                |key_move| (service.clone(), key_move, "the failure domain is evacuated");
+            moves.extend(batch.into_iter().map(with_reason));
+            // Moves of evacuated keys and of others have different ranges.
+            let repairs = plan::repair_except(table, &candidates, &is_leaving, demand);
+            let evacuating = table.holdings.iter().any(|holding| is_leaving(&holding.owner));
             if !repairs.is_empty() {
                 let with_reason =
                     |key_move| (service.clone(), key_move, "the keys have no usable owner");
                 moves.extend(repairs.into_iter().map(with_reason));
-            } else if rebalance {
+            } else if rebalance && !evacuating {
                 let balancing = balance::balance(table, &candidates, demand);
                 let with_reason =
                     |key_move| (service.clone(), key_move, "the owner is busier than others");
--- a/bins/edge/src/metrics.rs
+++ b/bins/edge/src/metrics.rs
@@ -53,6 +53,8 @@
     pub dropped_lines: Gauge,
     /// 1 if this instance is the coordinator, else 0.
     pub coordinator: Gauge,
+    /// Number of evacuated failure domains.
+    pub evacuated_domains: Gauge,
 }
 
 impl Metrics {
@@ -79,6 +81,7 @@
             in_flight: Gauge::default(),
             dropped_lines: Gauge::default(),
             coordinator: Gauge::default(),
+            evacuated_domains: Gauge::default(),
             registry: Registry::default(),
         };
         let m = &metrics;
@@ -95,6 +98,8 @@
         registry.register("cold_requests", "Requests to cold targets", m.cold_requests.clone());
         registry.register("ignored_entries", "Unreadable entries", m.ignored_entries.clone());
         registry.register("holdings_moved", "Holdings with a new owner", m.holdings_moved.clone());
+        let evacuated = m.evacuated_domains.clone();
+        registry.register("evacuated_domains", "Evacuated failure domains", evacuated);
         registry.register("config_version", "Configuration in force", m.config_version.clone());
         registry.register(
             "store_silence_ms",
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -29,6 +29,7 @@
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
 use caraway_core::time::millis;
+use caraway_fleet::evacuation::Notice;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::membership::Member;
 use caraway_fleet::membership::Target;
@@ -98,6 +99,8 @@
     crashes: Crashes,
     #[serde(default)]
     departures: Departures,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    evacuations: Vec<Notice>,
 }
 
 /// Crashes: fingerprint of the request, target, start time of its incarnation, and age in milliseconds.
@@ -121,6 +124,8 @@
     crashes: Crashes,
     #[serde(default)]
     departures: Departures,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    evacuations: Vec<Notice>,
     /// Whether the responding instance is the coordinator.
     leading: bool,
     /// Whether the responding instance is up to date with the store.
@@ -277,6 +282,7 @@
         loads,
         crashes: crashes(state),
         departures: departures(state),
+        evacuations: state.evacuation_notices(),
     }
 }
 
@@ -331,6 +337,8 @@
     update.crashes = crashes(state);
     merge_departures(state, report.departures, &report.name);
     update.departures = departures(state);
+    state.merge_evacuations(&report.evacuations, &report.name);
+    update.evacuations = state.evacuation_notices();
     if state.leading.get() {
         let mut reports = reports.borrow_mut();
         for (service, keys) in &report.demand {
@@ -424,6 +432,7 @@
     }
     merge_crashes(state, update.crashes);
     merge_departures(state, update.departures, peer);
+    state.merge_evacuations(&update.evacuations, peer);
     if let Some(view) = update.owners {
         state.apply_view(view);
     }
--- a/bins/edge/src/reason.rs
+++ b/bins/edge/src/reason.rs
@@ -23,6 +23,8 @@
     Paused,
     /// The target is cold, and this instance has sent it what it may for now.
     WarmingUp,
+    /// The targets that could serve the request are in an evacuated failure domain.
+    Evacuated,
     /// The target is leaving and gets no more requests.
     Leaving,
     /// The owner of the key shed requests recently, and requests to it are backed off.
@@ -62,6 +64,7 @@
             Self::Throttled => "the owner of the key gets more requests than it can answer",
             Self::Paused => "the target asked for a pause",
             Self::WarmingUp => "the target is cold and gets few requests",
+            Self::Evacuated => "the failure domain of the targets is evacuated",
             Self::Leaving => "the target is leaving",
             Self::BackedOff => "the owner of the key turned requests away a moment ago",
             Self::InFlightLimit => "this instance has its part of requests at the target",
@@ -84,6 +87,8 @@
             Self::NoConfiguration | Self::NoOwner | Self::NotOwner | Self::Leaving => {
                 Duration::from_millis(250)
             }
+            // An evacuation lasts for minutes rather than for moments.
+            Self::Evacuated => Duration::from_secs(2),
             Self::OwnerUnreachable => load::EJECTION,
             // A quarantine ends only by timeout.
             Self::Quarantined => Duration::from_secs(60),
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -31,6 +31,7 @@
 use caraway_fleet::allowance::Allowance;
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Splitter;
+use caraway_fleet::evacuation::Evacuations;
 use caraway_fleet::load::Estimate;
 use caraway_fleet::membership::Change;
 use caraway_fleet::membership::Incarnation;
@@ -196,6 +197,8 @@
     pub leader_changed: Notify,
     /// Pauses that targets have asked this instance for.
     pub pauses: RefCell<Pauses>,
+    /// Evacuations of failure domains.
+    pub evacuations: RefCell<Evacuations>,
     /// Shares of this instance in the requests to cold targets.
     pub warmup: RefCell<Shares>,
     /// Keys of entries in the store that cannot be read.
@@ -240,7 +243,9 @@
     /// Creates the initial state, without data from the store.
     pub fn new(settings: Settings) -> Self {
         let warmup = RefCell::new(Shares::new(settings.name.clone()));
+        let evacuations = RefCell::new(Evacuations::new(settings.evacuation_time));
         Self {
+            evacuations,
             warmup,
             settings,
             pool: Pool::default(),
@@ -446,7 +451,11 @@
         let member = registry
             .get(&target.incarnation.id)
             .filter(|member| member.target.incarnation == target.incarnation);
-        member.is_some_and(|member| self.is_drained(member, now)).then_some(Reason::Leaving)
+        let member = member?;
+        if self.is_drained(member, now) {
+            return Some(Reason::Leaving);
+        }
+        self.is_barred(member, now).then_some(Reason::Evacuated)
     }
 
     /// Records the registration of a target as of a revision.
--- a/bins/edge/src/sync.rs
+++ b/bins/edge/src/sync.rs
@@ -19,6 +19,7 @@
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
+use crate::evacuation;
 use crate::state::State;
 use crate::store::send;
 
@@ -156,6 +157,8 @@
     let listed = |id: &str| seen.contains(&format!("{}{id}", target::PREFIX));
     let gone = state.registry.borrow_mut().reconcile(&listed, outage, Clock.now());
     state.record_removals(gone, revision);
+    let evacuated = |domain: &str| seen.contains(&format!("{}{domain}", evacuation::PREFIX));
+    state.retain_evacuations(&evacuated, revision);
     let registered = |name: &str| seen.contains(&format!("{INSTANCE_PREFIX}{name}"));
     state.instances.borrow_mut().retain(|name, _| registered(name));
     if !seen.contains(COORDINATOR_KEY) {
@@ -193,6 +196,8 @@
                 Err(error) => state.ignore_entry(&item.key, &error.to_string()),
             },
         }
+    } else if let Some(domain) = item.key.strip_prefix(evacuation::PREFIX) {
+        state.apply_evacuation(domain, item.value.is_some(), item.revision);
     } else if let Some(name) = item.key.strip_prefix(INSTANCE_PREFIX) {
         let instance = item.value.as_deref().map(serde_json::from_slice);
         let mut instances = state.instances.borrow_mut();
--- a/bins/edge/src/warmup.rs
+++ b/bins/edge/src/warmup.rs
@@ -44,8 +44,10 @@
         let registry = self.registry.borrow();
         let member = registry.get(&target.incarnation.id);
         let listed = member.filter(|member| member.target.incarnation == target.incarnation);
+        let unstated = self.evacuations.borrow().is_unstated(&target.domain, now);
         // The successor of an owner of keys has no grants and executes nothing.
-        listed.is_some_and(|member| now < member.warm_at)
+        unstated
+            || listed.is_some_and(|member| now < member.warm_at)
             || (!limit.keyed && self.warmup.borrow().is_suspect(target, limit.listed, now))
     }
 
--- a/bins/edge/tests/process/main.rs
+++ b/bins/edge/tests/process/main.rs
@@ -5,6 +5,7 @@
 
 mod cluster;
 mod configuration;
+mod evacuation;
 mod lifecycle;
 mod ownership;
 mod responses;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod coordinator;
 pub mod demand;
 pub mod election;
+pub mod evacuation;
 pub mod load;
 pub mod membership;
 pub mod ownership;
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -4,6 +4,7 @@
 
 use crate::demand::Demand;
 use crate::membership::Incarnation;
+use crate::ownership::Holding;
 use crate::ownership::LAST_KEY;
 use crate::ownership::Move;
 use crate::ownership::Table;
@@ -71,6 +72,17 @@
 
 /// Returns moves that assign every key without a usable owner to one of the candidates.
 pub fn repair(table: &Table, candidates: &[Candidate], demand: &Demand) -> Vec<Move> {
+    repair_except(table, candidates, &|_| false, demand)
+}
+
+/// Does the same as [`repair`], except that owners which `may_stay` keep their keys although they
+/// are no candidates.
+pub fn repair_except(
+    table: &Table,
+    candidates: &[Candidate],
+    may_stay: &dyn Fn(&Incarnation) -> bool,
+    demand: &Demand,
+) -> Vec<Move> {
     let mut loads = loads(table, candidates, demand);
     let mut moves = Vec::new();
     if loads.is_empty() {
@@ -82,7 +94,9 @@
         assign(first, last, pieces, &mut loads, demand, &mut moves);
     }
     for holding in &table.holdings {
-        if candidates.iter().any(|candidate| candidate.incarnation == holding.owner) {
+        if candidates.iter().any(|candidate| candidate.incarnation == holding.owner)
+            || may_stay(&holding.owner)
+        {
             continue;
         }
         let restarted =
@@ -92,15 +106,41 @@
             moves.push(Move { first, last, to: restarted.incarnation.clone() });
             continue;
         }
-        let time = candidates.iter().map(|c| c.service_time / c.slots.max(1.0)).fold(0.0, f64::max);
-        let load = demand.rate(holding.first, holding.last) * time;
-        let by_load = (1..MAX_PIECES).find(|pieces| load <= f64::from(*pieces) * PIECE_UTILIZATION);
-        let pieces = by_load.unwrap_or(MAX_PIECES).max(holding.len() / PIECE_KEYS).min(MAX_PIECES);
-        assign(holding.first, holding.last, pieces, &mut loads, demand, &mut moves);
+        divide(holding, candidates, &mut loads, demand, &mut moves);
+    }
+    moves
+}
+
+/// Returns moves that assign the keys of some holdings to the candidates, which do not own them.
+pub fn reassign(
+    table: &Table,
+    holdings: &[&Holding],
+    candidates: &[Candidate],
+    demand: &Demand,
+) -> Vec<Move> {
+    let mut loads = loads(table, candidates, demand);
+    let mut moves = Vec::new();
+    for holding in holdings {
+        divide(holding, candidates, &mut loads, demand, &mut moves);
     }
     moves
 }
 
+/// Assigns the keys of a holding in as many pieces as its load and size justify.
+fn divide(
+    holding: &Holding,
+    candidates: &[Candidate],
+    loads: &mut [Load<'_>],
+    demand: &Demand,
+    moves: &mut Vec<Move>,
+) {
+    let time = candidates.iter().map(|c| c.service_time / c.slots.max(1.0)).fold(0.0, f64::max);
+    let load = demand.rate(holding.first, holding.last) * time;
+    let by_load = (1..MAX_PIECES).find(|pieces| load <= f64::from(*pieces) * PIECE_UTILIZATION);
+    let pieces = by_load.unwrap_or(MAX_PIECES).max(holding.len() / PIECE_KEYS).min(MAX_PIECES);
+    assign(holding.first, holding.last, pieces, loads, demand, moves);
+}
+
 fn loads<'a>(table: &Table, candidates: &'a [Candidate], demand: &Demand) -> Vec<Load<'a>> {
     let rates = rates(table, demand);
     let mut keys: HashMap<&Incarnation, u32> = HashMap::new();
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -195,6 +195,12 @@
     /// A target stated its remaining warm-up time with a value that is not a number of milliseconds.
     241 Warn WarmupInvalid "warmup-invalid" { target: String, service: String, value: String }
         "target {target} of {service} stated a warm-up time of {value:?}, which is ignored"
+    /// The operator evacuated a failure domain.
+    242 Warn EvacuationBegan "evacuation-began" { domain: String, source: String }
+        "failure domain {domain} is evacuated, according to {source}; its targets get no more requests"
+    /// The operator ended the evacuation of a failure domain.
+    243 Info EvacuationEnded "evacuation-ended" { domain: String, source: String }
+        "failure domain {domain} is no longer evacuated, according to {source}"
 
     /// The instance acquired a group.
     301 Info GroupAcquired "group-acquired"
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -231,9 +231,14 @@
 
     /// Returns the registration to store, with the state `ready` or `draining`.
     pub fn registration(&self, state: &str) -> Value {
+        self.registration_in(state, "a")
+    }
+
+    /// Returns the registration in a failure domain.
+    pub fn registration_in(&self, state: &str, domain: &str) -> Value {
         json!({
             "address": self.address.to_string(),
-            "info": { "service": self.service, "version": "v1", "zone": "a", "capacity": 4 },
+            "info": { "service": self.service, "version": "v1", "zone": domain, "capacity": 4 },
             "status": { "state": state, "sequence": 1, "warmup_left_ms": self.shared.warmup_left_ms() },
             "born": self.born,
         })
