Keep the credits of a splitter across configuration changes

Cause: the credits of the weighted round robin were kept by position and in the old weights, and dropped when the number of services changed. After a change from 900000:100000 to 9:1, 20 of 20 requests went to the service with a tenth of the weight; while the order or the number of services changed often, the service with the small share got nothing.

Change: credits belong to a service and are scaled to the new weights, at most one request each. The share itself is unchanged: requests are counted when they arrive, so what one service refuses is not moved to another.

In crates/fleet/tests/tables.rs only a comment changed, which said that credits are reset.

--- a/bins/edge/tests/process/configuration.rs
+++ b/bins/edge/tests/process/configuration.rs
@@ -115,3 +115,29 @@
     wait(Duration::from_secs(5), "version 4", || cluster.get(0, "/version-4/x", "v").status == 200);
     assert!(cluster.journal.conflicts().is_empty());
 }
+
+/// Guards against requests that are moved to the other service of a route when one of them has no
+/// room: the other one would get more than its share, which the operator may have limited.
+#[test]
+fn what_does_not_fit_into_one_part_of_a_route_is_refused() {
+    let mut cluster = Cluster::start(1, 0, 1);
+    cluster.add_target("s0", "small", false);
+    cluster.targets[1].set_pause(Some("30"));
+    let mut split = configuration(2);
+    let small = serde_json::json!({ "name": "small", "max_connections": 100 });
+    split["services"].as_array_mut().unwrap().push(small);
+    split["virtual_hosts"][0]["paths"][0]["traffic_split"] = serde_json::json!([
+        { "service": "pool", "weight": 3 },
+        { "service": "small", "weight": 1 },
+    ]);
+    cluster.store.put("op/config", &split);
+    wait(APPLY_LIMIT, "version 2", || cluster.get(0, "/version-2/x", "v").status == 200);
+    let responses: Vec<_> =
+        (0..40).map(|index| cluster.get(0, "/read/x", &format!("part-{index}"))).collect();
+    let answered = responses.iter().filter(|response| response.status == 200).count();
+    assert_eq!(answered, 30);
+    for refused in responses.iter().filter(|response| response.status != 200) {
+        assert_eq!(refused.status, 503);
+        assert!(refused.header("retry-after").is_some());
+    }
+}
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -39,7 +39,7 @@
 }
 
 /// Share of a route's requests that one service gets.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Split {
     /// Name of the service.
     pub service: Arc<str>,
@@ -103,20 +103,32 @@
 /// Distributes the requests of a route over its services by smooth weighted round robin.
 ///
 /// Each request goes to the service that is furthest behind its share, so the shares hold over
-/// short runs of requests and not only on average.
+/// short runs of requests and not only on average. A request that its service refuses counts like
+/// any other: it is not moved to another service, which would get more than its share.
 #[derive(Clone, Debug, Default)]
 pub struct Splitter {
+    /// Splits for which the credits count.
+    splits: Vec<Split>,
+    /// For each split, how far its service is behind its share, in requests times the total weight.
     credit: Vec<i64>,
 }
 
+/// Returns the weight of a split, limited so that sums do not overflow.
+fn weight(split: &Split) -> i64 {
+    i64::try_from(split.weight).unwrap_or(i64::MAX).min(i64::MAX >> 16)
+}
+
+fn total_weight(splits: &[Split]) -> i64 {
+    splits.iter().map(weight).sum()
+}
+
 impl Splitter {
     /// Returns the index of the split that gets the next request.
     pub fn next(&mut self, splits: &[Split]) -> usize {
-        if self.credit.len() != splits.len() {
-            self.credit = vec![0; splits.len()];
+        if self.splits != splits {
+            self.adopt(splits);
         }
-        let weight = |split: &Split| i64::try_from(split.weight).unwrap_or(i64::MAX >> 16);
-        let total: i64 = splits.iter().map(weight).sum();
+        let total = total_weight(splits);
         let mut best = None;
         for (index, (credit, split)) in self.credit.iter_mut().zip(splits).enumerate() {
             *credit += weight(split);
@@ -130,4 +142,20 @@
         }
         index
     }
+
+    /// Adopts other splits. Each service keeps its credit, at most one request. Credits in the old
+    /// weights would send long runs of requests to one service if the new ones are smaller, and
+    /// without credits a service with a small share would get nothing while changes are frequent.
+    fn adopt(&mut self, splits: &[Split]) {
+        let before = i128::from(total_weight(&self.splits).max(1));
+        let total = total_weight(splits);
+        let credit = |split: &Split| {
+            let known = self.splits.iter().position(|known| known.service == split.service);
+            let credit = known.and_then(|index| self.credit.get(index)).copied().unwrap_or(0);
+            let scaled = i128::from(credit) * i128::from(total) / before;
+            i64::try_from(scaled).unwrap_or(0).clamp(-total, total)
+        };
+        self.credit = splits.iter().map(credit).collect();
+        self.splits = splits.to_vec();
+    }
 }
--- a/crates/fleet/tests/tables.rs
+++ b/crates/fleet/tests/tables.rs
@@ -345,6 +345,6 @@
         }
         assert_eq!(counts, [9, 1, 0]);
     }
-    // The credits are reset when the configuration has other splits.
+    // The configuration has one split left.
     assert_eq!(splitter.next(&splits[..1]), 0);
 }
