--- a/bins/edge/src/forward/selection.rs
+++ b/bins/edge/src/forward/selection.rs
@@ -167,7 +167,7 @@
         let member = registry
             .get(&incarnation.id)
             .filter(|member| member.target.incarnation == *incarnation)?;
-        let leaving = self.state.is_drained(member, Clock.now());
+        let leaving = self.state.is_barred(member, Clock.now());
         let target = (granted && !leaving).then(|| member.target.clone())?;
         let first = view.services.get(&self.service)?.span(key)?.first;
         self.state.unowned.borrow_mut().mark_served(&self.service, first);
@@ -271,7 +271,8 @@
     /// usable and have room. If the targets are divided among the instances, these are those of
     /// the share of this instance, or its spare ones if none of the share is usable. Falls back to
     /// ejected ones, then to usable ones that already failed this request, then to those that are
-    /// leaving but still serve.
+    /// leaving but still serve, then to those in an evacuated failure domain as long as the bound
+    /// allows.
     fn eligible<'r>(&self, registry: &'r Registry, now: Stamp) -> Result<Vec<&'r Member>, Reason> {
         let share = self.state.share(&self.service, now);
         let share = share.as_deref();
@@ -283,11 +284,18 @@
         let mut pause_end: Option<Stamp> = None;
         let limit = self.state.warmup_limit(&self.service);
         let mut warmup_end: Option<Stamp> = None;
+        let evacuations = self.state.evacuations.borrow();
+        let (mut evacuating, mut closed) = (Vec::new(), false);
         for member in registry.members().filter(|m| m.target.service == self.service) {
             let id = &member.target.incarnation.id;
             if self.state.is_drained(member, now) {
                 continue;
             }
+            let evacuated = evacuations.is_evacuated(&member.target.domain);
+            if evacuated && evacuations.is_closed(&member.target.domain, now) {
+                closed = true;
+                continue;
+            }
             let place = share.and_then(|share| share.place(id));
             if share.is_some() && place.is_none() && member.draining_since.is_none() {
                 continue;
@@ -306,6 +314,12 @@
             let is_usable = estimate.is_none_or(|estimate| estimate.is_usable(now));
             let has_room =
                 estimate.is_none_or(|estimate| self.has_room(estimate, &member.target, place, now));
+            if evacuated {
+                if has_room && !self.selected.contains(id) {
+                    evacuating.push(member);
+                }
+                continue;
+            }
             match (member.draining_since, self.selected.contains(id), is_usable) {
                 (Some(_), false, _) => leaving.push(member),
                 (None, false, true) if place.is_some_and(|place| place.spare) => {
@@ -325,7 +339,9 @@
         if usable.is_empty() && (full || spare_full && spare.is_empty()) {
             return Err(Reason::InFlightLimit);
         }
-        let members = [usable, spare, ejected, failed, leaving].into_iter().find(|m| !m.is_empty());
+        let members = [usable, spare, ejected, failed, leaving, evacuating]
+            .into_iter()
+            .find(|m| !m.is_empty());
         match members {
             Some(members) => Ok(members),
             None if warmup_end.is_some_and(|end| pause_end.is_none_or(|pause| end < pause)) => {
@@ -336,6 +352,7 @@
                 self.pause_end.set(pause_end);
                 Err(Reason::Paused)
             }
+            None if closed => Err(Reason::Evacuated),
             None if self.unsent > 0 => Err(Reason::Unreachable),
             None => Err(Reason::NoTarget),
         }
--- a/bins/edge/src/peers/message.rs
+++ b/bins/edge/src/peers/message.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use caraway_core::time::Stamp;
+use caraway_fleet::evacuation::Notice;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::membership::Target;
 use caraway_fleet::view::Change as OwnersChange;
@@ -48,6 +49,8 @@
     pub(super) crashes_received: Position,
     #[serde(default)]
     pub(super) departures: Departures,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) evacuations: Vec<Notice>,
     /// Whether the sender hears from no coordinator that is up to date.
     #[serde(default)]
     pub(super) seeking: bool,
@@ -90,6 +93,8 @@
     pub(super) crashes_sent: Position,
     #[serde(default)]
     pub(super) departures: Departures,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) evacuations: Vec<Notice>,
     /// Whether the responding instance is the coordinator.
     pub(super) leading: bool,
     /// Whether the responding instance is up to date with the store.
--- a/bins/edge/src/peers/report.rs
+++ b/bins/edge/src/peers/report.rs
@@ -39,6 +39,7 @@
         demand: demand.collect(),
         loads,
         departures: departures(state),
+        evacuations: state.evacuation_notices(),
         ..Report::default()
     }
 }
@@ -51,6 +52,7 @@
         revision: state.revision.get(),
         owners: state.view.borrow().version,
         departures: departures(state),
+        evacuations: state.evacuation_notices(),
         seeking: true,
         ..Report::default()
     }
@@ -90,6 +92,8 @@
         state.crashes.borrow().for_update(&report.name, report.crashes_received);
     merge_departures(state, report.departures, &report.name);
     update.departures = departures(state);
+    state.merge_evacuations(&report.evacuations, &report.name);
+    update.evacuations = state.evacuation_notices();
     if state.leading.get() {
         let mut reports = reports.borrow_mut();
         for (service, keys) in &report.demand {
--- a/bins/edge/src/peers/update.rs
+++ b/bins/edge/src/peers/update.rs
@@ -27,6 +27,7 @@
     }
     merge_crashes(state, update.crashes, peer);
     merge_departures(state, update.departures, peer);
+    state.merge_evacuations(&update.evacuations, peer);
     if let Some(change) = update.owner_change {
         state.apply_owner_change(change);
     }
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -33,6 +33,7 @@
 use caraway_fleet::backoff::Backoff;
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Splitter;
+use caraway_fleet::evacuation::Evacuations;
 use caraway_fleet::following::Following;
 use caraway_fleet::load::Estimate;
 use caraway_fleet::membership::Change;
@@ -172,6 +173,8 @@
     pub leader_changed: Notify,
     /// Pauses that targets have asked this instance for.
     pub pauses: RefCell<Pauses>,
+    /// Evacuations of failure domains.
+    pub evacuations: RefCell<Evacuations>,
     /// Shares of this instance in the requests to cold targets.
     pub warmup: RefCell<warmup::Shares>,
     /// Keys of entries in the store that cannot be read.
@@ -226,7 +229,9 @@
     /// Creates the initial state, without data from the store.
     pub fn new(settings: Settings) -> Self {
         let warmup = RefCell::new(warmup::Shares::new(settings.name.clone()));
+        let evacuations = RefCell::new(Evacuations::new(settings.evacuation_time));
         Self {
+            evacuations,
             warmup,
             pool: Pool::default(),
             metrics: Metrics::new(),
@@ -416,7 +421,11 @@
         let member = registry
             .get(&target.incarnation.id)
             .filter(|member| member.target.incarnation == target.incarnation);
-        member.is_some_and(|member| self.is_drained(member, now)).then_some(Reason::Leaving)
+        let member = member?;
+        if self.is_drained(member, now) {
+            return Some(Reason::Leaving);
+        }
+        self.is_barred(member, now).then_some(Reason::Evacuated)
     }
 
     /// Records that an incarnation of a target is unreachable or has ended. Requests that it broke
@@ -472,10 +481,12 @@
     pub fn share(&self, service: &Arc<str>, now: Stamp) -> Option<Arc<Share>> {
         let lists = || {
             let registry = self.registry.borrow();
+            let evacuations = self.evacuations.borrow();
             let listed = registry
                 .members()
                 .filter(|member| member.target.service == *service)
-                .filter(|member| member.draining_since.is_none());
+                .filter(|member| member.draining_since.is_none())
+                .filter(|member| !evacuations.is_evacuated(&member.target.domain));
             (listed.map(|member| member.target.clone()).collect(), self.domains())
         };
         self.shares.borrow_mut().get(service, &self.settings.name, lists, now)
--- a/bins/edge/src/sync.rs
+++ b/bins/edge/src/sync.rs
@@ -20,6 +20,7 @@
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
+use crate::evacuation;
 use crate::state::State;
 use crate::store::send;
 
@@ -217,6 +218,8 @@
 fn remove_unlisted(state: &State, seen: &HashSet<String>, outage: bool, revision: u64) {
     let listed = seen.iter().filter_map(|key| key.strip_prefix(target::PREFIX)).map(Into::into);
     state.reconcile_targets(&listed.collect(), outage, revision);
+    let evacuated = |domain: &str| seen.contains(&format!("{}{domain}", evacuation::PREFIX));
+    state.retain_evacuations(&evacuated, revision);
     let registered = |name: &str| seen.contains(&format!("{INSTANCE_PREFIX}{name}"));
     state.retain_instances(&registered, revision);
     if !seen.contains(COORDINATOR_KEY) {
@@ -253,6 +256,8 @@
                 Err(error) => state.ignore_entry(&item.key, &error.to_string()),
             },
         }
+    } else if let Some(domain) = item.key.strip_prefix(evacuation::PREFIX) {
+        state.apply_evacuation(domain, item.value.is_some(), item.revision);
     } else if let Some(name) = item.key.strip_prefix(INSTANCE_PREFIX) {
         let instance = item.value.as_deref().map(serde_json::from_slice);
         match instance.transpose() {
