Recover from an outage of the store with fewer full reads

Cause: when the store came back, instances other than deputies read everything themselves before a deputy had done so, since their own retry succeeded first.

Change: after an outage such an instance waits about 1 s for a source, then makes one call that shows whether the store responds, and reads everything only after about 2 s more. A deputy and the coordinator back off to at most 1 s instead of 2 s, and a deputy that hears that the store responds to another instance calls it at once.

--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -171,6 +171,10 @@
                 age: Duration::from_millis(update.age_ms),
             };
             let fresh = update.fresh;
+            if fresh && state.store_failing.get() && state.is_deputy() {
+                // The store responds to others, and this instance is the source of some.
+                state.store_recovered.notify_waiters();
+            }
             check_lag(state, update.revision);
             apply_update(state, update, peer);
             Some(state.follow(|following, deputy, now| {
--- a/bins/edge/src/state/source.rs
+++ b/bins/edge/src/state/source.rs
@@ -5,6 +5,7 @@
 
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
+use caraway_fleet::backoff;
 use caraway_fleet::following::Fleet;
 use caraway_fleet::following::Following;
 use caraway_fleet::following::Mode;
@@ -112,7 +113,9 @@
 
     /// Records that a call to the store failed.
     pub fn record_store_failure(&self) {
-        self.store_backoff.borrow_mut().record_failure(rand::random(), Clock.now());
+        let relied_on = self.leading.get() || self.is_deputy();
+        let max = if relied_on { backoff::MAX_DEPUTY_DELAY } else { backoff::MAX_DELAY };
+        self.store_backoff.borrow_mut().record_failure(max, rand::random(), Clock.now());
     }
 
     /// Waits until the store may be called again after a failure.
--- a/bins/edge/src/sync.rs
+++ b/bins/edge/src/sync.rs
@@ -53,13 +53,13 @@
 /// Time in which an instance that starts registers: it does so 700 ms after its start.
 const REGISTRATION_TIME: Duration = Duration::from_millis(900);
 
-/// Mean time for which an instance that has just started waits for another one to send everything:
-/// a deputy that starts at the same moment has read it by then.
-const START_TIME: Duration = Duration::from_secs(2);
+/// Mean time for which an instance waits for another one to send everything, once the store
+/// responds. A deputy calls the store every second at least and reads everything at once.
+const SOURCE_TIME: Duration = Duration::from_secs(2);
 
-/// Mean time for which an instance waits for another one to send everything after an outage of the
-/// store. A configuration has to be in force 2.5 s after it was acknowledged.
-const SOURCE_TIME: Duration = Duration::from_secs(1);
+/// Mean time for which an instance waits for another one during an outage of the store before it
+/// calls the store itself.
+const OUTAGE_TIME: Duration = Duration::from_secs(1);
 
 /// Interval of checks whether another instance has sent everything.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -147,6 +147,7 @@
 /// the store. Returns whether one has.
 async fn wait_for_source(state: &Rc<State>) -> Result<bool, String> {
     let started = state.revision.get() == 0;
+    let relied_on = || state.leading.get() || state.is_deputy();
     if started {
         discover(state).await?;
         if state.instances.borrow().is_empty() {
@@ -154,22 +155,27 @@
             sleep(REGISTRATION_TIME).await;
             discover(state).await?;
         }
+    } else if !relied_on() {
+        if poll_source(state, OUTAGE_TIME).await {
+            return Ok(true);
+        }
+        // Shows whether the store responds. If it does, deputies read everything soon.
+        discover(state).await?;
     }
     let others = state.instances.borrow().keys().any(|name| *name != state.settings.name);
     // A deputy is the source of others, unless it has just started beside a coordinator.
-    let waits = !state.is_deputy() || started && state.other_leader().is_some();
-    if state.leading.get() || !others || !waits {
-        return Ok(false);
-    }
-    let limit = if started { START_TIME } else { SOURCE_TIME };
+    let waits = !relied_on() || started && state.other_leader().is_some();
+    Ok(others && waits && poll_source(state, SOURCE_TIME).await)
+}
+
+/// Waits until another instance has sent everything, on average for `limit`. Returns whether one
+/// has.
+async fn poll_source(state: &State, limit: Duration) -> bool {
     let end = Clock.now() + limit.mul_f64(0.75 + 0.5 * rand::random::<f64>());
-    while Clock.now() < end && !state.leading.get() {
-        if state.synchronized.get() {
-            return Ok(true);
-        }
+    while Clock.now() < end && !state.leading.get() && !state.synchronized.get() {
         sleep(POLL_INTERVAL).await;
     }
-    Ok(state.synchronized.get())
+    state.synchronized.get()
 }
 
 /// Reads the coordinator's record and the first registrations of instances with one call, to find
--- a/crates/fleet/src/backoff.rs
+++ b/crates/fleet/src/backoff.rs
@@ -7,9 +7,13 @@
 /// Delay after the first failure.
 const FIRST_DELAY: Duration = Duration::from_millis(300);
 
-/// Longest delay. A configuration has to be in force 2.5 s after it was acknowledged, also if the
-/// store has just become available again.
-const MAX_DELAY: Duration = Duration::from_secs(2);
+/// Longest delay of an instance that others rely on. A configuration has to be in force 2.5 s after
+/// it was acknowledged, also if the store has just become available again: 0.9 s for a call that is
+/// lost, this delay, and the rest until the others have heard of it.
+pub const MAX_DEPUTY_DELAY: Duration = Duration::from_secs(1);
+
+/// Longest delay of other instances.
+pub const MAX_DELAY: Duration = Duration::from_secs(2);
 
 /// Smallest share of a delay that is waited. The jitter above it spreads the attempts of many
 /// instances that failed at the same moment.
@@ -23,14 +27,14 @@
 }
 
 impl Backoff {
-    /// Records a failure. Failures of attempts that overlap count once. `jitter` is a random number
-    /// from 0 to 1.
-    pub fn record_failure(&mut self, jitter: f64, now: Stamp) {
+    /// Records a failure. Failures of attempts that overlap count once. `max` is the longest delay,
+    /// `jitter` a random number from 0 to 1.
+    pub fn record_failure(&mut self, max: Duration, jitter: f64, now: Stamp) {
         if now < self.retry_at {
             return;
         }
         // Eight doublings exceed the longest delay.
-        let delay = FIRST_DELAY.saturating_mul(1 << self.failures.min(8)).min(MAX_DELAY);
+        let delay = FIRST_DELAY.saturating_mul(1 << self.failures.min(8)).min(max);
         self.failures += 1;
         let share = MIN_SHARE + (1.0 - MIN_SHARE) * jitter.clamp(0.0, 1.0);
         self.retry_at = now + delay.mul_f64(share);
