Send an instance only the loads of targets that it uses

Cause: each response to a report carried the load of every target of the services without keys, 202 rows for 122 instances, of which an instance uses a few since the targets are divided. Change: in divided services only the targets that the report names are included.

--- a/bins/edge/src/peers/report.rs
+++ b/bins/edge/src/peers/report.rs
@@ -1,6 +1,7 @@
 //! Reports: what an instance tells the coordinator, and what the response contains.
 
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -106,7 +107,8 @@
             reports.add_outcomes(target, *completed, *failed, now);
         }
         update.failing = reports.failing(now);
-        update.loads = pooled_loads(state, &reports, &report.name, now);
+        let used = report.loads.iter().map(|(target, ..)| target).collect();
+        update.loads = pooled_loads(state, &reports, &report.name, &used, now);
         update.shares.clone_from(&reports.admitted_shares);
     }
     if let Some(current) = state.active_configuration.borrow().as_ref()
@@ -132,11 +134,13 @@
 }
 
 /// Returns the load of targets of services without keys. For keyed services, where the owner of a
-/// key is the only choice, the admitted shares are sent instead.
+/// key is the only choice, the admitted shares are sent instead. If the targets of a service are
+/// divided among the instances, only those that the reporting instance has `used` are included.
 fn pooled_loads(
     state: &State,
     reports: &Reports,
     except: &str,
+    used: &HashSet<&Arc<str>>,
     now: Stamp,
 ) -> Vec<(Arc<str>, f64, f64)> {
     let registry = state.registry.borrow();
@@ -145,9 +149,15 @@
         let settings = configuration.as_ref().and_then(|current| current.services.get(service));
         settings.is_some_and(|service| service.keyed)
     };
-    let is_pooled = |id: &str| registry.get(id).is_some_and(|m| !is_keyed(&m.target.service));
+    let is_relevant = |id: &Arc<str>| {
+        let member = registry.get(id);
+        member.is_some_and(|m| {
+            let service = &m.target.service;
+            !is_keyed(service) && (used.contains(id) || !state.is_divided(service))
+        })
+    };
     let mut loads = reports.loads(except, now);
-    loads.retain(|(id, _, _)| is_pooled(id));
+    loads.retain(|(id, _, _)| is_relevant(id));
     loads
 }
 
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -492,6 +492,12 @@
         self.shares.borrow_mut().get(service, &self.settings.name, lists, now)
     }
 
+    /// Returns whether the targets of a service are divided among the instances, as far as requests
+    /// of this instance have shown.
+    pub fn is_divided(&self, service: &str) -> bool {
+        self.shares.borrow().is_divided(service)
+    }
+
     /// Calls a function with the load estimate of a target.
     pub fn with_estimate<T>(&self, id: &Arc<str>, operate: impl FnOnce(&mut Estimate) -> T) -> T {
         operate(self.estimates.borrow_mut().entry(id.clone()).or_default())
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -335,6 +335,11 @@
         computed.share.clone()
     }
 
+    /// Returns whether the targets of a service were divided when its share was last computed.
+    pub fn is_divided(&self, service: &str) -> bool {
+        self.services.get(service).is_some_and(|computed| computed.share.is_some())
+    }
+
     /// Returns the limit of the idle connections that this instance keeps to a target which accepts
     /// `accepted` connections, or `None` if the targets of its service are not divided.
     pub fn idle_connections(&self, target: &Target, accepted: usize) -> Option<usize> {
