--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -508,7 +508,10 @@
         }
         match opened {
             Ok(connection) => probing.keep_connection(&target, connection),
-            Err(_) => probing.record_crash(&target.incarnation, &target.service),
+            Err(_) => {
+                probing.suspect_cold(&target);
+                probing.record_crash(&target.incarnation, &target.service);
+            }
         }
     });
 }
--- a/bins/edge/tests/process/cluster.rs
+++ b/bins/edge/tests/process/cluster.rs
@@ -94,7 +94,7 @@
         time: Duration,
         max_arrivals: usize,
     ) {
-        let target = Target::start(id, service, false, &self.journal).unwrap();
+        let target = Target::start(id, service, service == "keyed", &self.journal).unwrap();
         target.make_cold(time, max_arrivals);
         self.store.put(&target.registration_key(), &target.registration("ready"));
         self.targets.push(target);
--- a/bins/edge/tests/process/warmup.rs
+++ b/bins/edge/tests/process/warmup.rs
@@ -15,11 +15,13 @@
 const RATE: f64 = 4.0;
 const BOUND: usize = 8;
 
-fn cluster(pool: usize, instances: usize) -> Cluster {
-    let cluster = Cluster::start(pool, 0, instances);
+fn cluster(pool: usize, keyed: usize, instances: usize) -> Cluster {
+    let cluster = Cluster::start(pool, keyed, instances);
     let mut limited = configuration(2);
-    limited["services"][1]["warmup_s"] = json!(3.0);
-    limited["services"][1]["warmup_per_s"] = json!(RATE);
+    for service in [0, 1] {
+        limited["services"][service]["warmup_s"] = json!(3.0);
+        limited["services"][service]["warmup_per_s"] = json!(RATE);
+    }
     cluster.store.put("op/config", &limited);
     for index in 0..instances {
         wait(Duration::from_secs(5), "configured", || {
@@ -62,7 +64,7 @@
 /// gets no requests while others are warm.
 #[test]
 fn a_cold_target_beside_a_warm_one_gets_few_requests_and_does_not_crash() {
-    let mut cluster = cluster(1, 2);
+    let mut cluster = cluster(1, 0, 2);
     cluster.add_cold_target("cold", "pool", Duration::from_secs(4), BOUND);
     load(&cluster, "mixed", Duration::from_secs(7));
     assert!(!cluster.targets[1].is_down());
@@ -73,7 +75,7 @@
 /// against refusals without a time at which callers should return.
 #[test]
 fn a_service_whose_targets_are_all_cold_serves_what_they_tolerate() {
-    let cluster = cluster(1, 2);
+    let cluster = cluster(1, 0, 2);
     let target = &cluster.targets[0];
     target.make_cold(Duration::from_secs(30), BOUND);
     cluster.store.put(&target.registration_key(), &target.registration("ready"));
@@ -87,9 +89,32 @@
 /// so.
 #[test]
 fn a_target_that_states_in_a_response_that_it_is_cold_gets_few_requests() {
-    let cluster = cluster(1, 1);
+    let cluster = cluster(1, 0, 1);
     cluster.targets[0].make_cold(Duration::from_secs(30), BOUND);
     load(&cluster, "stated", Duration::from_secs(3));
     assert!(!cluster.targets[0].is_down());
     assert!(cluster.instances[0].log().contains("target-cold"));
 }
+
+/// Guards against keys that move to a cold target, which cannot serve them, and against a target
+/// that gets none once it is warm.
+#[test]
+fn a_target_of_a_keyed_service_gets_keys_when_it_is_warm() {
+    let mut cluster = cluster(1, 2, 1);
+    cluster.wait_owned(0);
+    let cold_time = Duration::from_secs(4);
+    cluster.add_cold_target("cold", "keyed", cold_time, BOUND);
+    let start = Instant::now();
+    let owned = || {
+        (0..16_u16).any(|index| {
+            let response = cluster.get_key(0, index * 4096, "key");
+            response.status == 200 && response.body.starts_with("cold")
+        })
+    };
+    while start.elapsed() < cold_time - Duration::from_millis(300) {
+        assert!(!owned(), "keys after {:?}", start.elapsed());
+        thread::sleep(Duration::from_millis(50));
+    }
+    wait(Duration::from_secs(8), "keys at the warm target", owned);
+    assert!(cluster.journal.conflicts().is_empty());
+}
--- a/crates/fleet/tests/warmup.rs
+++ b/crates/fleet/tests/warmup.rs
@@ -16,6 +16,7 @@
 
 use caraway_core::time::Stamp;
 use caraway_fleet::membership::Incarnation;
+use caraway_fleet::membership::Registry;
 use caraway_fleet::membership::Target;
 use caraway_fleet::ownership::Holding;
 use caraway_fleet::ownership::Table;
@@ -418,3 +419,26 @@
     let expected: Vec<Incarnation> = expected.iter().map(|index| incarnation(*index, 0)).collect();
     assert_eq!(chosen, expected);
 }
+
+/// Guards against a target that counts as cold for the whole time again at each instance that gets
+/// its entry from another one, and against a statement for another target.
+#[test]
+fn the_remaining_warm_up_time_follows_the_latest_statement() {
+    let start = Stamp::from_millis(1_000_000);
+    let mut registry = Registry::default();
+    registry.put(Target { warmup: Duration::from_secs(3), ..target(0) }, start);
+    let later = start + Duration::from_secs(2);
+    let left = |registry: &Registry, now| registry.get("t-0").unwrap().entry(now).warmup;
+    assert_eq!(left(&registry, later), Duration::from_secs(1));
+    assert!(!registry.record_warmup("t-1", Duration::from_secs(9), later));
+    assert!(!registry.record_warmup("t-0", Duration::from_millis(500), later));
+    assert_eq!(left(&registry, later), Duration::from_millis(500));
+    let warm = later + Duration::from_millis(600);
+    assert_eq!(left(&registry, warm), Duration::ZERO);
+    // It turns cold again.
+    assert!(registry.record_warmup("t-0", Duration::from_secs(3), warm));
+    assert_eq!(left(&registry, warm), Duration::from_secs(3));
+    // An entry that says that it is warm ends the warm-up.
+    registry.put(target(0), warm);
+    assert_eq!(left(&registry, warm), Duration::ZERO);
+}
