Recognize crashing requests by their caller as well

Cause: the quarantine knew a request by method, path and body only. An answer to any other caller of the same path cleared the suspicion, and once a request was refused, all callers of the path were.

Change: suspicions, crashes and reports between instances carry the caller, the address of the client connection's peer. A completion clears its own caller only. A report of another instance does not implicate a caller again that was cleared of the same crash.

The instances asked for a probe that they never ended, so the map of probes grew; they use Quarantine::refuses now. caraway-entry and caraway-relay pass no caller and judge by content as before.

Literals in existing tests follow the renamed field; their checks are unchanged.

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -20,8 +20,9 @@
 use tokio::time::timeout_at;
 
 use caraway_adapter::header as field;
+use caraway_call::quarantine::Caller;
 use caraway_call::quarantine::Fingerprint;
-use caraway_call::quarantine::Verdict;
+use caraway_call::quarantine::Identity;
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
 use caraway_core::time::millis;
@@ -83,6 +84,8 @@
     pub body: Bytes,
     /// Id of the caller's attempt.
     pub id: Arc<str>,
+    /// The caller, as the quarantine knows it.
+    pub caller: Caller,
     /// Time at which its head was read.
     pub received: Instant,
 }
@@ -111,8 +114,8 @@
     /// Whether the route is more urgent than the least urgent route of the service.
     urgent: bool,
     deadline: Instant,
-    /// Identifies equal requests in the quarantine.
-    fingerprint: Fingerprint,
+    /// Identifies equal requests of a caller in the quarantine.
+    identity: Identity,
     /// Ids of the targets selected so far.
     selected: Vec<Arc<str>>,
     /// Number of selected targets to which the request could not be sent.
@@ -182,7 +185,7 @@
             key,
             urgent,
             deadline: request.received + time_limit,
-            fingerprint: fingerprint(request),
+            identity: identity(request),
             selected: Vec::new(),
             unsent: 0,
             pause_end: Cell::new(None),
@@ -202,7 +205,7 @@
     async fn run(&mut self) -> Response<Body> {
         loop {
             let now = Clock.now();
-            if self.state.quarantine.borrow_mut().admit(self.fingerprint, now) == Verdict::Refuse {
+            if self.state.quarantine.borrow().refuses(self.identity, now) {
                 emit(Event::RequestQuarantined {
                     request_id: self.request.id.to_string(),
                     route: self.route.name.to_string(),
@@ -354,7 +357,7 @@
         let now = Clock.now();
         if self.state.suspicions.borrow_mut().record_disconnect(
             &target.incarnation,
-            self.fingerprint,
+            self.identity,
             now,
         ) {
             probe_target(self.state, target);
@@ -515,8 +518,10 @@
     head.headers.get(name)?.to_str().ok()
 }
 
-/// Returns the fingerprint by which the quarantine identifies equal requests.
-fn fingerprint(request: &Request) -> Fingerprint {
+/// Returns the content and the caller by which the quarantine identifies equal requests.
+fn identity(request: &Request) -> Identity {
     let path = request.parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    Fingerprint::new(request.parts.method.as_str(), path, Some(&request.body))
+    let method = request.parts.method.as_str();
+    let fingerprint = Fingerprint::new(method, path, Some(&request.body));
+    Identity { fingerprint, caller: request.caller }
 }
--- a/bins/edge/src/ingress.rs
+++ b/bins/edge/src/ingress.rs
@@ -39,6 +39,7 @@
 use tokio::time::sleep_until;
 
 use caraway_adapter::header as field;
+use caraway_call::quarantine::Caller;
 use caraway_core::time::Clock;
 use caraway_fleet::reports::Reports;
 use caraway_telemetry::event::Event;
@@ -72,6 +73,8 @@
 /// Activity of a caller's connection, for its timeouts.
 #[derive(Debug)]
 struct Activity {
+    /// The caller, as the quarantine knows it.
+    caller: Caller,
     /// Number of requests in flight.
     in_flight: Cell<u32>,
     /// Time at which bytes last arrived or a response ended.
@@ -188,7 +191,9 @@
         emit(Event::CallerInvalid { address: String::new(), problem: error.to_string() });
         return;
     }
+    let peer = stream.peer_addr().ok().map(|address| address.ip());
     let activity = Rc::new(Activity {
+        caller: peer.into(),
         in_flight: Cell::new(0),
         last_active: Cell::new(Instant::now()),
         head_started: Cell::new(None),
@@ -277,7 +282,7 @@
 ) -> Response<Body> {
     let received = Instant::now();
     let _in_flight = InFlight::begin(state, activity);
-    let mut response = receive_and_forward(state, request, received).await;
+    let mut response = receive_and_forward(state, activity.caller, request, received).await;
     if state.stopping.get() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -287,6 +292,7 @@
 
 async fn receive_and_forward(
     state: &Rc<State>,
+    caller: Caller,
     request: Request<Incoming>,
     received: Instant,
 ) -> Response<Body> {
@@ -304,7 +310,7 @@
         }
         Err(_) => return response::plain(StatusCode::BAD_REQUEST, "the body ended early"),
     };
-    let request = forward::Request { parts, body, id, received };
+    let request = forward::Request { parts, body, id, caller, received };
     forward::serve(state, &request).await
 }
 
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -9,6 +9,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -25,6 +26,7 @@
 use caraway_call::quarantine;
 use caraway_call::quarantine::Crash;
 use caraway_call::quarantine::Fingerprint;
+use caraway_call::quarantine::Identity;
 use caraway_core::name;
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
@@ -101,8 +103,9 @@
     departures: Departures,
 }
 
-/// Crashes: fingerprint of the request, target, start time of its incarnation, and age in milliseconds.
-type Crashes = Vec<(u64, Arc<str>, u64, u64)>;
+/// Crashes: fingerprint of the request, target, start time of its incarnation, age in milliseconds, and
+/// address of the caller if it is known.
+type Crashes = Vec<(u64, Arc<str>, u64, u64, Option<IpAddr>)>;
 
 /// Targets that have recently announced their departure, and the milliseconds since.
 type Departures = Vec<(Incarnation, u64)>;
@@ -301,16 +304,17 @@
     let reports = state.quarantine.borrow().reports(now);
     let row = |report: quarantine::Report| {
         let target = report.crash.target.as_str().into();
-        (report.fingerprint.0, target, report.crash.incarnation, millis(report.age))
+        let Identity { fingerprint, caller } = report.request;
+        (fingerprint.0, target, report.crash.incarnation, millis(report.age), caller.address())
     };
     reports.into_iter().map(row).collect()
 }
 
 fn merge_crashes(state: &State, crashes: Crashes) {
     let now = Clock.now();
-    for (fingerprint, target, incarnation, age) in crashes {
+    for (fingerprint, target, incarnation, age, caller) in crashes {
         let report = quarantine::Report {
-            fingerprint: Fingerprint(fingerprint),
+            request: Identity { fingerprint: Fingerprint(fingerprint), caller: caller.into() },
             crash: Crash { target: name::Target::new(&target), incarnation },
             age: Duration::from_millis(age),
         };
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -502,14 +502,14 @@
     /// off shortly before are suspected as the cause.
     pub fn record_crash(&self, incarnation: &Incarnation, service: &str) {
         let now = Clock.now();
-        for fingerprint in self.suspicions.borrow_mut().record_crash(incarnation, now) {
+        for request in self.suspicions.borrow_mut().record_crash(incarnation, now) {
             let crash =
                 Crash { target: name::Target::new(&incarnation.id), incarnation: incarnation.born };
-            self.quarantine.borrow_mut().record_crash(fingerprint, crash, now);
+            self.quarantine.borrow_mut().record_crash(request, crash, now);
             emit(Event::TargetCrashed {
                 target: incarnation.id.to_string(),
                 service: service.to_owned(),
-                request: format!("{:016x}", fingerprint.0),
+                request: format!("{:016x}", request.fingerprint.0),
             });
         }
     }
--- a/bins/edge/tests/process/responses.rs
+++ b/bins/edge/tests/process/responses.rs
@@ -267,3 +267,40 @@
         assert_eq!(cluster.get(index, "/read/x", "after").status, 200);
     }
 }
+
+/// Guards against a request that crashes target after target because another caller's request with
+/// the same method, path and body completes in between, and against refusing that other caller.
+#[test]
+fn a_crashing_request_is_recognized_by_its_caller() {
+    let cluster = Cluster::start(18, 0, 2);
+    let crashing = [DEADLINE, ("x-crash", "1")];
+    let call = |index: usize, source: &str, headers: &[(&str, &str)], attempt: &str| {
+        let address = cluster.instances[index].caller_address;
+        let mut caller = Caller::open_from(source.parse().unwrap(), address).unwrap();
+        caller.call("GET", "/read/x", attempt, headers).unwrap()
+    };
+    let mut refused = 0;
+    for attempt in 0..8 {
+        let response = call(attempt % 2, "127.0.0.2", &crashing, &format!("crash-{attempt}"));
+        refused += usize::from(response.body.contains("crashed target after target"));
+        thread::sleep(Duration::from_millis(900));
+        for index in 0..2 {
+            let id = format!("other-{attempt}-{index}");
+            // Targets that have just crashed are still tried now and then.
+            wait(Duration::from_secs(3), "served", || {
+                let response = call(index, "127.0.0.3", &[DEADLINE], &id);
+                assert!(!response.body.contains("crashed target after target"), "{response:?}");
+                response.status == 200
+            });
+        }
+    }
+    let crashed: std::collections::HashSet<String> = cluster
+        .journal
+        .runs()
+        .into_iter()
+        .filter(|run| run.attempt.starts_with("crash-"))
+        .map(|run| run.target)
+        .collect();
+    assert!(crashed.len() <= 4, "{crashed:?}");
+    assert!(refused >= 3, "{refused}");
+}
--- a/bins/entry/src/control/membership.rs
+++ b/bins/entry/src/control/membership.rs
@@ -153,7 +153,7 @@
         let reports = self.context.router.quarantine().reports(now);
         let recent = reports.into_iter().filter(|report| report.age < MAX_CRASH_AGE);
         let message = |report: quarantine::Report| peer::Crash {
-            fingerprint: report.fingerprint.0,
+            fingerprint: report.request.fingerprint.0,
             target: report.crash.target.to_string(),
             incarnation: report.crash.incarnation,
             age_ms: u64::try_from(report.age.as_millis()).unwrap_or(u64::MAX),
@@ -216,7 +216,7 @@
     fn merge_crashes(&self, crashes: &[peer::Crash]) {
         for crash in crashes {
             let report = quarantine::Report {
-                fingerprint: quarantine::Fingerprint(crash.fingerprint),
+                request: quarantine::Fingerprint(crash.fingerprint).into(),
                 crash: quarantine::Crash {
                     target: name::Target::new(&crash.target),
                     incarnation: crash.incarnation,
--- a/crates/call/src/quarantine.rs
+++ b/crates/call/src/quarantine.rs
@@ -3,14 +3,33 @@
 //! When a target crashes, every request that was in flight to it becomes a suspect. Suspects of the
 //! same crash run one at a time, so that another crash is attributed to the request that caused it,
 //! and not to requests that happened to share a target with it twice.
+//!
+//! Requests of the same content can differ in what the content does not cover, such as header fields.
+//! A crash is therefore attributed to the caller as well, and a completion clears only what its own
+//! caller is suspected of. Addresses of callers may not be stable: once several callers are
+//! implicated, the content decides, until a request of the same content by another caller completes.
 
+use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use caraway_core::name;
 use caraway_core::shard;
 use caraway_core::time::Stamp;
 
+/// Maximum number of crashes that are kept for a content. Several callers with the crashes after which
+/// each is refused fit in.
+const MAX_INCIDENTS: usize = 8;
+
+/// Maximum number of callers that are kept for a crash and a content. Two are enough to judge by the
+/// content.
+const MAX_CALLERS: usize = 4;
+
+/// Difference above which two reports without an incarnation are about different crashes of a
+/// target: reports arrive with the delay of the network, and no target restarts this fast.
+const REPORT_DELAY: Duration = Duration::from_secs(1);
+
 /// Settings of a quarantine.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -47,6 +66,47 @@
     }
 }
 
+/// Sender of a request.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Caller {
+    /// The sender is not known, so that only the content identifies the request.
+    #[default]
+    Unknown,
+    /// Address of the client connection's peer, without the port.
+    Address(IpAddr),
+}
+
+impl From<Option<IpAddr>> for Caller {
+    fn from(address: Option<IpAddr>) -> Self {
+        address.map_or(Self::Unknown, |address| Self::Address(address.to_canonical()))
+    }
+}
+
+impl Caller {
+    /// Returns the address, if the sender is known.
+    pub fn address(self) -> Option<IpAddr> {
+        match self {
+            Self::Unknown => None,
+            Self::Address(address) => Some(address),
+        }
+    }
+}
+
+/// Identity of a request: its content and its sender.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Identity {
+    /// Content of the request.
+    pub fingerprint: Fingerprint,
+    /// Sender of the request.
+    pub caller: Caller,
+}
+
+impl From<Fingerprint> for Identity {
+    fn from(fingerprint: Fingerprint) -> Self {
+        Self { fingerprint, caller: Caller::Unknown }
+    }
+}
+
 /// A crash of a target.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Crash {
@@ -70,7 +130,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Report {
     /// Request that was in flight.
-    pub fingerprint: Fingerprint,
+    pub request: Identity,
     /// The crash.
     pub crash: Crash,
     /// Time since the crash.
@@ -90,12 +150,90 @@
     Refuse,
 }
 
+/// A crash with requests of one content in flight.
+#[derive(Debug)]
+struct Incident {
+    crash: Crash,
+    at: Stamp,
+    /// Callers of the requests.
+    implicated: Vec<Caller>,
+    /// Callers whose requests have completed since.
+    cleared: Vec<Caller>,
+    /// Whether the content alone may be the cause: no request of the same content by another caller
+    /// has completed since.
+    by_content: bool,
+}
+
+/// Crashes with requests of one content in flight.
 #[derive(Debug)]
 struct Suspect {
-    crashes: Vec<Crash>,
+    incidents: Vec<Incident>,
     last_crash: Stamp,
 }
 
+impl Incident {
+    /// Adds a caller to a known crash, unless the caller has been cleared of it.
+    fn implicate(&mut self, caller: Caller, crash: &Crash, at: Stamp) {
+        let unknown = self.crash.incarnation == 0 || crash.incarnation == 0;
+        self.crash.incarnation = self.crash.incarnation.max(crash.incarnation);
+        if unknown && at.since(self.at) > REPORT_DELAY {
+            self.cleared.clear();
+            self.by_content = true;
+        }
+        self.at = self.at.max(at);
+        let known = self.implicated.contains(&caller) || self.cleared.contains(&caller);
+        if !known && self.implicated.len() < MAX_CALLERS {
+            self.implicated.push(caller);
+        }
+    }
+}
+
+impl Suspect {
+    /// Returns the crashes that count against a caller.
+    fn counting(&self, caller: Caller) -> impl Iterator<Item = &Incident> {
+        let by_content = self.incidents.iter().filter(|incident| incident.by_content);
+        let callers: BTreeSet<Caller> =
+            by_content.flat_map(|incident| incident.implicated.iter().copied()).collect();
+        let several = callers.len() > 1 || callers.contains(&Caller::Unknown);
+        let counts = move |incident: &&Incident| {
+            let content = incident.by_content && several || caller == Caller::Unknown;
+            !incident.implicated.is_empty() && (content || incident.implicated.contains(&caller))
+        };
+        self.incidents.iter().filter(counts)
+    }
+
+    /// Clears a caller of all crashes, and the content of those of other callers. Returns true if
+    /// anything changed.
+    fn clear(&mut self, caller: Caller) -> bool {
+        let mut changed = false;
+        for incident in &mut self.incidents {
+            if let Some(index) = incident.implicated.iter().position(|known| *known == caller) {
+                incident.implicated.remove(index);
+                if incident.cleared.len() < MAX_CALLERS {
+                    incident.cleared.push(caller);
+                }
+                changed = true;
+            } else {
+                changed |= std::mem::take(&mut incident.by_content);
+            }
+        }
+        changed
+    }
+
+    /// Makes room for one crash: removes the oldest one that implicates nobody, or else the oldest.
+    fn make_room(&mut self) {
+        if self.incidents.len() < MAX_INCIDENTS {
+            return;
+        }
+        let ranked =
+            |(_, incident): &(usize, &Incident)| (!incident.implicated.is_empty(), incident.at);
+        let oldest = self.incidents.iter().enumerate().min_by_key(ranked);
+        if let Some(index) = oldest.map(|(index, _)| index) {
+            self.incidents.remove(index);
+        }
+    }
+}
+
 /// The suspects known to one instance.
 #[derive(Debug)]
 pub struct Quarantine {
@@ -121,17 +259,28 @@
         self.suspects.is_empty()
     }
 
+    /// Returns whether a request was in flight during too many crashes.
+    pub fn refuses(&self, request: Identity, now: Stamp) -> bool {
+        let suspect = self.suspects.get(&request.fingerprint);
+        suspect.is_some_and(|suspect| {
+            now.since(suspect.last_crash) < self.options.retention
+                && suspect.counting(request.caller).count() >= self.options.max_crashes
+        })
+    }
+
     /// Decides whether a request may run now.
-    pub fn admit(&mut self, fingerprint: Fingerprint, now: Stamp) -> Verdict {
+    pub fn admit(&mut self, request: impl Into<Identity>, now: Stamp) -> Verdict {
+        let Identity { fingerprint, caller } = request.into();
         let Some(suspect) = self.suspects.get(&fingerprint) else { return Verdict::Run };
         if now.since(suspect.last_crash) >= self.options.retention {
             self.suspects.remove(&fingerprint);
             return Verdict::Run;
         }
-        if suspect.crashes.len() >= self.options.max_crashes {
+        if suspect.counting(caller).count() >= self.options.max_crashes {
             return Verdict::Refuse;
         }
-        let Some(crash) = suspect.crashes.first() else { return Verdict::Run };
+        let first = suspect.counting(caller).next();
+        let Some(crash) = first.map(|incident| &incident.crash) else { return Verdict::Run };
         let being_probed = self.probes.values().any(|running| running.may_be_same(crash));
         if being_probed || self.probes.contains_key(&fingerprint) {
             return Verdict::Wait;
@@ -145,25 +294,24 @@
         self.probes.remove(&fingerprint);
     }
 
-    /// Records that a request completed. Clears a suspect with too few crashes to be refused, and returns
-    /// true if it did.
-    pub fn record_completion(&mut self, fingerprint: Fingerprint) -> bool {
-        let below_limit = |suspect: &Suspect| suspect.crashes.len() < self.options.max_crashes;
-        let cleared = self.suspects.get(&fingerprint).is_some_and(below_limit);
-        if cleared {
-            self.suspects.remove(&fingerprint);
-        }
-        cleared
+    /// Records that a request completed. Clears its caller of the crashes with this content, and the
+    /// content of those of other callers, unless the caller is to be refused. Returns true if
+    /// anything changed.
+    pub fn record_completion(&mut self, request: impl Into<Identity>) -> bool {
+        let Identity { fingerprint, caller } = request.into();
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return false };
+        let below_limit = suspect.counting(caller).count() < self.options.max_crashes;
+        below_limit && suspect.clear(caller)
     }
 
     /// Records that a target crashed, or is believed to have crashed, with a request in flight.
-    pub fn record_crash(&mut self, fingerprint: Fingerprint, crash: Crash, now: Stamp) {
-        self.merge(Report { fingerprint, crash, age: Duration::ZERO }, now);
+    pub fn record_crash(&mut self, request: impl Into<Identity>, crash: Crash, now: Stamp) {
+        self.merge(Report { request: request.into(), crash, age: Duration::ZERO }, now);
     }
 
-    /// Merges a report of another instance.
+    /// Merges a report of another instance. A caller that was cleared of the crash stays so.
     pub fn merge(&mut self, report: Report, now: Stamp) {
-        let Report { fingerprint, crash, age } = report;
+        let Report { request: Identity { fingerprint, caller }, crash, age } = report;
         if age >= self.options.retention {
             return;
         }
@@ -171,33 +319,40 @@
             self.make_room(now);
         }
         let at = now - age;
-        let new = || Suspect { crashes: Vec::new(), last_crash: at };
+        let new = || Suspect { incidents: Vec::new(), last_crash: at };
         let suspect = self.suspects.entry(fingerprint).or_insert_with(new);
-        let known = suspect.crashes.iter_mut().find(|known| known.may_be_same(&crash));
+        suspect.last_crash = suspect.last_crash.max(at);
+        let known = suspect.incidents.iter_mut().find(|known| known.crash.may_be_same(&crash));
         if let Some(known) = known {
-            known.incarnation = known.incarnation.max(crash.incarnation);
-        } else if suspect.crashes.len() < self.options.max_crashes {
-            suspect.crashes.push(crash);
+            known.implicate(caller, &crash, at);
+            return;
         }
-        suspect.last_crash = suspect.last_crash.max(at);
+        suspect.make_room();
+        let implicated = vec![caller];
+        let incident = Incident { crash, at, implicated, cleared: Vec::new(), by_content: true };
+        suspect.incidents.push(incident);
     }
 
     /// Removes the reports of a crash whose incarnation turned out to be alive.
     pub fn retract(&mut self, alive: &Crash) {
         for suspect in self.suspects.values_mut() {
-            suspect.crashes.retain(|crash| !crash.may_be_same(alive));
+            suspect.incidents.retain(|incident| !incident.crash.may_be_same(alive));
         }
-        self.suspects.retain(|_, suspect| !suspect.crashes.is_empty());
+        self.suspects.retain(|_, suspect| !suspect.incidents.is_empty());
     }
 
     /// Returns all reports, to be sent to other instances.
     pub fn reports(&self, now: Stamp) -> Vec<Report> {
-        let reports_of = |(fingerprint, suspect): (&Fingerprint, &Suspect)| {
-            let (fingerprint, age) = (*fingerprint, now.since(suspect.last_crash));
-            let report = move |crash: &Crash| Report { fingerprint, crash: crash.clone(), age };
-            suspect.crashes.iter().map(report).collect::<Vec<_>>()
-        };
-        self.suspects.iter().flat_map(reports_of).collect()
+        let mut reports = Vec::new();
+        for (fingerprint, suspect) in &self.suspects {
+            for Incident { crash, at, implicated, .. } in &suspect.incidents {
+                for caller in implicated {
+                    let request = Identity { fingerprint: *fingerprint, caller: *caller };
+                    reports.push(Report { request, crash: crash.clone(), age: now.since(*at) });
+                }
+            }
+        }
+        reports
     }
 
     /// Removes the suspects whose retention has passed.
--- a/crates/call/tests/quarantine.rs
+++ b/crates/call/tests/quarantine.rs
@@ -134,13 +134,14 @@
 fn reports_of_one_crash_count_once() {
     let mut quarantine = Quarantine::new(Options::default());
     let fingerprint = Fingerprint(1);
+    let request = fingerprint.into();
     for incarnation in [0, 7, 0, 7] {
         let age = Duration::from_secs(1);
-        quarantine.merge(Report { fingerprint, crash: crash(1, incarnation), age }, at(5));
+        quarantine.merge(Report { request, crash: crash(1, incarnation), age }, at(5));
     }
     assert_eq!(quarantine.admit(fingerprint, at(5)), Verdict::Probe);
     quarantine.end_probe(fingerprint);
-    quarantine.merge(Report { fingerprint, crash: crash(1, 9), age: Duration::ZERO }, at(5));
+    quarantine.merge(Report { request, crash: crash(1, 9), age: Duration::ZERO }, at(5));
     assert_eq!(quarantine.admit(fingerprint, at(5)), Verdict::Refuse);
 }
 
@@ -161,6 +162,7 @@
         quarantine.record_crash(Fingerprint(number), crash(1, 7), at(number));
     }
     assert_eq!(quarantine.len(), 10);
-    let held: HashSet<_> = quarantine.reports(at(100)).iter().map(|r| r.fingerprint.0).collect();
+    let held: HashSet<_> =
+        quarantine.reports(at(100)).iter().map(|r| r.request.fingerprint.0).collect();
     assert_eq!(held, (90..100).collect());
 }
--- a/crates/relay/tests/faults.rs
+++ b/crates/relay/tests/faults.rs
@@ -222,10 +222,10 @@
     let target = Target::start(move |received, _| Action::Late(wait, ok(received, "fine"))).await;
     let entry = Entry::with_targets(&[&target, &target, &target]).await;
     let body = Some(&b""[..]);
-    let fingerprint = caraway_call::quarantine::Fingerprint::new("GET", "/ordenes/s", body);
+    let request = caraway_call::quarantine::Fingerprint::new("GET", "/ordenes/s", body).into();
     let crash = caraway_call::quarantine::Crash { target: target_name(9), incarnation: 1 };
     let age = Duration::ZERO;
-    entry.router.merge_crash(caraway_call::quarantine::Report { fingerprint, crash, age });
+    entry.router.merge_crash(caraway_call::quarantine::Report { request, crash, age });
     let probes = async {
         sleep(Duration::from_millis(50)).await;
         target.count()
--- a/standins/production/src/caller.rs
+++ b/standins/production/src/caller.rs
@@ -5,10 +5,15 @@
 use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::time::Duration;
 
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+
 /// A response with its complete body.
 #[derive(Clone, Debug, Default)]
 pub struct Response {
@@ -46,6 +51,21 @@
         Ok(Self { stream: BufReader::new(stream) })
     }
 
+    /// Opens a connection from a local address, such as another loopback address.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`Caller::open`], or if the local address cannot be used.
+    pub fn open_from(source: IpAddr, address: SocketAddr) -> io::Result<Self> {
+        let domain = Domain::for_address(address);
+        let socket = Socket::new(domain, Type::STREAM, None)?;
+        socket.bind(&SocketAddr::new(source, 0).into())?;
+        socket.connect_timeout(&address.into(), Duration::from_secs(1))?;
+        let stream = TcpStream::from(socket);
+        stream.set_read_timeout(Some(Duration::from_secs(10)))?;
+        Ok(Self { stream: BufReader::new(stream) })
+    }
+
     /// Sends a request without waiting for its response. `attempt` is the id of the attempt.
     /// A `content-length` is sent for POST only.
     ///
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -520,7 +520,7 @@
         thread::sleep(Duration::from_millis(20));
     }
     let encoded = http::response(status, &headers, body.as_bytes());
-    if has("crash") {
+    if has("crash") || request.header("x-crash").is_some() {
         shared.crash();
         return Ok(false);
     }
