Keep pauses of targets for as long as they ask, up to an hour

Cause: a pause of more than 60 s was cut to 60 s, but a target wants nothing from the instance for as long as it says.

Change: pauses are kept in full up to an hour; a longer one is taken for an error and kept for an hour. After one and after ten minutes a single repeatable request may be sent as a probe. An answer to it ends the pause, and the refusal of a probe replaces its end, so one wrong header field costs a target a minute. Orders are never probes.

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -126,6 +126,8 @@
     caller_deadline: Instant,
     /// Whether the admission control of the key's owner has already decided.
     admission_decided: Cell<bool>,
+    /// Whether the current attempt is a probe in a pause of its target.
+    probing: Cell<bool>,
     /// Whether any attempt may have been executed.
     may_have_executed: bool,
     /// Reason for which the latest attempt failed.
@@ -192,6 +194,7 @@
             caller_deadline: request.received
                 + requested.map_or(route.timeout, Duration::from_millis).min(MAX_CALLER_WAIT),
             admission_decided: Cell::new(false),
+            probing: Cell::new(false),
             may_have_executed: false,
             last_reason: Reason::NoTarget,
         })
@@ -310,11 +313,13 @@
             }
         };
         // While the connection was opened, the target may have asked for a pause or have left.
-        if let Some(reason) = self.state.exclusion(target) {
+        if let Some(reason) = self.state.exclusion(target, self.route.repeatable) {
             attempt.end(Outcome::Deferred);
             self.state.keep_connection(target, connection);
             return Completion::Unsent(reason);
         }
+        let probe = self.state.pauses.borrow_mut().begin_probe(&target.incarnation, Clock.now());
+        self.probing.set(probe);
         connection.reset_on_close();
         let message = self.encode(target);
         let until = self.deadline + DEADLINE_GRACE;
@@ -393,6 +398,9 @@
             connection.record_refusal(repeated.then_some(&self.request.id));
         }
         let paused = self.observe(target, &head, &mut connection);
+        if self.probing.get() && !not_executed {
+            self.state.pauses.borrow_mut().record_probe_answer(&target.incarnation);
+        }
         let load = header_text(&head, field::LOAD).and_then(field::parse_load);
         self.state.with_estimate(&target.incarnation.id, |estimate| {
             let (running, waiting, slots) = load.unwrap_or_default();
@@ -478,7 +486,7 @@
         let Some(value) = asked else { return false };
         match value.to_str().ok().and_then(field::parse_pause) {
             Some(asked) => {
-                self.state.record_pause(target, asked);
+                self.state.record_pause(target, asked, self.probing.get());
                 true
             }
             None => {
--- a/bins/edge/src/forward/selection.rs
+++ b/bins/edge/src/forward/selection.rs
@@ -95,7 +95,9 @@
                 continue;
             }
             let now = Clock.now();
-            if let Some(end) = self.state.pauses.borrow().end(&target.incarnation, now) {
+            if let Some(end) =
+                self.state.pauses.borrow().next(&target.incarnation, self.route.repeatable, now)
+            {
                 self.pause_end.set(Some(end));
                 return Err(Reason::Paused);
             }
@@ -234,7 +236,7 @@
             if self.state.is_drained(member, now) {
                 continue;
             }
-            if let Some(end) = pauses.end(&member.target.incarnation, now) {
+            if let Some(end) = pauses.next(&member.target.incarnation, self.route.repeatable, now) {
                 pause_end = Some(pause_end.map_or(end, |first| first.min(end)));
                 continue;
             }
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -413,9 +413,16 @@
         self.changed.notify_waiters();
     }
 
-    /// Records that a target refused a request and asked for a pause.
-    pub fn record_pause(&self, target: &Target, asked: Duration) {
-        let pause = self.pauses.borrow_mut().record(&target.incarnation, asked, Clock.now());
+    /// Records that a target refused a request, which may have been a probe, and asked for a pause.
+    pub fn record_pause(&self, target: &Target, asked: Duration, probe: bool) {
+        let (now, incarnation) = (Clock.now(), &target.incarnation);
+        let mut pauses = self.pauses.borrow_mut();
+        let pause = if probe {
+            pauses.record_probe_refusal(incarnation, asked, now)
+        } else {
+            pauses.record(incarnation, asked, now)
+        };
+        drop(pauses);
         Metrics::count(&self.metrics.pauses, "service", &target.service);
         emit(Event::TargetPaused {
             target: target.incarnation.id.to_string(),
@@ -432,9 +439,9 @@
     }
 
     /// Returns the reason why a target must not receive a request at the moment, if there is one.
-    pub fn exclusion(&self, target: &Target) -> Option<Reason> {
+    pub fn exclusion(&self, target: &Target, repeatable: bool) -> Option<Reason> {
         let now = Clock.now();
-        if self.pauses.borrow().end(&target.incarnation, now).is_some() {
+        if self.pauses.borrow().next(&target.incarnation, repeatable, now).is_some() {
             return Some(Reason::Paused);
         }
         let registry = self.registry.borrow();
