--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -20,8 +20,9 @@
 use tokio::time::timeout_at;
 
 use caraway_adapter::header as field;
+use caraway_call::quarantine::Caller;
 use caraway_call::quarantine::Fingerprint;
-use caraway_call::quarantine::Verdict;
+use caraway_call::quarantine::Identity;
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
 use caraway_core::time::millis;
@@ -83,6 +84,8 @@
     pub body: Bytes,
     /// Id of the caller's attempt.
     pub id: Arc<str>,
+    /// The caller, as the quarantine knows it.
+    pub caller: Caller,
     /// Time at which its head was read.
     pub received: Instant,
 }
@@ -111,8 +114,8 @@
     /// Whether the route is more urgent than the least urgent route of the service.
     urgent: bool,
     deadline: Instant,
-    /// Identifies equal requests in the quarantine.
-    fingerprint: Fingerprint,
+    /// Identifies equal requests of a caller in the quarantine.
+    identity: Identity,
     /// Ids of the targets selected so far.
     selected: Vec<Arc<str>>,
     /// Number of selected targets to which the request could not be sent.
@@ -124,6 +127,8 @@
     caller_deadline: Instant,
     /// Whether the admission control of the key's owner has already decided.
     admission_decided: Cell<bool>,
+    /// Whether the current attempt is a probe in a pause of its target.
+    probing: Cell<bool>,
     /// Whether any attempt may have been executed.
     may_have_executed: bool,
     /// Reason for which the latest attempt failed.
@@ -183,13 +188,14 @@
             key,
             urgent,
             deadline: request.received + time_limit,
-            fingerprint: fingerprint(request),
+            identity: identity(request),
             selected: Vec::new(),
             unsent: 0,
             pause_end: Cell::new(None),
             caller_deadline: request.received
                 + requested.map_or(route.timeout, Duration::from_millis).min(MAX_CALLER_WAIT),
             admission_decided: Cell::new(false),
+            probing: Cell::new(false),
             may_have_executed: false,
             last_reason: Reason::NoTarget,
         })
@@ -203,7 +209,7 @@
     async fn run(&mut self) -> Response<Body> {
         loop {
             let now = Clock.now();
-            if self.state.quarantine.borrow_mut().admit(self.fingerprint, now) == Verdict::Refuse {
+            if self.state.quarantine.borrow().refuses(self.identity, now) {
                 emit(Event::RequestQuarantined {
                     request_id: self.request.id.to_string(),
                     route: self.route.name.to_string(),
@@ -309,11 +315,14 @@
             }
         };
         // While the connection was opened, the target may have asked for a pause or have left.
-        if let Some(reason) = self.state.exclusion(target).or_else(|| self.take_warmup(target)) {
+        let excluded = self.state.exclusion(target, self.route.repeatable);
+        if let Some(reason) = excluded.or_else(|| self.take_warmup(target)) {
             attempt.end(Outcome::Deferred);
             self.state.keep_connection(target, connection);
             return Completion::Unsent(reason);
         }
+        let probe = self.state.pauses.borrow_mut().begin_probe(&target.incarnation, Clock.now());
+        self.probing.set(probe);
         connection.reset_on_close();
         let message = self.encode(target);
         let until = self.deadline + DEADLINE_GRACE;
@@ -357,7 +366,7 @@
         let now = Clock.now();
         if self.state.suspicions.borrow_mut().record_disconnect(
             &target.incarnation,
-            self.fingerprint,
+            self.identity,
             now,
         ) {
             probe_target(self.state, target);
@@ -393,6 +402,9 @@
             connection.record_refusal(repeated.then_some(&self.request.id));
         }
         let paused = self.observe(target, &head, &mut connection);
+        if self.probing.get() && !not_executed {
+            self.state.pauses.borrow_mut().record_probe_answer(&target.incarnation);
+        }
         let load = header_text(&head, field::LOAD).and_then(field::parse_load);
         self.state.with_estimate(&target.incarnation.id, |estimate| {
             let (running, waiting, slots) = load.unwrap_or_default();
@@ -479,7 +491,7 @@
         let Some(value) = asked else { return false };
         match value.to_str().ok().and_then(field::parse_pause) {
             Some(asked) => {
-                self.state.record_pause(target, asked);
+                self.state.record_pause(target, asked, self.probing.get());
                 true
             }
             None => {
@@ -522,8 +534,10 @@
     head.headers.get(name)?.to_str().ok()
 }
 
-/// Returns the fingerprint by which the quarantine identifies equal requests.
-fn fingerprint(request: &Request) -> Fingerprint {
+/// Returns the content and the caller by which the quarantine identifies equal requests.
+fn identity(request: &Request) -> Identity {
     let path = request.parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    Fingerprint::new(request.parts.method.as_str(), path, Some(&request.body))
+    let method = request.parts.method.as_str();
+    let fingerprint = Fingerprint::new(method, path, Some(&request.body));
+    Identity { fingerprint, caller: request.caller }
 }
--- a/bins/edge/src/forward/selection.rs
+++ b/bins/edge/src/forward/selection.rs
@@ -120,7 +120,9 @@
                 continue;
             }
             let now = Clock.now();
-            if let Some(end) = self.state.pauses.borrow().end(&target.incarnation, now) {
+            if let Some(end) =
+                self.state.pauses.borrow().next(&target.incarnation, self.route.repeatable, now)
+            {
                 self.pause_end.set(Some(end));
                 return Err(Reason::Paused);
             }
@@ -300,7 +302,7 @@
             if share.is_some() && place.is_none() && member.draining_since.is_none() {
                 continue;
             }
-            if let Some(end) = pauses.end(&member.target.incarnation, now) {
+            if let Some(end) = pauses.next(&member.target.incarnation, self.route.repeatable, now) {
                 pause_end = Some(pause_end.map_or(end, |first| first.min(end)));
                 continue;
             }
--- a/bins/edge/src/peers/crashes.rs
+++ b/bins/edge/src/peers/crashes.rs
@@ -7,6 +7,7 @@
 use caraway_call::quarantine;
 use caraway_call::quarantine::Crash;
 use caraway_call::quarantine::Fingerprint;
+use caraway_call::quarantine::Identity;
 use caraway_core::name;
 use caraway_core::time::Clock;
 use caraway_core::time::millis;
@@ -22,8 +23,8 @@
 /// Maximum number of crashes that are kept, as many as there are suspects in the quarantine.
 const MAX_CRASHES: usize = 10_000;
 
-/// Fingerprint of the request, target, and start time of its incarnation.
-type Row = (u64, Arc<str>, u64);
+/// Identity of the request, target, and start time of its incarnation.
+type Row = (Identity, Arc<str>, u64);
 
 /// What was exchanged with another instance.
 #[derive(Clone, Copy, Debug, Default)]
@@ -51,9 +52,9 @@
     }
 
     /// Adds a crash that this instance has observed.
-    pub fn add(&mut self, fingerprint: Fingerprint, target: &Arc<str>, incarnation: u64) {
+    pub fn add(&mut self, request: Identity, target: &Arc<str>, incarnation: u64) {
         let now = Clock.now();
-        self.log.add((fingerprint.0, target.clone(), incarnation), None, now, now);
+        self.log.add((request, target.clone(), incarnation), None, now, now);
     }
 
     /// Returns the crashes after a position in the log for another instance, and the position after
@@ -61,8 +62,10 @@
     fn rows(&self, position: u64, receiver: &str) -> (Crashes, u64) {
         let now = Clock.now();
         let (facts, next) = self.log.after(position, receiver, MAX_PER_MESSAGE);
-        let row = |((fingerprint, target, incarnation), at): (&Row, _)| {
-            (*fingerprint, target.clone(), *incarnation, millis(now.since(at)))
+        let row = |((request, target, incarnation), at): (&Row, _)| {
+            let Identity { fingerprint, caller } = *request;
+            let age = millis(now.since(at));
+            (fingerprint.0, target.clone(), *incarnation, age, caller.address())
         };
         (facts.into_iter().map(row).collect(), next)
     }
@@ -95,14 +98,15 @@
 /// Adds the crashes that another instance has sent.
 pub(super) fn merge_crashes(state: &State, crashes: Crashes, source: &Arc<str>) {
     let now = Clock.now();
-    for (fingerprint, target, incarnation, age) in crashes {
+    for (fingerprint, target, incarnation, age, caller) in crashes {
         let age = Duration::from_millis(age);
-        let row = (fingerprint, target.clone(), incarnation);
+        let request = Identity { fingerprint: Fingerprint(fingerprint), caller: caller.into() };
+        let row = (request, target.clone(), incarnation);
         if !state.crashes.borrow_mut().log.add(row, Some(source), now - age, now) {
             continue;
         }
         let crash = Crash { target: name::Target::new(&target), incarnation };
-        let report = quarantine::Report { fingerprint: Fingerprint(fingerprint), crash, age };
+        let report = quarantine::Report { request, crash, age };
         state.quarantine.borrow_mut().merge(report, now);
     }
 }
