Test the grants of an outage with processes

The histories and fixed cases of crates/fleet show the forgotten expiry without a network. This test has it end to end: the store is away for 4 s, grants last 10 s, the next term confirms grants of 3 s, and one target falls silent.

The stand-in of a target shortened a grant that was renewed for less time; it keeps the later end now, as targets do.

--- a/bins/edge/tests/process/ownership.rs
+++ b/bins/edge/tests/process/ownership.rs
@@ -224,3 +224,31 @@
     });
     assert!(cluster.journal.conflicts().is_empty());
 }
+
+/// Guards against two owners after an outage of the store: grants last 10 s during the outage, and
+/// the next coordinator forgot them once its own shorter grants were confirmed. A target that is cut
+/// off then still holds its keys.
+#[test]
+fn long_grants_of_an_outage_are_waited_for() {
+    let cluster = Cluster::start(0, 3, 2);
+    cluster.wait_owned(0);
+    let terms = || -> usize {
+        cluster.instances.iter().map(|i| i.log().matches("\"coordinator-elected\"").count()).sum()
+    };
+    let before = terms();
+    cluster.store.set_mode(Mode::Busy);
+    thread::sleep(Duration::from_secs(4));
+    cluster.store.end_leases();
+    cluster.store.set_mode(Mode::Up);
+    wait(Duration::from_secs(6), "another term", || terms() > before);
+    // The targets confirm grants of the new term.
+    thread::sleep(Duration::from_secs(1));
+    cluster.targets[0].answer_calls_endlessly("endless-close");
+    for key in (0..=65_535_u16).step_by(4096) {
+        wait(Duration::from_secs(20), "served by another target", || {
+            let response = cluster.get_key(0, key, "moved");
+            response.status == 200 && !response.body.starts_with("k0")
+        });
+    }
+    assert!(cluster.journal.conflicts().is_empty(), "{:?}", cluster.journal.conflicts());
+}
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -369,15 +369,16 @@
             && (known.first, known.last, known.fence) == (first, last, fence)
             && known.until > now
     };
+    // A shorter grant does not end a longer one, neither under the same token nor under another.
+    let extend = |holds: &mut Vec<Hold>| match holds.iter_mut().find(|known| same(known)) {
+        Some(known) => known.until = known.until.max(until),
+        None => holds.push(hold.clone()),
+    };
     let mut holds = lock(&shared.holds);
-    holds.retain(|known| known.until > now && !same(known));
-    holds.push(hold.clone());
+    holds.retain(|known| known.until > now);
+    extend(&mut holds);
     drop(holds);
-    let mut journal = lock(&shared.journal.holds);
-    match journal.iter_mut().find(|known| same(known)) {
-        Some(known) => known.until = until,
-        None => journal.push(hold),
-    }
+    extend(&mut lock(&shared.journal.holds));
     http::response(200, &[], b"")
 }
 
