Keep the present slowdown of a target apart from its usual speed; find silent targets

Cause: the service time of a target was one mean over all responses. A neighbor that triples it for 400 ms was noticed late, distorted the mean for seconds after, and with it the coordinator's balance of keys. A target that stopped answering kept its share until requests ran into their deadlines.

Change: `caraway_fleet::speed`. The optional fourth figure of the load header states the present slowdown. It holds for 400 ms, or as long as it has already lasted up to 2 s, and then decays to 1 with a half-life of 100 ms. Samples of the usual time are divided by queueing and slowdown, and weigh less the larger these are. The expected time is the usual one times the slowdown. The limit of concurrent requests at a target of a divided service follows from what it can answer in 80% of the latency objective, in proportion to its present speed. A target is silent if a request has been unanswered for 4.5 times its expected time while no later one was answered. It then gets single repeatable requests, after 0.5 s and at intervals that double up to 4 s; any response ends the silence, and so do 10 s without a probe, since a service without repeatable requests could not find out otherwise.

With `record_slowdown` without effect and `is_usable` without the silence, the three cases of `stated_slowdowns_are_used` and four tests of tests/speed.rs fail. The expected values in `a_load_report_is_parsed` have a fourth field now.

--- a/bins/edge/src/attempt.rs
+++ b/bins/edge/src/attempt.rs
@@ -18,7 +18,7 @@
     state: Rc<State>,
     target: Arc<Target>,
     started: Stamp,
-    slowdown: f64,
+    factor: f64,
     open: Cell<bool>,
 }
 
@@ -26,11 +26,11 @@
     /// Records the start of an attempt.
     pub fn begin(state: &Rc<State>, target: &Arc<Target>) -> Self {
         let started = Clock.now();
-        let slowdown = state.with_estimate(&target.incarnation.id, |estimate| {
+        let factor = state.with_estimate(&target.incarnation.id, |estimate| {
             estimate.begin(target.slots, started)
         });
         let (state, target) = (state.clone(), target.clone());
-        Self { state, target, started, slowdown, open: Cell::new(true) }
+        Self { state, target, started, factor, open: Cell::new(true) }
     }
 
     /// Records the end of the attempt; later calls have no effect.
@@ -38,9 +38,9 @@
         if self.open.replace(false) {
             let now = Clock.now();
             let time = now.since(self.started);
-            let slowdown = self.slowdown;
+            let factor = self.factor;
             self.state.with_estimate(&self.target.incarnation.id, |estimate| {
-                estimate.end(outcome, time, slowdown, now)
+                estimate.end(outcome, time, factor, now)
             });
             self.state.changed.notify_waiters();
         }
--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -391,10 +391,13 @@
         let paused = self.observe(target, &head, &mut connection);
         let load = header_text(&head, field::LOAD).and_then(field::parse_load);
         self.state.with_estimate(&target.incarnation.id, |estimate| {
-            let (running, waiting, slots) = load.unwrap_or_default();
+            let field::Load { running, waiting, slots, slowdown } = load.unwrap_or_default();
             if load.is_some() {
                 estimate.record_report(running, waiting, slots, now);
             }
+            if let Some(slowdown) = slowdown {
+                estimate.record_slowdown(slowdown, now);
+            }
             if refused && waiting >= target.slots {
                 estimate.record_overload(now);
             }
--- a/bins/edge/src/forward/selection.rs
+++ b/bins/edge/src/forward/selection.rs
@@ -42,11 +42,6 @@
 const LOCAL_SAMPLE: usize = 4;
 const REMOTE_SAMPLE: usize = 3;
 
-/// Fraction of the latency objective that a request may be expected to take at a target without free
-/// slots if the targets of the service are divided among the instances. Beyond it, the request
-/// would be late and delay later ones.
-const MAX_QUEUEING_SHARE: f64 = 0.8;
-
 /// Fraction of selections in which a target without measurements is preferred, and the factor on
 /// its expected time in these. Without exploration, a new target that is slow while it warms up
 /// would receive no requests as long as others have capacity, and would never be measured.
@@ -112,6 +107,9 @@
             {
                 return Err(Reason::OwnerUnreachable);
             }
+            if self.state.with_estimate(&target.incarnation.id, |e| self.is_barred(e, now)) {
+                return Err(Reason::Silent);
+            }
             self.check_admission(&target)?;
             if self.is_below_limit(&target) {
                 return Ok(target);
@@ -225,6 +223,12 @@
         Ok(target.clone())
     }
 
+    /// Returns whether a target is silent and the request is no probe of it. A probe may be lost, so
+    /// it is a repeatable request.
+    fn is_barred(&self, estimate: &Estimate, now: Stamp) -> bool {
+        estimate.is_silent(now) && !(self.route.repeatable && estimate.may_probe(now))
+    }
+
     /// Returns whether this instance may have another request in flight at a target of a service
     /// without keys, at which it has a place if the targets are divided among the instances.
     fn has_room(
@@ -241,12 +245,7 @@
                 && admission::has_room(estimate.occupancy(now), slots);
         };
         let objective = self.route.latency_objective.as_secs_f64();
-        estimate.in_flight < place.limit
-            && (estimate.occupancy(now) < f64::from(slots.max(1))
-                || !place.spare
-                    && admission::has_room(estimate.occupancy(now), slots)
-                    && estimate.expected_time(slots, DEFAULT_SERVICE_TIME, now)
-                        < objective * MAX_QUEUEING_SHARE)
+        place.has_room(estimate, slots, objective, DEFAULT_SERVICE_TIME, now)
     }
 
     /// Returns the targets of a service without keys that may receive the request: those that are
@@ -261,7 +260,7 @@
         let pauses = self.state.pauses.borrow();
         let (mut usable, mut ejected, mut failed) = (Vec::new(), Vec::new(), Vec::new());
         let (mut spare, mut leaving) = (Vec::new(), Vec::new());
-        let (mut full, mut spare_full) = (false, false);
+        let (mut full, mut spare_full, mut silent) = (false, false, false);
         let mut pause_end: Option<Stamp> = None;
         for member in registry.members().filter(|m| m.target.service == self.service) {
             let id = &member.target.incarnation.id;
@@ -277,7 +276,11 @@
                 continue;
             }
             let estimate = estimates.get(id);
-            let is_usable = estimate.is_none_or(|estimate| estimate.is_usable(now));
+            if estimate.is_some_and(|estimate| self.is_barred(estimate, now)) {
+                silent = true;
+                continue;
+            }
+            let is_usable = estimate.is_none_or(|estimate| estimate.is_reachable(now));
             let has_room =
                 estimate.is_none_or(|estimate| self.has_room(estimate, &member.target, place, now));
             match (member.draining_since, self.selected.contains(id), is_usable) {
@@ -306,6 +309,7 @@
                 self.pause_end.set(pause_end);
                 Err(Reason::Paused)
             }
+            None if silent => Err(Reason::Silent),
             None if self.unsent > 0 => Err(Reason::Unreachable),
             None => Err(Reason::NoTarget),
         }
--- a/bins/edge/src/reason.rs
+++ b/bins/edge/src/reason.rs
@@ -32,6 +32,9 @@
     Unreachable,
     /// The owner of the key is ejected after connection failures.
     OwnerUnreachable,
+    /// The targets that can serve the request answer no requests at the moment, and this one is no
+    /// probe of them.
+    Silent,
     /// The target shed the request without executing it.
     Shed,
     /// The target does not own the key.
@@ -64,6 +67,7 @@
             Self::InFlightLimit => "this instance has its part of requests at the target",
             Self::Unreachable => "the target cannot be reached",
             Self::OwnerUnreachable => "the owner of the key could not be reached a moment ago",
+            Self::Silent => "the target does not answer at the moment",
             Self::Shed => "the target turned it away",
             Self::NotOwner => "the target does not own the key",
             Self::ConnectionLost => "the connection broke",
@@ -82,7 +86,7 @@
             Self::NoConfiguration | Self::NoOwner | Self::NotOwner | Self::Leaving => {
                 Duration::from_millis(250)
             }
-            Self::OwnerUnreachable => load::EJECTION,
+            Self::OwnerUnreachable | Self::Silent => load::EJECTION,
             // A quarantine ends only by timeout.
             Self::Quarantined => Duration::from_secs(60),
             Self::Overloaded
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -81,7 +81,12 @@
 /// Returns whether a target has room for another request, given the estimated number of requests at
 /// it. Beyond this, targets refuse requests, reset their connections or never answer them.
 pub fn has_room(occupancy: f64, slots: u32) -> bool {
-    occupancy < f64::from(slots.max(1)) * MAX_REQUESTS_PER_SLOT
+    occupancy < max_requests(slots)
+}
+
+/// Returns the limit of the requests that all instances together keep in flight at a target.
+pub fn max_requests(slots: u32) -> f64 {
+    f64::from(slots.max(1)) * MAX_REQUESTS_PER_SLOT
 }
 
 /// Returns the limit of the requests that one of several instances keeps in flight at a target.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod rendezvous;
 pub mod reports;
 pub mod share;
+pub mod speed;
 pub mod unowned;
 pub mod view;
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -5,10 +5,18 @@
 use caraway_core::time::Stamp;
 
 use crate::admission::Throttle;
+use crate::speed;
+use crate::speed::Silence;
+use crate::speed::Slowdown;
 
 /// EWMA weight of a new sample in the mean service time.
 const SERVICE_TIME_WEIGHT: f64 = 0.15;
 
+/// Exponent of the queueing or slowdown factor that divides the weight of a sample of the service
+/// time. What is left after dividing by an estimate of such a factor is less certain the larger the
+/// factor is.
+const SAMPLE_WEIGHT_EXPONENT: i32 = 2;
+
 /// EWMA weight of a new outcome in the failure ratio.
 const FAILURE_WEIGHT: f64 = 0.2;
 
@@ -61,8 +69,13 @@
     pub others_in_flight: f64,
     /// Latest load report of the target.
     report: Option<Report>,
-    /// Mean service time in seconds, without queueing; zero before the first sample.
+    /// Usual service time in seconds, without queueing and without the present slowdown; zero
+    /// before the first sample.
     pub service_time: f64,
+    /// Slowdown that the target states in its responses.
+    slowdown: Slowdown,
+    /// Requests of this instance without a response.
+    silence: Silence,
     /// Completed requests and the sum of their service times in seconds that have not been reported
     /// to the coordinator yet.
     pub unreported: (u32, f64),
@@ -93,6 +106,8 @@
             others_in_flight: 0.0,
             report: None,
             service_time: 0.0,
+            slowdown: Slowdown::default(),
+            silence: Silence::default(),
             unreported: (0, 0.0),
             unreported_failures: 0,
             fleet_failure_ratio: 0.0,
@@ -135,24 +150,36 @@
 }
 
 impl Estimate {
-    /// Records the start of a request. Returns the expected slowdown by queueing, a factor of at
-    /// least one.
+    /// Records the start of a request. Returns the expected time as a multiple of the usual service
+    /// time: the factor by queueing, at least one, times the present slowdown.
     pub fn begin(&mut self, slots: u32, now: Stamp) -> f64 {
-        let slowdown = self.slowdown(slots, now);
+        let factor = self.queueing(slots, now) * self.slowdown.at(now);
+        let known = self.service_time > 0.0;
+        self.silence.begin(known.then_some(self.service_time * factor), now);
         self.in_flight += 1;
-        slowdown
+        factor
     }
 
-    fn slowdown(&self, slots: u32, now: Stamp) -> f64 {
+    /// Returns the factor by which waiting lengthens a request.
+    fn queueing(&self, slots: u32, now: Stamp) -> f64 {
         ((self.occupancy(now) + 1.0) / f64::from(slots.max(1))).max(1.0)
     }
 
-    /// Records the outcome of a request that took `time`. `slowdown` is the result of
+    /// Records the outcome of a request that took `time`. `factor` is the result of
     /// [`Estimate::begin`].
-    pub fn end(&mut self, outcome: Outcome, time: Duration, slowdown: f64, now: Stamp) {
+    pub fn end(&mut self, outcome: Outcome, time: Duration, factor: f64, now: Stamp) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        // The wait depends on the load of the target, which includes requests of other instances.
-        let seconds = time.as_secs_f64() / slowdown.max(self.reported_load(now)).max(1.0);
+        // The time depends on the load and the slowdown of the target, which begin and end while
+        // the request is there. The load includes requests of other instances.
+        let factor = factor.max(self.reported_load(now).max(1.0) * self.slowdown.at(now));
+        let seconds = time.as_secs_f64() / factor;
+        let was_silent = self.silence.is_silent(now);
+        match outcome {
+            Outcome::Answered | Outcome::Failed => self.silence.end_answered(now - time),
+            Outcome::Abandoned | Outcome::Deferred | Outcome::Unreachable => {
+                self.silence.end_unanswered(now - time, now);
+            }
+        }
         let failed = match outcome {
             Outcome::Answered => 0.0,
             Outcome::Failed | Outcome::Unreachable => 1.0,
@@ -165,11 +192,15 @@
         match outcome {
             Outcome::Answered => {
                 self.connect_failures = 0;
+                let seconds = self.weighted(seconds, factor);
                 self.record_service_time(seconds);
                 self.unreported.0 += 1;
                 self.unreported.1 += seconds;
             }
-            Outcome::Abandoned if seconds > self.service_time => self.record_service_time(seconds),
+            // A silent target says nothing about its speed.
+            Outcome::Abandoned if seconds > self.service_time && !was_silent => {
+                self.record_service_time(seconds);
+            }
             Outcome::Unreachable => {
                 self.connect_failures += 1;
                 self.last_connect_failure = now;
@@ -184,6 +215,17 @@
         fresh.map_or(0.0, |report| report.requests / report.slots)
     }
 
+    /// Returns a sample of the service time, moved towards the mean by as much as its weight is
+    /// lower than that of a sample without queueing and slowdown. At a target that states no
+    /// slowdown, longer times are the only sign of one, and all samples have the same weight.
+    fn weighted(&self, seconds: f64, factor: f64) -> f64 {
+        if self.service_time <= 0.0 || !self.slowdown.is_stated() {
+            return seconds;
+        }
+        let weight = factor.max(1.0).powi(-SAMPLE_WEIGHT_EXPONENT);
+        self.service_time + (seconds - self.service_time) * weight
+    }
+
     fn record_service_time(&mut self, seconds: f64) {
         self.service_time = if self.service_time > 0.0 {
             self.service_time + (seconds - self.service_time) * SERVICE_TIME_WEIGHT
@@ -198,6 +240,21 @@
         self.report = Some(Report { requests, slots: f64::from(slots.max(1)), at: now });
     }
 
+    /// Records the slowdown that the target stated in a response, where 100 is usual.
+    pub fn record_slowdown(&mut self, figure: u32, now: Stamp) {
+        self.slowdown.record(figure, now);
+    }
+
+    /// Returns whether the target is silent.
+    pub fn is_silent(&self, now: Stamp) -> bool {
+        self.silence.is_silent(now)
+    }
+
+    /// Returns whether a repeatable request may be sent to the silent target as a probe.
+    pub fn may_probe(&self, now: Stamp) -> bool {
+        self.is_reachable(now) && self.silence.may_probe(now)
+    }
+
     /// Records that the target refused a request because it was overloaded.
     pub fn record_overload(&mut self, now: Stamp) {
         self.backoff_share = (self.backoff_share(now) * BACKOFF_FACTOR).max(MIN_BACKOFF_SHARE);
@@ -236,9 +293,14 @@
         self.report.is_some_and(|report| fresh(report.at) && report.requests < f64::from(slots))
     }
 
-    /// Returns whether the target may be chosen among others: it is not ejected, or its ejection
-    /// has ended.
+    /// Returns whether the target may be chosen among others: it is not silent, and not ejected or
+    /// its ejection has ended.
     pub fn is_usable(&self, now: Stamp) -> bool {
+        self.is_reachable(now) && !self.is_silent(now)
+    }
+
+    /// Returns whether the target is not ejected, or its ejection has ended.
+    pub fn is_reachable(&self, now: Stamp) -> bool {
         let ejection =
             EJECTION * 2_u32.saturating_pow(self.connect_failures.saturating_sub(1).min(8));
         self.connect_failures == 0 || now >= self.last_connect_failure + ejection.min(MAX_EJECTION)
@@ -263,8 +325,29 @@
     /// Returns the expected time in seconds of a request that is sent now. `default_time` stands in
     /// for the service time before the first sample.
     pub fn expected_time(&self, slots: u32, default_time: f64, now: Stamp) -> f64 {
-        let time = if self.service_time > 0.0 { self.service_time } else { default_time };
-        time * self.slowdown(slots, now)
+        self.present_time(default_time, now) * self.queueing(slots, now)
+    }
+
+    /// Returns the present service time in seconds, without queueing.
+    pub fn present_time(&self, default_time: f64, now: Stamp) -> f64 {
+        self.usual_time(default_time) * self.slowdown.at(now)
+    }
+
+    fn usual_time(&self, default_time: f64) -> f64 {
+        if self.service_time > 0.0 { self.service_time } else { default_time }
+    }
+
+    /// Returns the limit of concurrent requests of all instances at the target, which answers them
+    /// within a part of the latency objective in seconds.
+    pub fn concurrency_limit(
+        &self,
+        slots: u32,
+        part_of_objective: f64,
+        default_time: f64,
+        now: Stamp,
+    ) -> f64 {
+        let (usual, slowdown) = (self.usual_time(default_time), self.slowdown.at(now));
+        speed::concurrency_limit(slots, usual, slowdown, part_of_objective)
     }
 
     /// Returns the factor by which failures increase the cost of a target, since a failed request
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -14,6 +14,7 @@
 use caraway_core::time::Stamp;
 
 use crate::admission;
+use crate::load::Estimate;
 use crate::membership::Target;
 use crate::rendezvous;
 use crate::rendezvous::Domains;
@@ -47,6 +48,10 @@
 /// only while they have free slots, when it can use none of its share.
 const SPARE_TARGETS: usize = 2;
 
+/// Fraction of the latency objective that a request may be expected to take at a target. Beyond it,
+/// the request would be late and delay later ones.
+const MAX_QUEUEING_SHARE: f64 = 0.8;
+
 /// Minimum interval between comparisons of the lists with those that a share was computed from. A
 /// division among 122 instances takes 4 ms of a full core, and the lists change many times a second
 /// while targets are replaced.
@@ -63,6 +68,25 @@
     pub spare: bool,
 }
 
+impl Place {
+    /// Returns whether the instance may have another request in flight at the target, given its
+    /// estimate of it, the latency objective in seconds and a service time in seconds that stands
+    /// in for a missing measurement.
+    pub fn has_room(
+        &self,
+        estimate: &Estimate,
+        slots: u32,
+        objective: f64,
+        default_time: f64,
+        now: Stamp,
+    ) -> bool {
+        let max = if self.spare { f64::from(slots.max(1)) } else { admission::max_requests(slots) };
+        let part = objective * MAX_QUEUEING_SHARE;
+        let limit = estimate.concurrency_limit(slots, part, default_time, now).min(max);
+        estimate.in_flight < self.limit && estimate.occupancy(now) < limit
+    }
+}
+
 /// Targets that one instance may use.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Share {
--- a/crates/fleet/tests/capacity.rs
+++ b/crates/fleet/tests/capacity.rs
@@ -40,8 +40,6 @@
 const DEADLINE_MILLIS: u64 = 4000;
 /// Time for which a request waits while the instance is at its limits.
 const WAIT_MILLIS: u64 = 350;
-/// Part of the objective that a request may be expected to take at a target without free slots.
-const MAX_QUEUEING_SHARE: f64 = 0.8;
 /// Interval in which instances learn of each other's requests.
 const REPORT_MILLIS: u64 = 300;
 /// Idle time up to which a connection is used again.
@@ -140,6 +138,8 @@
 struct Fleet {
     rule: Rule,
     slow: Slow,
+    /// Whether the targets state their present slowdown.
+    stated: bool,
     random: StdRng,
     targets: Vec<Arc<Target>>,
     speeds: Vec<f64>,
@@ -191,6 +191,7 @@
         Self {
             rule,
             slow,
+            stated: false,
             speeds: targets.iter().map(|_| random.random_range(0.5..1.6)).collect(),
             queues: targets.iter().map(|_| Queue::default()).collect(),
             times: vec![None; targets.len()],
@@ -242,11 +243,10 @@
             return estimate.in_flight < limit && admission::has_room(occupancy, SLOTS);
         };
         let place = share.place(&self.targets[target].incarnation.id);
-        let time = estimate.expected_time(SLOTS, 0.1, now);
-        place.is_some_and(|place| !place.spare && estimate.in_flight < place.limit)
-            && (occupancy < f64::from(SLOTS)
-                || admission::has_room(occupancy, SLOTS)
-                    && time < MAX_QUEUEING_SHARE * OBJECTIVE_MILLIS as f64 / 1000.0)
+        let objective = OBJECTIVE_MILLIS as f64 / 1000.0;
+        place.is_some_and(|place| {
+            !place.spare && place.has_room(estimate, SLOTS, objective, 0.1, now)
+        })
     }
 
     /// Selects the target of a request like an instance does.
@@ -340,6 +340,7 @@
         }
         let max_idle = self.max_idle(instance, target);
         let now = Stamp::from_millis(millis);
+        let slow = self.is_slow(target, millis);
         let queue = &self.queues[target];
         let waiting = u32::try_from(queue.waiting.len()).unwrap();
         let sender = &mut self.instances[instance];
@@ -348,6 +349,9 @@
         }
         let estimate = &mut sender.estimates[target];
         estimate.record_report(queue.running, waiting, SLOTS, now);
+        if self.stated {
+            estimate.record_slowdown(if slow { 300 } else { 100 }, now);
+        }
         let time = Duration::from_millis(millis - sent);
         estimate.end(Outcome::Answered, time, slowdown as f64 / 1000.0, now);
         self.send_waiting(millis, instance);
@@ -442,8 +446,28 @@
 
 /// Plays changing speeds, and prints a row of the results.
 fn play(rule: Rule, instances: usize, targets: usize, load: f64) -> Counts {
+    play_stated(rule, false, instances, targets, load).0
+}
+
+/// Plays changing speeds, which the targets may state. Returns also the mean ratio of the estimated
+/// usual service times to the true ones, and the mean distance of that ratio from 1.
+fn play_stated(
+    rule: Rule,
+    stated: bool,
+    instances: usize,
+    targets: usize,
+    load: f64,
+) -> (Counts, f64, f64) {
     let mut fleet = Fleet::new(rule, Slow::Changing, instances, targets);
+    fleet.stated = stated;
     fleet.play(load);
+    let ratios: Vec<f64> = (0..targets)
+        .filter_map(|t| Some(fleet.times[t]? * 1000.0 * fleet.speeds[t] / SERVICE_MILLIS))
+        .collect();
+    let mean = |sum: f64| sum / ratios.len() as f64;
+    let (bias, error) =
+        (mean(ratios.iter().sum()), mean(ratios.iter().map(|r| (r - 1.0).abs()).sum()));
+    println!("stated {stated}, service times: ratio {bias:.2}, error {error:.2}");
     let counts = fleet.counts;
     println!(
         "{instances} instances, {targets} targets, load {load:.1}, {rule:?}: in time {:.1}%, late \
@@ -456,7 +480,7 @@
         counts.percent(counts.connections),
         counts.percent(counts.crossed),
     );
-    counts
+    (counts, bias, error)
 }
 
 /// Guards against requests that a target cannot queue, whose callers wait until their deadline for
@@ -484,16 +508,37 @@
     assert!(load > 0.8 || divided.in_time * 10 > divided.arrived * 7, "{divided:?}");
 }
 
+/// Targets state their present slowdown. Guards against late responses of targets that are slow for
+/// a moment, and against usual service times that are distorted by such moments or by queueing.
+#[yare::parameterized(
+    spare_capacity = { 0.8 },
+    little_spare_capacity = { 0.9 },
+    no_spare_capacity = { 1.0 },
+)]
+fn stated_slowdowns_are_used(load: f64) {
+    let (unaware, _, unaware_error) = play_stated(Rule::Divided, false, 100, 100, load);
+    let (aware, ratio, error) = play_stated(Rule::Divided, true, 100, 100, load);
+    assert!(aware.late * 10 < unaware.late * 9, "{aware:?} and {unaware:?}");
+    assert!(aware.in_time * 100 > unaware.in_time * 104, "{aware:?} and {unaware:?}");
+    // Requests that meet a slowdown of which their instance does not know yet lengthen all times
+    // alike, by at most the mean slowdown. The times of the targets relative to each other are right.
+    assert!(error < unaware_error * 0.7, "{error} and {unaware_error}");
+    assert!((1.0..1.4).contains(&ratio) && error < ratio - 1.0 + 0.1, "{ratio}, {error}");
+}
+
 /// Callers see a change of speed until the instances have followed it. A response in time takes one
 /// second, so the change must be followed within that.
-#[test]
-fn slow_targets_get_fewer_requests_within_a_second() {
-    for rule in [Rule::Sampled, Rule::Divided] {
-        let mut fleet = Fleet::new(rule, Slow::Lasting, 100, 100);
-        fleet.play(0.8);
-        println!("{rule:?}: {} ms", fleet.reaction_millis());
-        assert!(rule == Rule::Sampled || fleet.reaction_millis() <= 1000);
-    }
+#[yare::parameterized(
+    sampled = { Rule::Sampled, false },
+    divided = { Rule::Divided, false },
+    divided_and_stated = { Rule::Divided, true },
+)]
+fn slow_targets_get_fewer_requests_within_a_second(rule: Rule, stated: bool) {
+    let mut fleet = Fleet::new(rule, Slow::Lasting, 100, 100);
+    fleet.stated = stated;
+    fleet.play(0.8);
+    println!("{rule:?}, stated {stated}: {} ms", fleet.reaction_millis());
+    assert!(rule == Rule::Sampled || fleet.reaction_millis() <= 1000);
 }
 
 /// Guards against a change in fleets where one request of each instance fits into every target.
