Admit requests for hot keys of a large fleet up to what their owner can serve

The throttle of each instance began without credit. With an admitted share of 0.04 each of 122 instances refused 24 requests before it admitted one, and the owner was idle meanwhile. 2. The coordinator decreased the share every 240 ms on reports that are up to a second old, and increased it by steps that are larger than the share that a hot key needs. 3. Requests that the owner could not queue counted as its load until their deadline, at the coordinator and against the limit of one request of each instance. 4. Nothing told an instance that an owner is full: with 122 instances each sees an owner once in half a minute.

Change: throttles begin with a random credit. The share is not decreased below half of what the demand suggests, and its increase is bounded in proportion to that. With more than seven instances per slot, the coordinator sends the load of owners without free slots, and requests are refused at once at three requests per slot. A request is refused if its expected time exceeds the time left (it was 70% of the expected time).

What is left: in the first 0.8 s of a very hot key each instance still sends its one request, since none can know of the others.

`Throttle::admit` and `Estimate::admit` have a new argument, which tests set to 0, the value before.

--- a/bins/edge/src/forward/selection.rs
+++ b/bins/edge/src/forward/selection.rs
@@ -114,6 +114,9 @@
             if self.is_below_limit(&target) {
                 return Ok(target);
             }
+            if self.is_full(&target) {
+                return Err(Reason::InFlightLimit);
+            }
             let wait = self.route.latency_objective.mul_f64(MAX_WAIT_SHARE);
             if timeout_at(self.request.received + wait, changed).await.is_err() {
                 let now = Clock.now();
@@ -154,14 +157,20 @@
         Some(target)
     }
 
-    /// Returns whether this instance may have another request in flight at an owner of keys. Urgent
-    /// requests, and all requests while the owner has free slots, may exceed the limit by one.
+    /// Returns whether this instance may have another request in flight at an owner of keys.
     fn is_below_limit(&self, target: &Target) -> bool {
-        let limit = admission::in_flight_limit(target.slots, self.state.instances.borrow().len());
-        let now = Clock.now();
+        let (instances, now) = (self.state.instances.borrow().len(), Clock.now());
+        self.state.with_estimate(&target.incarnation.id, |estimate| {
+            estimate.has_room_as_owner(target.slots, instances, self.urgent, now)
+        })
+    }
+
+    /// Returns whether an owner is full with requests of the other instances of a large fleet. What
+    /// is known of these changes only with the next report, so waiting is of no use.
+    fn is_full(&self, target: &Target) -> bool {
+        let (instances, now) = (self.state.instances.borrow().len(), Clock.now());
         self.state.with_estimate(&target.incarnation.id, |estimate| {
-            estimate.in_flight
-                < limit + u32::from(self.urgent || estimate.has_free_slots(target.slots, now))
+            estimate.is_full_owner(target.slots, instances, now)
         })
     }
 
@@ -173,10 +182,11 @@
             // Load is shed from the least urgent requests; retries and urgent requests are always admitted.
             let decided =
                 self.urgent || !self.selected.is_empty() || self.admission_decided.replace(true);
-            let admitted = if decided { Admission::Admitted } else { estimate.admit(now) };
+            let admitted =
+                if decided { Admission::Admitted } else { estimate.admit(rand::random(), now) };
             (estimate.expected_time(target.slots, DEFAULT_SERVICE_TIME, now), admitted)
         });
-        if expected * 0.7 > self.time_left().as_secs_f64() {
+        if expected > self.time_left().as_secs_f64() {
             return Err(Reason::Overloaded);
         }
         match admitted {
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -29,6 +29,7 @@
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
 use caraway_core::time::millis;
+use caraway_fleet::admission;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::membership::Member;
 use caraway_fleet::membership::Target;
@@ -261,11 +262,13 @@
     let demand = std::mem::take(&mut *state.demand.borrow_mut());
     let demand = demand.into_iter().map(|(service, keys)| (service, keys.into_iter().collect()));
     let mut loads = Vec::new();
+    let now = Clock.now();
     for (id, estimate) in state.estimates.borrow_mut().iter_mut() {
+        let in_flight = estimate.live_in_flight(now);
         let (completed, time) = std::mem::take(&mut estimate.unreported);
         let failed = std::mem::take(&mut estimate.unreported_failures);
-        if estimate.in_flight > 0 || completed > 0 || failed > 0 {
-            loads.push((id.clone(), estimate.in_flight, completed, time, failed));
+        if in_flight > 0 || completed > 0 || failed > 0 {
+            loads.push((id.clone(), in_flight, completed, time, failed));
         }
     }
     Report {
@@ -365,7 +368,8 @@
 }
 
 /// Returns the load of targets of services without keys. For keyed services, where the owner of a
-/// key is the only choice, the admitted shares are sent instead.
+/// key is the only choice, the admitted shares are sent, and in a large fleet the load of owners
+/// without free slots.
 fn pooled_loads(
     state: &State,
     reports: &Reports,
@@ -378,9 +382,13 @@
         let settings = configuration.as_ref().and_then(|current| current.services.get(service));
         settings.is_some_and(|service| service.keyed)
     };
-    let is_pooled = |id: &str| registry.get(id).is_some_and(|m| !is_keyed(&m.target.service));
+    let instances = state.instances.borrow().len();
+    let is_sent = |target: &Target, others: f64| {
+        let (slots, large) = (target.slots, admission::is_large(target.slots, instances));
+        !is_keyed(&target.service) || large && others >= f64::from(slots)
+    };
     let mut loads = reports.loads(except, now);
-    loads.retain(|(id, _, _)| is_pooled(id));
+    loads.retain(|(id, others, _)| registry.get(id).is_some_and(|m| is_sent(&m.target, *others)));
     loads
 }
 
--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -35,18 +35,25 @@
 const INCREASE_FACTOR: f64 = 1.25;
 const INCREASE_STEP: f64 = 0.05;
 
+/// Lower bound of a share relative to the one that the demand suggests. The reported requests at an
+/// owner are up to a second old, and decreasing the share until they have changed leaves the owner
+/// idle afterwards.
+const MIN_SUGGESTED_PART: f64 = 0.5;
+
 /// Returns the next admitted share of an owner from its current share, the requests in flight at
 /// it, and the share that its demand suggests.
 ///
 /// Refused requests are retried and count as demand again, so demand alone would keep throttling an
-/// owner that has had free capacity for long. The requests at the owner decide. Demand only speeds
-/// up the first reaction.
+/// owner that has had free capacity for long. The requests at the owner decide. Demand speeds up the
+/// first reaction, and bounds the steps: while a small share is suggested, a step as large as for
+/// other owners admits several times what the owner can serve.
 pub fn adjust_share(share: f64, in_flight: f64, slots: f64, suggested: f64) -> f64 {
     let per_slot = in_flight / slots.max(1.0);
     if per_slot > DECREASE_THRESHOLD {
-        (share * DECREASE_FACTOR).min(suggested)
+        let lowest = if suggested < 1.0 { suggested * MIN_SUGGESTED_PART } else { 0.0 };
+        (share * DECREASE_FACTOR).min(suggested).max(lowest)
     } else if per_slot < INCREASE_THRESHOLD {
-        (share * INCREASE_FACTOR + INCREASE_STEP).min(1.0)
+        (share * INCREASE_FACTOR + INCREASE_STEP * suggested).min(1.0)
     } else {
         share
     }
@@ -55,22 +62,23 @@
 /// Admits a share of requests at even intervals.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Throttle {
-    credit: f64,
+    /// Credit of this instance while a share is refused.
+    credit: Option<f64>,
 }
 
 impl Throttle {
-    /// Returns whether the next request is admitted.
-    pub fn admit(&mut self, share: f64) -> bool {
+    /// Returns whether the next request is admitted. `phase`, a random number from 0 to 1, is the
+    /// credit with which the throttle begins. If all instances of a large fleet began without credit,
+    /// none would admit a request before it had refused many, and the owner would be idle until then.
+    pub fn admit(&mut self, share: f64, phase: f64) -> bool {
         if share >= 1.0 {
-            self.credit = 0.0;
+            self.credit = None;
             return true;
         }
-        self.credit = (self.credit + share.max(0.0)).min(2.0);
-        if self.credit < 1.0 {
-            return false;
-        }
-        self.credit -= 1.0;
-        true
+        let credit = (self.credit.unwrap_or(phase) + share.max(0.0)).min(2.0);
+        let admitted = credit >= 1.0;
+        self.credit = Some(if admitted { credit - 1.0 } else { credit });
+        admitted
     }
 }
 
@@ -98,6 +106,19 @@
     (1..).find(|count| f64::from(*count) >= share).unwrap_or(1)
 }
 
+/// Number of instances per slot of a target above which one request of each instance does not fit
+/// into it. The queue of a target is not configured; targets are known to hold five requests per
+/// slot. Fleets of up to 19 instances in front of targets with 3 slots keep the rules for few
+/// instances, under which an instance may use every target.
+const MAX_INSTANCES_PER_SLOT: usize = 7;
+
+/// Returns whether so many instances use a target with this number of slots that one request of each
+/// does not fit into it.
+pub fn is_large(slots: u32, instances: usize) -> bool {
+    let slots = usize::try_from(slots.max(1)).unwrap_or(usize::MAX);
+    instances > slots.saturating_mul(MAX_INSTANCES_PER_SLOT)
+}
+
 /// Limit of the idle connections that an instance keeps to one target. With this number most
 /// requests find an idle connection.
 const MAX_IDLE_CONNECTIONS: usize = 2;
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -4,6 +4,7 @@
 
 use caraway_core::time::Stamp;
 
+use crate::admission;
 use crate::admission::Throttle;
 use crate::speed;
 use crate::speed::Silence;
@@ -270,10 +271,10 @@
     }
 
     /// Decides whether a request for a key of the target may be sent, and which limit applies if
-    /// not.
-    pub fn admit(&mut self, now: Stamp) -> Admission {
+    /// not. `phase` is a random number from 0 to 1.
+    pub fn admit(&mut self, phase: f64, now: Stamp) -> Admission {
         let backoff_share = self.backoff_share(now);
-        if self.throttle.admit(self.admitted_share.min(backoff_share)) {
+        if self.throttle.admit(self.admitted_share.min(backoff_share), phase) {
             Admission::Admitted
         } else if self.admitted_share < backoff_share {
             Admission::Throttled
@@ -293,6 +294,31 @@
         self.report.is_some_and(|report| fresh(report.at) && report.requests < f64::from(slots))
     }
 
+    /// Returns whether an instance may have another request in flight at an owner of keys with this
+    /// number of slots. `urgent` requests, and all requests while the owner has free slots, may
+    /// exceed the limit by one.
+    pub fn has_room_as_owner(
+        &self,
+        slots: u32,
+        instances: usize,
+        urgent: bool,
+        now: Stamp,
+    ) -> bool {
+        let free = self.has_free_slots(slots, now);
+        let limit = admission::in_flight_limit(slots, instances) + u32::from(urgent || free);
+        if self.live_in_flight(now) >= limit {
+            return false;
+        }
+        free || !self.is_full_owner(slots, instances, now)
+    }
+
+    /// Returns whether an owner of keys is full with requests of a large fleet, of which one of each
+    /// instance does not fit into it.
+    pub fn is_full_owner(&self, slots: u32, instances: usize, now: Stamp) -> bool {
+        let occupancy = self.occupancy_with(self.live_in_flight(now), now);
+        admission::is_large(slots, instances) && !admission::has_room(occupancy, slots)
+    }
+
     /// Returns whether the target may be chosen among others: it is not silent, and not ejected or
     /// its ejection has ended.
     pub fn is_usable(&self, now: Stamp) -> bool {
@@ -312,9 +338,19 @@
         self.connect_failures == 0 || now >= self.last_connect_failure + EJECTION
     }
 
+    /// Returns the requests of this instance in flight at the target, without those that it has most
+    /// likely lost because it could not queue them.
+    pub fn live_in_flight(&self, now: Stamp) -> u32 {
+        self.in_flight.saturating_sub(self.silence.overdue_count(now))
+    }
+
     /// Returns the estimated number of requests at the target.
     pub fn occupancy(&self, now: Stamp) -> f64 {
-        let counted = f64::from(self.in_flight) + self.others_in_flight;
+        self.occupancy_with(self.in_flight, now)
+    }
+
+    fn occupancy_with(&self, in_flight: u32, now: Stamp) -> f64 {
+        let counted = f64::from(in_flight) + self.others_in_flight;
         let reported = self.report.map_or(0.0, |report| {
             let age = now.since(report.at).as_secs_f64() / REPORT_LIFETIME.as_secs_f64();
             report.requests * (1.0 - age).max(0.0)
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -19,11 +19,6 @@
 use crate::rendezvous;
 use crate::rendezvous::Domains;
 
-/// Number of instances per slot of a target above which targets are divided. The queue of a target
-/// is not configured. Fleets of up to 19 instances in front of targets with 3 slots keep the rule
-/// without shares, under which an instance sees and may use all targets.
-const MAX_INSTANCES_PER_SLOT: usize = 7;
-
 /// Requests per two slots that the limits of all instances allow at a target. Targets are known to
 /// hold five requests per slot, the running one and four that wait, so the limits of instances with
 /// two entirely different lists still fit.
@@ -113,7 +108,7 @@
 /// Returns whether the targets of a service are divided among this number of instances.
 pub fn is_divided(targets: &[Arc<Target>], instances: usize) -> bool {
     let slots = targets.iter().map(|target| target.slots.max(1)).min();
-    slots.is_some_and(|slots| instances > to_index(slots).saturating_mul(MAX_INSTANCES_PER_SLOT))
+    slots.is_some_and(|slots| admission::is_large(slots, instances))
 }
 
 /// Returns the number of requests that the limits of all instances allow at a target.
--- a/crates/fleet/src/speed.rs
+++ b/crates/fleet/src/speed.rs
@@ -106,6 +106,8 @@
 pub struct Silence {
     /// Start of each request, and the time at which its response is overdue.
     unanswered: VecDeque<(Stamp, Stamp)>,
+    /// Start of the latest request that was answered.
+    answered: Stamp,
     /// Time since when the target is silent, if a request was given up.
     since: Option<Stamp>,
     /// Start of the latest probe, and their number.
@@ -133,9 +135,10 @@
     }
 
     /// Records a response to the request that started at `started`. Earlier requests without a
-    /// response are lost, or slower than this one; either says nothing about later ones.
+    /// response are lost, or slower than this one; either is no sign of a silence.
     pub fn end_answered(&mut self, started: Stamp) {
-        self.unanswered.retain(|(start, _)| *start > started);
+        self.remove(started);
+        self.answered = self.answered.max(started);
         self.since = None;
         self.probed = None;
         self.probing = false;
@@ -149,6 +152,10 @@
         if self.probed.is_some_and(|(at, _)| at == started) {
             self.probing = false;
         }
+        self.remove(started);
+    }
+
+    fn remove(&mut self, started: Stamp) {
         if let Some(index) = self.unanswered.iter().position(|(start, _)| *start == started) {
             self.unanswered.remove(index);
         }
@@ -163,7 +170,14 @@
 
     /// Returns since when a response has been overdue, if one is.
     fn overdue(&self, now: Stamp) -> Option<Stamp> {
-        self.unanswered.iter().map(|(_, overdue)| *overdue).filter(|overdue| *overdue <= now).min()
+        let signs = self.unanswered.iter().filter(|(start, _)| *start > self.answered);
+        signs.map(|(_, overdue)| *overdue).filter(|overdue| *overdue <= now).min()
+    }
+
+    /// Returns the number of requests whose response is overdue. Most likely the target has lost them.
+    pub fn overdue_count(&self, now: Stamp) -> u32 {
+        let count = self.unanswered.iter().filter(|(_, overdue)| *overdue <= now).count();
+        u32::try_from(count).unwrap_or(u32::MAX)
     }
 
     /// Returns whether a single request may be sent to the silent target as a probe.
--- a/crates/fleet/tests/patterns.rs
+++ b/crates/fleet/tests/patterns.rs
@@ -327,9 +327,9 @@
     let sustainable = share(80.0);
     assert!((sustainable - 0.46).abs() < 0.001, "{sustainable}");
     let mut throttle = Throttle::default();
-    let admitted = (0..1000).filter(|_| throttle.admit(sustainable)).count();
+    let admitted = (0..1000).filter(|_| throttle.admit(sustainable, 0.0)).count();
     assert!((455..=465).contains(&admitted), "{admitted}");
-    assert!((0..100).all(|_| throttle.admit(share(30.0))));
+    assert!((0..100).all(|_| throttle.admit(share(30.0), 0.0)));
 }
 
 /// Refused requests are retried and counted again. Throttling must end once the owner has free
@@ -370,7 +370,7 @@
     for _ in 0..6 {
         estimate.record_overload(at(1000));
     }
-    let is_admitted = |estimate: &mut Estimate, at| estimate.admit(at) == Admission::Admitted;
+    let is_admitted = |estimate: &mut Estimate, at| estimate.admit(0.0, at) == Admission::Admitted;
     let admitted = (0..100).filter(|_| is_admitted(&mut estimate, at(1000))).count();
     assert!(admitted < 40, "{admitted}");
     assert!(!estimate.is_unthrottled(at(1000)));
