--- a/bins/edge/src/peers/report.rs
+++ b/bins/edge/src/peers/report.rs
@@ -8,8 +8,10 @@
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
 use caraway_core::time::millis;
+use caraway_fleet::admission;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::membership::Member;
+use caraway_fleet::membership::Target;
 use caraway_fleet::reports::Reports;
 
 use crate::peers::check_lag;
@@ -25,11 +27,13 @@
     let demand = std::mem::take(&mut *state.demand.borrow_mut());
     let demand = demand.into_iter().map(|(service, keys)| (service, keys.into_iter().collect()));
     let mut loads = Vec::new();
+    let now = Clock.now();
     for (id, estimate) in state.estimates.borrow_mut().iter_mut() {
+        let in_flight = estimate.live_in_flight(now);
         let (completed, time) = std::mem::take(&mut estimate.unreported);
         let failed = std::mem::take(&mut estimate.unreported_failures);
-        if estimate.in_flight > 0 || completed > 0 || failed > 0 {
-            loads.push((id.clone(), estimate.in_flight, completed, time, failed));
+        if in_flight > 0 || completed > 0 || failed > 0 {
+            loads.push((id.clone(), in_flight, completed, time, failed));
         }
     }
     Report {
@@ -54,7 +58,8 @@
         owners: state.view.borrow().version,
         departures: departures(state),
         evacuations: state.evacuation_notices(),
-        seeking: true,
+        // A fresh instance asks only for the owners of keys.
+        seeking: !state.is_fresh(),
         ..Report::default()
     }
 }
@@ -134,8 +139,9 @@
 }
 
 /// Returns the load of targets of services without keys. For keyed services, where the owner of a
-/// key is the only choice, the admitted shares are sent instead. If the targets of a service are
-/// divided among the instances, only those that the reporting instance has `used` are included.
+/// key is the only choice, the admitted shares are sent, and in a large fleet the load of owners
+/// without free slots. If the targets of a service are divided among the instances, only those that
+/// the reporting instance has `used` are included.
 fn pooled_loads(
     state: &State,
     reports: &Reports,
@@ -149,15 +155,17 @@
         let settings = configuration.as_ref().and_then(|current| current.services.get(service));
         settings.is_some_and(|service| service.keyed)
     };
-    let is_relevant = |id: &Arc<str>| {
-        let member = registry.get(id);
-        member.is_some_and(|m| {
-            let service = &m.target.service;
-            !is_keyed(service) && (used.contains(id) || !state.is_divided(service))
-        })
+    let instances = state.instances.borrow().len();
+    let is_sent = |id: &Arc<str>, others: f64| {
+        let Some(member) = registry.get(id) else { return false };
+        let Target { service, slots, .. } = &*member.target;
+        if is_keyed(service) {
+            return admission::is_large(*slots, instances) && others >= f64::from(*slots);
+        }
+        used.contains(id) || !state.is_divided(service)
     };
     let mut loads = reports.loads(except, now);
-    loads.retain(|(id, _, _)| is_relevant(id));
+    loads.retain(|(id, others, _)| is_sent(id, *others));
     loads
 }
 
