--- a/bins/edge/src/forward/selection.rs
+++ b/bins/edge/src/forward/selection.rs
@@ -42,11 +42,6 @@
 const LOCAL_SAMPLE: usize = 4;
 const REMOTE_SAMPLE: usize = 3;
 
-/// Fraction of the latency objective that a request may be expected to take at a target without free
-/// slots if the targets of the service are divided among the instances. Beyond it, the request
-/// would be late and delay later ones.
-const MAX_QUEUEING_SHARE: f64 = 0.8;
-
 /// Fraction of selections in which a target without measurements is preferred, and the factor on
 /// its expected time in these. Without exploration, a new target that is slow while it warms up
 /// would receive no requests as long as others have capacity, and would never be measured.
@@ -120,7 +115,9 @@
                 continue;
             }
             let now = Clock.now();
-            if let Some(end) = self.state.pauses.borrow().end(&target.incarnation, now) {
+            if let Some(end) =
+                self.state.pauses.borrow().next(&target.incarnation, self.route.repeatable, now)
+            {
                 self.pause_end.set(Some(end));
                 return Err(Reason::Paused);
             }
@@ -130,10 +127,16 @@
             {
                 return Err(Reason::OwnerUnreachable);
             }
+            if self.state.with_estimate(&target.incarnation.id, |e| self.is_barred(e, now)) {
+                return Err(Reason::Silent);
+            }
             self.check_admission(&target)?;
             if self.is_below_limit(&target) {
                 return Ok(target);
             }
+            if self.is_full(&target) {
+                return Err(Reason::InFlightLimit);
+            }
             let wait = self.route.latency_objective.mul_f64(MAX_WAIT_SHARE);
             if timeout_at(self.request.received + wait, changed).await.is_err() {
                 let now = Clock.now();
@@ -174,14 +177,20 @@
         Some(target)
     }
 
-    /// Returns whether this instance may have another request in flight at an owner of keys. Urgent
-    /// requests, and all requests while the owner has free slots, may exceed the limit by one.
+    /// Returns whether this instance may have another request in flight at an owner of keys.
     fn is_below_limit(&self, target: &Target) -> bool {
-        let limit = admission::in_flight_limit(target.slots, self.state.instances.borrow().len());
-        let now = Clock.now();
+        let (instances, now) = (self.state.instances.borrow().len(), Clock.now());
         self.state.with_estimate(&target.incarnation.id, |estimate| {
-            estimate.in_flight
-                < limit + u32::from(self.urgent || estimate.has_free_slots(target.slots, now))
+            estimate.has_room_as_owner(target.slots, instances, self.urgent, now)
+        })
+    }
+
+    /// Returns whether an owner is full with requests of the other instances of a large fleet. What
+    /// is known of these changes only with the next report, so waiting is of no use.
+    fn is_full(&self, target: &Target) -> bool {
+        let (instances, now) = (self.state.instances.borrow().len(), Clock.now());
+        self.state.with_estimate(&target.incarnation.id, |estimate| {
+            estimate.is_full_owner(target.slots, instances, now)
         })
     }
 
@@ -193,10 +202,11 @@
             // Load is shed from the least urgent requests; retries and urgent requests are always admitted.
             let decided =
                 self.urgent || !self.selected.is_empty() || self.admission_decided.replace(true);
-            let admitted = if decided { Admission::Admitted } else { estimate.admit(now) };
+            let admitted =
+                if decided { Admission::Admitted } else { estimate.admit(rand::random(), now) };
             (estimate.expected_time(target.slots, DEFAULT_SERVICE_TIME, now), admitted)
         });
-        if expected * 0.7 > self.time_left().as_secs_f64() {
+        if expected > self.time_left().as_secs_f64() {
             return Err(Reason::Overloaded);
         }
         match admitted {
@@ -243,6 +253,12 @@
         Ok(target.clone())
     }
 
+    /// Returns whether a target is silent and the request is no probe of it. A probe may be lost, so
+    /// it is a repeatable request.
+    fn is_barred(&self, estimate: &Estimate, now: Stamp) -> bool {
+        estimate.is_silent(now) && !(self.route.repeatable && estimate.may_probe(now))
+    }
+
     /// Returns whether this instance may have another request in flight at a target of a service
     /// without keys, at which it has a place if the targets are divided among the instances.
     fn has_room(
@@ -259,12 +275,7 @@
                 && admission::has_room(estimate.occupancy(now), slots);
         };
         let objective = self.route.latency_objective.as_secs_f64();
-        estimate.in_flight < place.limit
-            && (estimate.occupancy(now) < f64::from(slots.max(1))
-                || !place.spare
-                    && admission::has_room(estimate.occupancy(now), slots)
-                    && estimate.expected_time(slots, DEFAULT_SERVICE_TIME, now)
-                        < objective * MAX_QUEUEING_SHARE)
+        place.has_room(estimate, slots, objective, DEFAULT_SERVICE_TIME, now)
     }
 
     /// Returns the targets of a service without keys that may receive the request: those that are
@@ -280,7 +291,7 @@
         let pauses = self.state.pauses.borrow();
         let (mut usable, mut ejected, mut failed) = (Vec::new(), Vec::new(), Vec::new());
         let (mut spare, mut leaving) = (Vec::new(), Vec::new());
-        let (mut full, mut spare_full) = (false, false);
+        let (mut full, mut spare_full, mut silent) = (false, false, false);
         let mut pause_end: Option<Stamp> = None;
         let limit = self.state.warmup_limit(&self.service);
         let mut warmup_end: Option<Stamp> = None;
@@ -300,7 +311,7 @@
             if share.is_some() && place.is_none() && member.draining_since.is_none() {
                 continue;
             }
-            if let Some(end) = pauses.end(&member.target.incarnation, now) {
+            if let Some(end) = pauses.next(&member.target.incarnation, self.route.repeatable, now) {
                 pause_end = Some(pause_end.map_or(end, |first| first.min(end)));
                 continue;
             }
@@ -311,7 +322,11 @@
                 continue;
             }
             let estimate = estimates.get(id);
-            let is_usable = estimate.is_none_or(|estimate| estimate.is_usable(now));
+            if estimate.is_some_and(|estimate| self.is_barred(estimate, now)) {
+                silent = true;
+                continue;
+            }
+            let is_usable = estimate.is_none_or(|estimate| estimate.is_reachable(now));
             let has_room =
                 estimate.is_none_or(|estimate| self.has_room(estimate, &member.target, place, now));
             if evacuated {
@@ -353,6 +368,7 @@
                 Err(Reason::Paused)
             }
             None if closed => Err(Reason::Evacuated),
+            None if silent => Err(Reason::Silent),
             None if self.unsent > 0 => Err(Reason::Unreachable),
             None => Err(Reason::NoTarget),
         }
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -108,6 +108,7 @@
     // Time until which the coordinator is not asked, since it failed to respond or is not up to
     // date: neither its timeout nor a crowd of reports must delay the search for another source.
     let mut skip_leader_until = Stamp::default();
+    let mut leader_responded_at = Stamp::default();
     loop {
         let count = u32::try_from(state.instances.borrow().len()).unwrap_or(u32::MAX);
         let period = REPORT_INTERVAL.max(REPORT_INTERVAL_PER_INSTANCE.saturating_mul(count));
@@ -128,18 +129,21 @@
             continue;
         }
         let leader = state.other_leader().filter(|_| Clock.now() >= skip_leader_until);
-        let mut reached_leader = false;
         if let Some(leader) = leader {
             let response = exchange(&state, &leader, build_report(&state)).await;
-            reached_leader = response.is_some();
+            if response.is_some() {
+                leader_responded_at = Clock.now();
+            }
             if response == Some(true) {
                 (attempt, searching, followed_at) = (0, false, Clock.now());
                 continue;
             }
             skip_leader_until = Clock.now() + period;
         }
-        // A deputy that is up to date itself needs no other source.
-        if reached_leader && state.is_fresh() && state.is_deputy() {
+        // A deputy that is up to date itself and reaches the coordinator needs no other source. It
+        // would keep that one from following the coordinator again.
+        let reaches_leader = Clock.now().since(leader_responded_at) < period * 3;
+        if reaches_leader && state.is_fresh() && state.is_deputy() {
             (attempt, searching, followed_at) = (0, false, Clock.now());
             continue;
         }
@@ -176,6 +180,10 @@
                 age: Duration::from_millis(update.age_ms),
             };
             let fresh = update.fresh;
+            if fresh && state.store_failing.get() && state.is_deputy() {
+                // The store responds to others, and this instance is the source of some.
+                state.store_recovered.notify_waiters();
+            }
             check_lag(state, update.revision);
             apply_update(state, update, peer);
             Some(state.follow(|following, deputy, now| {
--- a/bins/edge/src/peers/message.rs
+++ b/bins/edge/src/peers/message.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -56,8 +57,9 @@
     pub(super) seeking: bool,
 }
 
-/// Crashes: fingerprint of the request, target, start time of its incarnation, and age in milliseconds.
-pub(super) type Crashes = Vec<(u64, Arc<str>, u64, u64)>;
+/// Crashes: fingerprint of the request, target, start time of its incarnation, age in milliseconds, and
+/// address of the caller if it is known.
+pub(super) type Crashes = Vec<(u64, Arc<str>, u64, u64, Option<IpAddr>)>;
 
 /// Position in the log of crashes of a process.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
--- a/bins/edge/src/peers/report.rs
+++ b/bins/edge/src/peers/report.rs
@@ -1,14 +1,17 @@
 //! Reports: what an instance tells the coordinator, and what the response contains.
 
 use std::cell::RefCell;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
 use caraway_core::time::millis;
+use caraway_fleet::admission;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::membership::Member;
+use caraway_fleet::membership::Target;
 use caraway_fleet::reports::Reports;
 
 use crate::peers::check_lag;
@@ -24,11 +27,13 @@
     let demand = std::mem::take(&mut *state.demand.borrow_mut());
     let demand = demand.into_iter().map(|(service, keys)| (service, keys.into_iter().collect()));
     let mut loads = Vec::new();
+    let now = Clock.now();
     for (id, estimate) in state.estimates.borrow_mut().iter_mut() {
+        let in_flight = estimate.live_in_flight(now);
         let (completed, time) = std::mem::take(&mut estimate.unreported);
         let failed = std::mem::take(&mut estimate.unreported_failures);
-        if estimate.in_flight > 0 || completed > 0 || failed > 0 {
-            loads.push((id.clone(), estimate.in_flight, completed, time, failed));
+        if in_flight > 0 || completed > 0 || failed > 0 {
+            loads.push((id.clone(), in_flight, completed, time, failed));
         }
     }
     Report {
@@ -53,7 +58,8 @@
         owners: state.view.borrow().version,
         departures: departures(state),
         evacuations: state.evacuation_notices(),
-        seeking: true,
+        // A fresh instance asks only for the owners of keys.
+        seeking: !state.is_fresh(),
         ..Report::default()
     }
 }
@@ -106,7 +112,8 @@
             reports.add_outcomes(target, *completed, *failed, now);
         }
         update.failing = reports.failing(now);
-        update.loads = pooled_loads(state, &reports, &report.name, now);
+        let used = report.loads.iter().map(|(target, ..)| target).collect();
+        update.loads = pooled_loads(state, &reports, &report.name, &used, now);
         update.shares.clone_from(&reports.admitted_shares);
     }
     if let Some(current) = state.active_configuration.borrow().as_ref()
@@ -132,11 +139,14 @@
 }
 
 /// Returns the load of targets of services without keys. For keyed services, where the owner of a
-/// key is the only choice, the admitted shares are sent instead.
+/// key is the only choice, the admitted shares are sent, and in a large fleet the load of owners
+/// without free slots. If the targets of a service are divided among the instances, only those that
+/// the reporting instance has `used` are included.
 fn pooled_loads(
     state: &State,
     reports: &Reports,
     except: &str,
+    used: &HashSet<&Arc<str>>,
     now: Stamp,
 ) -> Vec<(Arc<str>, f64, f64)> {
     let registry = state.registry.borrow();
@@ -145,9 +155,17 @@
         let settings = configuration.as_ref().and_then(|current| current.services.get(service));
         settings.is_some_and(|service| service.keyed)
     };
-    let is_pooled = |id: &str| registry.get(id).is_some_and(|m| !is_keyed(&m.target.service));
+    let instances = state.instances.borrow().len();
+    let is_sent = |id: &Arc<str>, others: f64| {
+        let Some(member) = registry.get(id) else { return false };
+        let Target { service, slots, .. } = &*member.target;
+        if is_keyed(service) {
+            return admission::is_large(*slots, instances) && others >= f64::from(*slots);
+        }
+        used.contains(id) || !state.is_divided(service)
+    };
     let mut loads = reports.loads(except, now);
-    loads.retain(|(id, _, _)| is_pooled(id));
+    loads.retain(|(id, others, _)| is_sent(id, *others));
     loads
 }
 
--- a/bins/edge/src/reason.rs
+++ b/bins/edge/src/reason.rs
@@ -36,6 +36,9 @@
     Unreachable,
     /// The owner of the key is ejected after connection failures.
     OwnerUnreachable,
+    /// The targets that can serve the request answer no requests at the moment, and this one is no
+    /// probe of them.
+    Silent,
     /// The target shed the request without executing it.
     Shed,
     /// The target does not own the key.
@@ -70,6 +73,7 @@
             Self::InFlightLimit => "this instance has its part of requests at the target",
             Self::Unreachable => "the target cannot be reached",
             Self::OwnerUnreachable => "the owner of the key could not be reached a moment ago",
+            Self::Silent => "the target does not answer at the moment",
             Self::Shed => "the target turned it away",
             Self::NotOwner => "the target does not own the key",
             Self::ConnectionLost => "the connection broke",
@@ -89,7 +93,7 @@
             }
             // An evacuation lasts for minutes rather than for moments.
             Self::Evacuated => Duration::from_secs(2),
-            Self::OwnerUnreachable => load::EJECTION,
+            Self::OwnerUnreachable | Self::Silent => load::EJECTION,
             // A quarantine ends only by timeout.
             Self::Quarantined => Duration::from_secs(60),
             Self::Overloaded
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -393,9 +393,16 @@
         self.changed.notify_waiters();
     }
 
-    /// Records that a target refused a request and asked for a pause.
-    pub fn record_pause(&self, target: &Target, asked: Duration) {
-        let pause = self.pauses.borrow_mut().record(&target.incarnation, asked, Clock.now());
+    /// Records that a target refused a request, which may have been a probe, and asked for a pause.
+    pub fn record_pause(&self, target: &Target, asked: Duration, probe: bool) {
+        let (now, incarnation) = (Clock.now(), &target.incarnation);
+        let mut pauses = self.pauses.borrow_mut();
+        let pause = if probe {
+            pauses.record_probe_refusal(incarnation, asked, now)
+        } else {
+            pauses.record(incarnation, asked, now)
+        };
+        drop(pauses);
         Metrics::count(&self.metrics.pauses, "service", &target.service);
         emit(Event::TargetPaused {
             target: target.incarnation.id.to_string(),
@@ -412,9 +419,9 @@
     }
 
     /// Returns the reason why a target must not receive a request at the moment, if there is one.
-    pub fn exclusion(&self, target: &Target) -> Option<Reason> {
+    pub fn exclusion(&self, target: &Target, repeatable: bool) -> Option<Reason> {
         let now = Clock.now();
-        if self.pauses.borrow().end(&target.incarnation, now).is_some() {
+        if self.pauses.borrow().next(&target.incarnation, repeatable, now).is_some() {
             return Some(Reason::Paused);
         }
         let registry = self.registry.borrow();
@@ -432,15 +439,15 @@
     /// off shortly before are suspected as the cause.
     pub fn record_crash(&self, incarnation: &Incarnation, service: &str) {
         let now = Clock.now();
-        for fingerprint in self.suspicions.borrow_mut().record_crash(incarnation, now) {
+        for request in self.suspicions.borrow_mut().record_crash(incarnation, now) {
             let crash =
                 Crash { target: name::Target::new(&incarnation.id), incarnation: incarnation.born };
-            self.quarantine.borrow_mut().record_crash(fingerprint, crash, now);
-            self.crashes.borrow_mut().add(fingerprint, &incarnation.id, incarnation.born);
+            self.quarantine.borrow_mut().record_crash(request, crash, now);
+            self.crashes.borrow_mut().add(request, &incarnation.id, incarnation.born);
             emit(Event::TargetCrashed {
                 target: incarnation.id.to_string(),
                 service: service.to_owned(),
-                request: format!("{:016x}", fingerprint.0),
+                request: format!("{:016x}", request.fingerprint.0),
             });
         }
     }
@@ -492,6 +499,12 @@
         self.shares.borrow_mut().get(service, &self.settings.name, lists, now)
     }
 
+    /// Returns whether the targets of a service are divided among the instances, as far as requests
+    /// of this instance have shown.
+    pub fn is_divided(&self, service: &str) -> bool {
+        self.shares.borrow().is_divided(service)
+    }
+
     /// Calls a function with the load estimate of a target.
     pub fn with_estimate<T>(&self, id: &Arc<str>, operate: impl FnOnce(&mut Estimate) -> T) -> T {
         operate(self.estimates.borrow_mut().entry(id.clone()).or_default())
