--- a/standins/production/src/instance.rs
+++ b/standins/production/src/instance.rs
@@ -32,6 +32,8 @@
     pub caller_address: SocketAddr,
     /// Address of the readiness endpoint.
     pub readiness_address: SocketAddr,
+    /// Address for messages of other instances.
+    pub instance_address: SocketAddr,
     /// Address of the metrics endpoint.
     pub metrics_address: SocketAddr,
 }
@@ -61,6 +63,20 @@
     ///
     /// Fails if no ports are free or the process cannot be started.
     pub fn start(program: &Path, domain: &str, store: SocketAddr) -> io::Result<Self> {
+        Self::start_with(program, domain, store, "")
+    }
+
+    /// Starts an instance whose settings file has additional lines.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no ports are free or the process cannot be started.
+    pub fn start_with(
+        program: &Path,
+        domain: &str,
+        store: SocketAddr,
+        more: &str,
+    ) -> io::Result<Self> {
         let number = NEXT_NUMBER.fetch_add(1, Ordering::SeqCst);
         let process = std::process::id().to_le_bytes();
         // A separate address for each test process and instance prevents port conflicts between tests.
@@ -72,7 +88,8 @@
         let name = format!("edge-{number}");
         let directory = std::env::temp_dir().join(format!("caraway-{}-{name}", std::process::id()));
         fs::create_dir_all(&directory)?;
-        fs::write(directory.join("settings"), settings(&name, domain, ip, port, store))?;
+        let settings = settings(&name, domain, ip, port, store);
+        fs::write(directory.join("settings"), settings + more)?;
         let child = spawn(program, &directory)?;
         Ok(Self {
             child,
@@ -81,6 +98,7 @@
             name,
             caller_address: (ip, port).into(),
             readiness_address: (ip, port + 1).into(),
+            instance_address: (ip, port + 2).into(),
             metrics_address: (ip, port + 3).into(),
         })
     }
@@ -107,6 +125,11 @@
         line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
     }
 
+    /// Returns the number of open descriptors of the process, or zero if it cannot be read.
+    pub fn open_descriptors(&self) -> usize {
+        fs::read_dir(format!("/proc/{}/fd", self.id())).map_or(0, Iterator::count)
+    }
+
     /// Returns the processor time that the process has used, in clock ticks of the system, or zero
     /// if it cannot be read.
     pub fn processor_ticks(&self) -> u64 {
