Hold each request body once, within a memory budget

Change: fleet::memory accounts for the memory of requests and responses, without I/O; bins/edge/src/memory.rs waits for memory and gives up stalled bodies. A body is held in pieces, written to targets from them, and hashed for the quarantine as it arrives. Routes and ids are checked before a body is read. A body that is late is answered 408, one without memory 503. Buffered parts of responses draw from the budget, a caller that takes no byte of a response for idle_timeout_ms is reset, and the time that callers take to read no longer counts as service time of the target: 12 callers that read nothing made a target look slower than any deadline for good. Messages of other instances draw from the budget too.

The crowd at the instance listener sends to the path of reports now; its earlier path does not exist and is answered before the body is read.

--- a/bins/edge/src/attempt.rs
+++ b/bins/edge/src/attempt.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
@@ -20,6 +21,8 @@
     started: Stamp,
     slowdown: f64,
     open: Cell<bool>,
+    /// Time from the start until the pace of the caller determines the rest, if it does.
+    own_time: Cell<Option<Duration>>,
 }
 
 impl Attempt {
@@ -30,14 +33,22 @@
             estimate.begin(target.slots, started)
         });
         let (state, target) = (state.clone(), target.clone());
-        Self { state, target, started, slowdown, open: Cell::new(true) }
+        Self { state, target, started, slowdown, open: Cell::new(true), own_time: Cell::new(None) }
+    }
+
+    /// Records that the rest of the response is read at the pace of the caller. The time that this takes says
+    /// nothing about the target: callers that read nothing would make it look slower than any deadline.
+    pub fn pass_pace(&self) {
+        if self.own_time.get().is_none() {
+            self.own_time.set(Some(Clock.now().since(self.started)));
+        }
     }
 
     /// Records the end of the attempt; later calls have no effect.
     pub fn end(&self, outcome: Outcome) {
         if self.open.replace(false) {
             let now = Clock.now();
-            let time = now.since(self.started);
+            let time = self.own_time.get().unwrap_or_else(|| now.since(self.started));
             let slowdown = self.slowdown;
             self.state.with_estimate(&self.target.incarnation.id, |estimate| {
                 estimate.end(outcome, time, slowdown, now)
--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -5,11 +5,11 @@
 mod selection;
 
 use std::cell::Cell;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header;
@@ -37,11 +37,11 @@
 use crate::forward::outcome::refuse;
 use crate::http::Connection;
 use crate::http::Head;
+use crate::ingress::body::Body;
 use crate::metrics::Metrics;
 use crate::pool;
 use crate::reason::Reason;
 use crate::response;
-use crate::response::Body;
 use crate::response::TargetBody;
 use crate::state::State;
 
@@ -80,7 +80,9 @@
     /// Head of the request.
     pub parts: Parts,
     /// Complete body.
-    pub body: Bytes,
+    pub body: Body,
+    /// Address of the caller.
+    pub caller: IpAddr,
     /// Id of the caller's attempt.
     pub id: Arc<str>,
     /// Time at which its head was read.
@@ -129,14 +131,44 @@
     last_reason: Reason,
 }
 
+/// Returns the route of a request.
+fn find_route<'a>(configuration: &'a Configuration, parts: &Parts) -> Option<&'a Arc<Route>> {
+    let host = parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let host = host.or_else(|| parts.uri.host()).unwrap_or("");
+    configuration.route(host, parts.uri.path())
+}
+
+/// Returns the time that a caller waits for the response, according to the request.
+fn requested_time(parts: &Parts) -> Option<Duration> {
+    let text = parts.headers.get(field::DEADLINE_MS)?.to_str().ok()?;
+    text.trim().parse().ok().map(Duration::from_millis)
+}
+
+/// Properties of a request that are known before its body is read.
+#[derive(Clone, Copy, Debug)]
+pub struct Preview {
+    /// Time from the arrival of the head to the deadline of the request.
+    pub time_limit: Duration,
+}
+
+/// Returns what is known of a request before its body is read, or `None` if it has no route.
+pub fn preview(configuration: &Configuration, parts: &Parts) -> Option<Preview> {
+    let route = find_route(configuration, parts)?;
+    let time_limit = requested_time(parts).map_or(route.timeout, |time| time.min(route.timeout));
+    Some(Preview { time_limit })
+}
+
+/// Refuses a request whose body does not fit into the memory.
+pub fn refuse_for_memory(state: &Rc<State>, request: &Request) -> Response<response::Body> {
+    refuse(state, request, None, Reason::MemoryShort)
+}
+
 /// Forwards a request and returns the response for the caller.
-pub async fn serve(state: &Rc<State>, request: &Request) -> Response<Body> {
+pub async fn serve(state: &Rc<State>, request: &Request) -> Response<response::Body> {
     let Some(configuration) = state.configuration() else {
         return refuse(state, request, None, Reason::NoConfiguration);
     };
-    let host = request.parts.headers.get(header::HOST).and_then(|host| host.to_str().ok());
-    let host = host.or_else(|| request.parts.uri.host()).unwrap_or("");
-    let Some(route) = configuration.route(host, request.parts.uri.path()) else {
+    let Some(route) = find_route(&configuration, &request.parts) else {
         return response::plain(StatusCode::NOT_FOUND, "no route");
     };
     let route = route.clone();
@@ -155,8 +187,8 @@
     ) -> Option<Self> {
         let headers = &request.parts.headers;
         let text = |name| headers.get(name).and_then(|v: &HeaderValue| v.to_str().ok());
-        let requested = text(field::DEADLINE_MS).and_then(|text| text.trim().parse().ok());
-        let time_limit = requested.map_or(route.timeout, Duration::from_millis).min(route.timeout);
+        let requested = requested_time(&request.parts);
+        let time_limit = requested.unwrap_or(route.timeout).min(route.timeout);
         let index = {
             let mut splitters = state.splitters.borrow_mut();
             splitters.entry(route.name.clone()).or_default().next(&route.splits)
@@ -187,7 +219,7 @@
             unsent: 0,
             pause_end: Cell::new(None),
             caller_deadline: request.received
-                + requested.map_or(route.timeout, Duration::from_millis).min(MAX_CALLER_WAIT),
+                + requested.unwrap_or(route.timeout).min(MAX_CALLER_WAIT),
             admission_decided: Cell::new(false),
             may_have_executed: false,
             last_reason: Reason::NoTarget,
@@ -199,7 +231,7 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    async fn run(&mut self) -> Response<Body> {
+    async fn run(&mut self) -> Response<response::Body> {
         loop {
             let now = Clock.now();
             if self.state.quarantine.borrow_mut().admit(self.fingerprint, now) == Verdict::Refuse {
@@ -313,11 +345,14 @@
             return Completion::Unsent(reason);
         }
         connection.reset_on_close();
-        let message = self.encode(target);
+        let (message, separate) = self.encode(target);
         let until = self.deadline + DEADLINE_GRACE;
         let sent = Instant::now();
         let head = timeout_at(until, async {
             connection.send(&message).await?;
+            for piece in self.request.body.pieces().filter(|_| separate) {
+                connection.send(piece).await?;
+            }
             connection.read_head().await
         });
         let head = tokio::select! {
@@ -408,6 +443,7 @@
         let outcome = if status >= 500 { Outcome::Failed } else { Outcome::Answered };
         let mut body =
             TargetBody::new(self.state.clone(), target.clone(), connection, attempt, outcome);
+        body.set_lease(self.state.memory.lease(self.request.caller));
         body.set_deadline(self.caller_deadline + DEADLINE_GRACE);
         if not_executed {
             let reason = if status == 421 { Reason::NotOwner } else { Reason::Shed };
@@ -517,5 +553,5 @@
 /// Returns the fingerprint by which the quarantine identifies equal requests.
 fn fingerprint(request: &Request) -> Fingerprint {
     let path = request.parts.uri.path_and_query().map_or("/", |path| path.as_str());
-    Fingerprint::new(request.parts.method.as_str(), path, Some(&request.body))
+    Fingerprint::of_hash(request.parts.method.as_str(), path, Some(request.body.hash()))
 }
--- a/bins/edge/src/forward/message.rs
+++ b/bins/edge/src/forward/message.rs
@@ -14,12 +14,19 @@
 use crate::forward::Call;
 use crate::http::is_end_to_end;
 
+/// Largest body that is sent together with the head of the request. Copying more costs more than another
+/// write.
+const MAX_JOINED_BYTES: usize = 8 << 10;
+
 impl Call<'_> {
-    /// Encodes the request for a target, with the remaining time as its deadline.
-    pub(super) fn encode(&self, target: &Target) -> Vec<u8> {
+    /// Encodes the request for a target, with the remaining time as its deadline. Returns whether the pieces of
+    /// the body have to follow; a small body is part of the message, so that one packet suffices.
+    pub(super) fn encode(&self, target: &Target) -> (BytesMut, bool) {
         let parts = &self.request.parts;
         let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
-        let mut message = BytesMut::with_capacity(512 + self.request.body.len());
+        let body = &self.request.body;
+        let separate = body.len() > MAX_JOINED_BYTES;
+        let mut message = BytesMut::with_capacity(512 + if separate { 0 } else { body.len() });
         let add_field = |message: &mut BytesMut, name: &str, value: &[u8]| {
             message.extend_from_slice(name.as_bytes());
             message.extend_from_slice(b": ");
@@ -42,16 +49,14 @@
         add_field(&mut message, field::DEADLINE_MS, left.as_bytes());
         add_field(&mut message, field::EXPECTED_TARGET, target.incarnation.id.as_bytes());
         let bodiless = matches!(parts.method, Method::GET | Method::HEAD | Method::DELETE);
-        if !self.request.body.is_empty() || !bodiless {
-            add_field(
-                &mut message,
-                "content-length",
-                self.request.body.len().to_string().as_bytes(),
-            );
+        if !body.is_empty() || !bodiless {
+            add_field(&mut message, "content-length", body.len().to_string().as_bytes());
         }
         message.extend_from_slice(b"\r\n");
-        message.extend_from_slice(&self.request.body);
-        message.to_vec()
+        for piece in body.pieces().filter(|_| !separate) {
+            message.extend_from_slice(piece);
+        }
+        (message, separate)
     }
 }
 
--- a/bins/edge/src/ingress.rs
+++ b/bins/edge/src/ingress.rs
@@ -1,9 +1,12 @@
 //! Listeners for callers, readiness checks, other instances and metrics.
 
+pub mod body;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::convert::Infallible;
 use std::io;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -15,11 +18,10 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use hyper::Request;
 use hyper::Response;
 use hyper::StatusCode;
+use hyper::body::Body as _;
 use hyper::body::Incoming;
 use hyper::header;
 use hyper::header::HeaderValue;
@@ -37,17 +39,21 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
+use tokio::time::timeout_at;
 
 use caraway_adapter::header as field;
 use caraway_core::time::Clock;
+use caraway_core::time::millis;
 use caraway_fleet::reports::Reports;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
 use crate::forward;
+use crate::ingress::body::Body;
+use crate::memory::Lease;
+use crate::metrics::Metrics;
 use crate::peers;
 use crate::response;
-use crate::response::Body;
 use crate::state::State;
 
 /// Size limit of a connection's buffer, which has to hold a whole request head. Callers send heads of up to
@@ -60,6 +66,13 @@
 /// Largest message from another instance: the owners of several thousand holdings.
 const MESSAGE_BYTES: usize = 4 << 20;
 
+/// Paths of messages from other instances. Other paths are answered before a body is read.
+const MESSAGE_PATHS: [&str; 4] =
+    [peers::REPORT_PATH, peers::OWNERS_PATH, peers::ANNOUNCEMENT_PATH, peers::RETIRED_PATH];
+
+/// Longest time for which a message of another instance arrives. Senders give up earlier.
+const MESSAGE_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Time after which a connection whose caller stops acknowledging data is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(8);
 
@@ -76,6 +89,10 @@
     in_flight: Cell<u32>,
     /// Time at which bytes last arrived or a response ended.
     last_active: Cell<Instant>,
+    /// Time since which the caller has taken no bytes of a response that is waiting for it.
+    unread_since: Cell<Option<Instant>>,
+    /// Whether the connection is reset when it is closed, which frees what its caller has not read.
+    reset: Cell<bool>,
     /// Time at which the first bytes of an incomplete request head arrived.
     head_started: Cell<Option<Instant>>,
 }
@@ -86,6 +103,22 @@
     activity: Rc<Activity>,
 }
 
+impl Drop for TrackedIo {
+    fn drop(&mut self) {
+        if self.activity.reset.get() {
+            // Fails only if the socket is already closed.
+            let _ = SockRef::from(self.io.inner()).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
+impl TrackedIo {
+    fn record_write(&self, pending: bool) {
+        let since = self.activity.unread_since.get();
+        self.activity.unread_since.set(pending.then(|| since.unwrap_or_else(Instant::now)));
+    }
+}
+
 impl Read for TrackedIo {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -110,7 +143,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, bytes)
+        let result = Pin::new(&mut self.io).poll_write(cx, bytes);
+        self.record_write(result.is_pending());
+        result
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -130,7 +165,9 @@
         cx: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(cx, parts)
+        let result = Pin::new(&mut self.io).poll_write_vectored(cx, parts);
+        self.record_write(result.is_pending());
+        result
     }
 }
 
@@ -191,13 +228,16 @@
     let activity = Rc::new(Activity {
         in_flight: Cell::new(0),
         last_active: Cell::new(Instant::now()),
+        unread_since: Cell::new(None),
+        reset: Cell::new(false),
         head_started: Cell::new(None),
     });
+    let Ok(caller) = stream.peer_addr().map(|address| address.ip()) else { return };
     let io = TrackedIo { io: TokioIo::new(stream), activity: activity.clone() };
     let (for_requests, for_service) = (state.clone(), activity.clone());
     let service = service_fn(move |request| {
         let (state, activity) = (for_requests.clone(), for_service.clone());
-        async move { Ok::<_, Infallible>(handle(&state, &activity, request).await) }
+        async move { Ok::<_, Infallible>(handle(&state, &activity, request, caller).await) }
     });
     let connection = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
@@ -217,9 +257,6 @@
             }
             () = sleep_until(wake) => {}
         }
-        if activity.in_flight.get() > 0 {
-            continue;
-        }
         let current = state.active_configuration.borrow();
         let stamp = Clock.now();
         let limits =
@@ -228,6 +265,14 @@
         let default = caraway_fleet::configuration::Limits::default();
         let (head_time, idle_time) = limits.unwrap_or((default.head_timeout, default.idle_timeout));
         let now = Instant::now();
+        // A caller that reads nothing holds memory and a connection to a target.
+        if activity.unread_since.get().is_some_and(|since| now - since > idle_time) {
+            activity.reset.set(true);
+            return;
+        }
+        if activity.in_flight.get() > 0 {
+            continue;
+        }
         if activity.head_started.get().is_some_and(|since| now - since > head_time) {
             return;
         }
@@ -274,10 +319,11 @@
     state: &Rc<State>,
     activity: &Activity,
     request: Request<Incoming>,
-) -> Response<Body> {
+    caller: IpAddr,
+) -> Response<response::Body> {
     let received = Instant::now();
     let _in_flight = InFlight::begin(state, activity);
-    let mut response = receive_and_forward(state, request, received).await;
+    let mut response = receive_and_forward(state, request, received, caller).await;
     if state.stopping.get() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -289,25 +335,119 @@
     state: &Rc<State>,
     request: Request<Incoming>,
     received: Instant,
-) -> Response<Body> {
-    let (parts, body) = request.into_parts();
+    caller: IpAddr,
+) -> Response<response::Body> {
+    let (parts, incoming) = request.into_parts();
     let id = parts.headers.get(field::ATTEMPT).and_then(|value| value.to_str().ok());
     let Some(id) = id.map(Arc::from) else {
         return response::plain(StatusCode::BAD_REQUEST, "the id of the attempt is missing");
     };
-    let limit = state.configuration().map(|configuration| configuration.limits.max_body_bytes);
-    let limit = limit.and_then(|bytes| usize::try_from(bytes).ok()).unwrap_or(usize::MAX);
-    let body = match Limited::new(body, limit).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) if error.is::<LengthLimitError>() => {
+    let configuration = state.configuration();
+    let preview = configuration.as_ref().and_then(|c| forward::preview(c, &parts));
+    let mut request = forward::Request { parts, body: Body::default(), caller, id, received };
+    let (Some(configuration), Some(preview)) = (configuration, preview) else {
+        return forward::serve(state, &request).await;
+    };
+    let limit = usize::try_from(configuration.limits.max_body_bytes).unwrap_or(usize::MAX);
+    let lease = state.memory.lease(caller);
+    let deadline = received + preview.time_limit;
+    let receive = receive(incoming, limit, &lease, deadline);
+    let received = tokio::select! {
+        result = timeout_at(deadline, receive) => result.unwrap_or(Err(Problem::Late)),
+        () = lease.given_up() => Err(Problem::Shortage),
+    };
+    lease.complete();
+    if let Err(problem) = &received {
+        record_refused_body(state, &request, problem);
+    }
+    match received {
+        Ok(body) => request.body = body,
+        Err(Problem::Shortage) => return forward::refuse_for_memory(state, &request),
+        Err(Problem::TooLong) => {
             return response::plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long");
         }
-        Err(_) => return response::plain(StatusCode::BAD_REQUEST, "the body ended early"),
-    };
-    let request = forward::Request { parts, body, id, received };
+        Err(Problem::Late) => {
+            let text = "the body did not arrive before the deadline of the request";
+            return response::plain(StatusCode::REQUEST_TIMEOUT, text);
+        }
+        Err(Problem::Broken) => {
+            return response::plain(StatusCode::BAD_REQUEST, "the body ended early");
+        }
+    }
     forward::serve(state, &request).await
 }
 
+/// Reason why a body was not received.
+enum Problem {
+    /// The body is longer than allowed.
+    TooLong,
+    /// There is no memory for the body.
+    Shortage,
+    /// The body did not arrive before the deadline of the request.
+    Late,
+    /// The caller disconnected, or the encoding of the body is invalid.
+    Broken,
+}
+
+impl Problem {
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::TooLong => "too long",
+            Self::Shortage => "no memory",
+            Self::Late => "late",
+            Self::Broken => "broken off",
+        }
+    }
+}
+
+fn record_refused_body(state: &State, request: &forward::Request, problem: &Problem) {
+    Metrics::count(&state.metrics.bodies_refused, "reason", problem.as_str());
+    emit(Event::BodyRefused {
+        request_id: request.id.to_string(),
+        address: request.caller.to_string(),
+        reason: problem.as_str().to_owned(),
+        held_ms: millis(request.received.elapsed()),
+        memory_used: state.memory.used(),
+    });
+}
+
+/// Receives a body after its memory is available. The memory of a body whose length is not known is taken as
+/// it arrives.
+async fn receive(
+    mut incoming: Incoming,
+    limit: usize,
+    lease: &Lease,
+    deadline: Instant,
+) -> Result<Body, Problem> {
+    let declared = incoming.size_hint().exact();
+    let declared = declared.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+    if declared.is_some_and(|length| length > limit) {
+        return Err(Problem::TooLong);
+    }
+    lease.grow(declared.unwrap_or(0), deadline).await.map_err(|_| Problem::Shortage)?;
+    let mut body = Body::default();
+    while let Some(frame) = incoming.frame().await {
+        let Ok(data) = frame.map_err(|_| Problem::Broken)?.into_data() else { continue };
+        if body.len() + data.len() > limit {
+            return Err(Problem::TooLong);
+        }
+        lease.record_arrival(data.len());
+        let mut rest = &*data;
+        while !rest.is_empty() {
+            if body.room() == 0 {
+                let size = body.next_piece(declared.map(|length| length - body.len()));
+                if declared.is_none() {
+                    lease.grow(size, deadline).await.map_err(|_| Problem::Shortage)?;
+                }
+                body.add_piece(size);
+            }
+            let size = body.push(rest);
+            rest = rest.get(size..).unwrap_or_default();
+        }
+    }
+    Ok(body)
+}
+
 type Reply = Response<Full<Bytes>>;
 
 fn reply(status: StatusCode, text: String) -> Reply {
@@ -318,7 +458,7 @@
 
 /// Serves the platform's readiness checks.
 pub async fn readiness(state: Rc<State>, listener: TcpListener) {
-    accept(listener, move |request| {
+    accept(listener, move |request, _| {
         let ready = !state.stopping.get() && state.configuration().is_some();
         let status = if request.uri().path() != field::READY_PATH {
             StatusCode::NOT_FOUND
@@ -334,15 +474,15 @@
 
 /// Serves the metrics in the text format.
 pub async fn metrics(state: Rc<State>, listener: TcpListener) {
-    accept(listener, move |_| std::future::ready(reply(StatusCode::OK, state.metrics.render())))
+    accept(listener, move |_, _| std::future::ready(reply(StatusCode::OK, state.metrics.render())))
         .await;
 }
 
 /// Serves messages from other instances.
 pub async fn instances(state: Rc<State>, reports: Rc<RefCell<Reports>>, listener: TcpListener) {
-    accept(listener, move |request| {
+    accept(listener, move |request, sender| {
         let (state, reports) = (state.clone(), reports.clone());
-        async move { handle_message(&state, &reports, request).await }
+        async move { handle_message(&state, &reports, request, sender).await }
     })
     .await;
 }
@@ -351,12 +491,31 @@
     state: &Rc<State>,
     reports: &Rc<RefCell<Reports>>,
     request: Request<Incoming>,
+    sender: IpAddr,
 ) -> Reply {
     let path = request.uri().path().to_owned();
-    let Ok(body) = Limited::new(request.into_body(), MESSAGE_BYTES).collect().await else {
-        return reply(StatusCode::BAD_REQUEST, "the message is too long or broken".to_owned());
+    if !MESSAGE_PATHS.contains(&path.as_str()) {
+        return reply(StatusCode::NOT_FOUND, String::new());
+    }
+    let lease = state.memory.lease(sender);
+    let deadline = Instant::now() + MESSAGE_TIMEOUT;
+    let receive = receive(request.into_body(), MESSAGE_BYTES, &lease, deadline);
+    let received = tokio::select! {
+        result = timeout_at(deadline, receive) => result.unwrap_or(Err(Problem::Late)),
+        () = lease.given_up() => Err(Problem::Shortage),
+    };
+    lease.complete();
+    let body = match received {
+        // The message is joined for its parser while its pieces are still held.
+        Ok(body) if lease.try_grow(body.len()) => body.joined(),
+        Ok(_) | Err(Problem::Shortage) => {
+            return reply(StatusCode::SERVICE_UNAVAILABLE, "memory is short".to_owned());
+        }
+        Err(Problem::Late) => return reply(StatusCode::REQUEST_TIMEOUT, String::new()),
+        Err(Problem::TooLong | Problem::Broken) => {
+            return reply(StatusCode::BAD_REQUEST, "the message is too long or broken".to_owned());
+        }
     };
-    let body = body.to_bytes();
     let invalid = |error: serde_json::Error| reply(StatusCode::BAD_REQUEST, error.to_string());
     match path.as_str() {
         peers::REPORT_PATH => match serde_json::from_slice(&body) {
@@ -394,14 +553,14 @@
 /// Accepts connections and passes their requests to `handler`.
 async fn accept<F, R>(listener: TcpListener, handler: F)
 where
-    F: Fn(Request<Incoming>) -> R + 'static,
+    F: Fn(Request<Incoming>, IpAddr) -> R + 'static,
     R: Future<Output = Reply> + 'static,
 {
     let handler = Rc::new(handler);
     let mut connections = JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
-        let Ok((stream, _)) = listener.accept().await else {
+        let Ok((stream, sender)) = listener.accept().await else {
             tokio::time::sleep(Duration::from_millis(100)).await;
             continue;
         };
@@ -411,7 +570,7 @@
         let handler = handler.clone();
         connections.spawn_local(async move {
             let service = service_fn(move |request| {
-                let response = handler(request);
+                let response = handler(request, sender.ip());
                 async move { Ok::<_, Infallible>(response.await) }
             });
             // The client may disconnect at any time.
--- a/bins/edge/src/main.rs
+++ b/bins/edge/src/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod ingress;
 mod leader;
+mod memory;
 mod metrics;
 mod peers;
 mod pool;
--- a/bins/edge/src/metrics.rs
+++ b/bins/edge/src/metrics.rs
@@ -37,6 +37,10 @@
     pub departures: Family<Labels, Counter>,
     /// Pauses that targets asked for, by service.
     pub pauses: Family<Labels, Counter>,
+    /// Request bodies that were not received, by reason.
+    pub bodies_refused: Family<Labels, Counter>,
+    /// Memory that requests and responses in flight use, in bytes.
+    pub memory_used: Gauge,
     /// Entries of the store that were ignored because they cannot be read.
     pub ignored_entries: Counter,
     /// Holdings that moved to another owner.
@@ -69,6 +73,8 @@
             messages: Family::default(),
             departures: Family::default(),
             pauses: Family::default(),
+            bodies_refused: Family::default(),
+            memory_used: Gauge::default(),
             ignored_entries: Counter::default(),
             holdings_moved: Counter::default(),
             config_version: Gauge::default(),
@@ -89,6 +95,8 @@
         registry.register("messages", "Messages to instances", m.messages.clone());
         registry.register("targets_leaving", "Announced departures", m.departures.clone());
         registry.register("target_pauses", "Pauses of targets", m.pauses.clone());
+        registry.register("bodies_refused", "Bodies not received", m.bodies_refused.clone());
+        registry.register("memory_used", "Bytes of requests in flight", m.memory_used.clone());
         registry.register("ignored_entries", "Unreadable entries", m.ignored_entries.clone());
         registry.register("holdings_moved", "Holdings with a new owner", m.holdings_moved.clone());
         registry.register("config_version", "Configuration in force", m.config_version.clone());
--- a/bins/edge/src/process.rs
+++ b/bins/edge/src/process.rs
@@ -248,6 +248,7 @@
         let number = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         metrics.dropped_lines.set(number(count));
         metrics.config_version.set(number(state.version()));
+        metrics.memory_used.set(number(state.memory.used()));
         metrics.coordinator.set(i64::from(state.leading.get()));
         let silence = state.last_store_response.get().map_or(Duration::ZERO, |at| now.since(at));
         metrics.store_silence_ms.set(i64::try_from(silence.as_millis()).unwrap_or(i64::MAX));
--- a/bins/edge/src/reason.rs
+++ b/bins/edge/src/reason.rs
@@ -40,6 +40,8 @@
     ConnectionLost,
     /// No response arrived before the deadline.
     TimedOut,
+    /// The body does not fit into the memory of this instance.
+    MemoryShort,
     /// This instance stops before the target has responded.
     Stopping,
     /// The response is not a valid response to this request.
@@ -68,6 +70,7 @@
             Self::NotOwner => "the target does not own the key",
             Self::ConnectionLost => "the connection broke",
             Self::TimedOut => "no answer in time",
+            Self::MemoryShort => "this instance has no memory for the body at the moment",
             Self::Stopping => "this instance stops before the target has answered",
             Self::Mismatched => "the answer belongs to another request",
             Self::Failed => "the target failed",
@@ -83,6 +86,8 @@
                 Duration::from_millis(250)
             }
             Self::OwnerUnreachable => load::EJECTION,
+            // Another instance may have memory; here it takes about as long as a body is received.
+            Self::MemoryShort => Duration::from_millis(500),
             // A quarantine ends only by timeout.
             Self::Quarantined => Duration::from_secs(60),
             Self::Overloaded
--- a/bins/edge/src/response.rs
+++ b/bins/edge/src/response.rs
@@ -31,6 +31,7 @@
 use crate::http::Connection;
 use crate::http::Head;
 use crate::http::is_end_to_end;
+use crate::memory::Lease;
 use crate::state::State;
 
 /// Timeout for reading the rest of a discarded response, after which its connection is closed.
@@ -50,6 +51,8 @@
     /// Outcome that is recorded once the body has been read completely.
     outcome: Outcome,
     buffered: BytesMut,
+    /// Memory of the buffered part, if it is counted.
+    lease: Option<Lease>,
     /// Whether the complete body was buffered before any of it was forwarded.
     complete: bool,
     length: Option<u64>,
@@ -76,6 +79,7 @@
             attempt,
             outcome,
             buffered,
+            lease: None,
             complete: false,
             length: None,
             deadline: None,
@@ -83,6 +87,12 @@
         }
     }
 
+    /// Sets the holding from which the buffered part of the body draws.
+    pub fn set_lease(&mut self, lease: Lease) {
+        lease.complete();
+        self.lease = Some(lease);
+    }
+
     /// Sets the time after which no caller waits for the rest of the body. Without it, a body
     /// without an end would be read for as long as the caller's connection is open.
     pub fn set_deadline(&mut self, deadline: Instant) {
@@ -101,7 +111,7 @@
         self.attempt.end(outcome);
     }
 
-    /// Buffers the body until it is complete or exceeds `limit` bytes.
+    /// Buffers the body until it is complete, exceeds `limit` bytes or finds no more memory.
     ///
     /// # Errors
     ///
@@ -109,12 +119,15 @@
     pub async fn buffer(&mut self, limit: usize) -> io::Result<()> {
         while let Some(connection) = &mut self.connection {
             match connection.read_body().await? {
-                Some(bytes) => self.buffered.extend_from_slice(&bytes),
+                Some(bytes) => {
+                    self.buffered.extend_from_slice(&bytes);
+                    let counted = self.lease.as_ref().is_none_or(|l| l.try_grow(bytes.len()));
+                    if !counted || self.buffered.len() > limit {
+                        return Ok(());
+                    }
+                }
                 None => self.finish(),
             }
-            if self.buffered.len() > limit {
-                return Ok(());
-            }
         }
         self.complete = true;
         Ok(())
@@ -149,6 +162,8 @@
         let this = self.get_mut();
         if !this.buffered.is_empty() {
             let bytes = this.buffered.split().freeze();
+            // What the caller's connection holds from here on is bounded by the size of its buffer.
+            this.lease = None;
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
         if this.connection.is_some() && this.poll_deadline(cx).is_ready() {
@@ -187,6 +202,7 @@
 
 /// Returns the response of a target without its hop-by-hop headers.
 pub fn forward(head: Head, mut body: TargetBody) -> Response<Body> {
+    body.attempt.pass_pace();
     body.length = head.length;
     let mut response = Response::new(Either::Right(body));
     let status = StatusCode::from_u16(head.status);
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -37,6 +37,7 @@
 use caraway_fleet::membership::Member;
 use caraway_fleet::membership::Registry;
 use caraway_fleet::membership::Target;
+use caraway_fleet::memory::Budget;
 use caraway_fleet::pause::Pauses;
 use caraway_fleet::rendezvous::Domains;
 use caraway_fleet::unowned::Ranges;
@@ -46,6 +47,7 @@
 use caraway_telemetry::event::emit;
 
 use crate::http::Connection;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::pool::Pool;
 use crate::reason::Reason;
@@ -158,6 +160,8 @@
     pub settings: Settings,
     /// Pool of connections to targets, the store and other instances.
     pub pool: Pool,
+    /// Memory budget of requests and responses.
+    pub memory: Rc<Memory>,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// The configuration in force, once one was received.
@@ -236,7 +240,11 @@
 impl State {
     /// Creates the initial state, without data from the store.
     pub fn new(settings: Settings) -> Self {
+        // Without a limit of the platform, memory is not limited.
+        let bytes = settings.memory_mb.map(|megabytes| megabytes.saturating_mul(1_000_000));
+        let budget = bytes.map_or_else(|| Budget::new(u64::MAX), Budget::of_machine);
         Self {
+            memory: Memory::new(budget),
             settings,
             pool: Pool::default(),
             metrics: Metrics::new(),
--- a/bins/edge/tests/clients/bodies.rs
+++ b/bins/edge/tests/clients/bodies.rs
@@ -69,7 +69,7 @@
 /// may have 4 MB.
 #[yare::parameterized(
     readiness = { "/v1/readyz", |watched: &Watched| watched.instance().readiness_address },
-    instances = { "/v1/report", |watched: &Watched| watched.instance().instance_address },
+    instances = { "/report", |watched: &Watched| watched.instance().instance_address },
     metrics = { "/metrics", |watched: &Watched| watched.instance().metrics_address },
 )]
 fn bodies_at_other_listeners_stay_within_memory(
--- a/crates/call/src/quarantine.rs
+++ b/crates/call/src/quarantine.rs
@@ -35,13 +35,18 @@
 impl Fingerprint {
     /// Computes the fingerprint of a request. A body that is not buffered is ignored.
     pub fn new(method: &str, path: &str, body: Option<&[u8]>) -> Self {
+        Self::of_hash(method, path, body.map(shard::hash))
+    }
+
+    /// Computes the fingerprint of a request from the hash of its body.
+    pub fn of_hash(method: &str, path: &str, body: Option<u64>) -> Self {
         let mut text = Vec::with_capacity(method.len() + path.len() + 18);
         text.extend_from_slice(method.as_bytes());
         text.push(0);
         text.extend_from_slice(path.as_bytes());
-        if let Some(body) = body {
+        if let Some(hash) = body {
             text.push(0);
-            text.extend_from_slice(&shard::hash(body).to_be_bytes());
+            text.extend_from_slice(&hash.to_be_bytes());
         }
         Self(shard::hash(&text))
     }
--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -25,15 +25,38 @@
 /// mixes poorly for short keys. The value is part of the protocol between instances and must never
 /// change.
 pub fn hash(bytes: &[u8]) -> u64 {
-    let mut state = FNV_OFFSET;
-    for byte in bytes {
-        state = (state ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
+    let mut hasher = Hasher::default();
+    hasher.update(bytes);
+    hasher.finish()
+}
+
+/// Computes [`hash`] of bytes that arrive in pieces.
+#[derive(Clone, Copy, Debug)]
+pub struct Hasher(u64);
+
+impl Default for Hasher {
+    fn default() -> Self {
+        Self(FNV_OFFSET)
+    }
+}
+
+impl Hasher {
+    /// Adds the next bytes.
+    pub fn update(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.0 = (self.0 ^ u64::from(*byte)).wrapping_mul(FNV_PRIME);
+        }
+    }
+
+    /// Returns the hash of all bytes added so far.
+    pub fn finish(self) -> u64 {
+        let mut state = self.0;
+        state ^= state >> 33;
+        state = state.wrapping_mul(0xff51_afd7_ed55_8ccd);
+        state ^= state >> 33;
+        state = state.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+        state ^ (state >> 33)
     }
-    state ^= state >> 33;
-    state = state.wrapping_mul(0xff51_afd7_ed55_8ccd);
-    state ^= state >> 33;
-    state = state.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
-    state ^ (state >> 33)
 }
 
 /// Returns the shard of a key among `shards` shards. Zero is treated as one shard.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod election;
 pub mod load;
 pub mod membership;
+pub mod memory;
 pub mod ownership;
 pub mod pause;
 pub mod plan;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -265,6 +265,9 @@
     /// A response ended before it was complete.
     414 Warn AnswerBroken "answer-broken" { request_id: String, target: String, error: String }
         "the response of {target} to request {request_id} was truncated: {error}"
+    /// A request body was not received.
+    415 Warn BodyRefused "body-refused" { request_id: String, address: String, reason: String, held_ms: u64, memory_used: u64 }
+        "the body of request {request_id} from {address} was not received: {reason}"
 
     /// A configuration version is in force.
     501 Info ConfigurationApplied "configuration-applied" { version: u64, source: String }
