Run requests that clients send ahead at the same time

Cause: hyper's server starts the next request of a connection when the one before is answered.

Change: a connection loop over httparse replaces hyper's server on all listeners (docs/design/connections.md). Repeatable requests that are read ahead run at the same time, up to 16, and are answered in order; others run alone. Ambiguous framing is refused with 400. Heads, read buffers and bodies draw from the memory budget; an idle connection holds no buffer. Responses to HEAD requests are not expected to have a body. httpdate, a dependency of hyper, writes the date field.

Behavior that differs: connections of HTTP/1.0 clients are always closed, bare LF, repeated equal lengths, several hosts and CONNECT are refused.

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyper::Method;
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::header;
@@ -149,13 +150,15 @@
 pub struct Preview {
     /// Time from the arrival of the head to the deadline of the request.
     pub time_limit: Duration,
+    /// Whether the request may run more than once.
+    pub repeatable: bool,
 }
 
 /// Returns what is known of a request before its body is read, or `None` if it has no route.
 pub fn preview(configuration: &Configuration, parts: &Parts) -> Option<Preview> {
     let route = find_route(configuration, parts)?;
     let time_limit = requested_time(parts).map_or(route.timeout, |time| time.min(route.timeout));
-    Some(Preview { time_limit })
+    Some(Preview { time_limit, repeatable: route.repeatable })
 }
 
 /// Refuses a request whose body does not fit into the memory.
@@ -345,6 +348,7 @@
             return Completion::Unsent(reason);
         }
         connection.reset_on_close();
+        connection.set_bodiless(self.request.parts.method == Method::HEAD);
         let (message, separate) = self.encode(target);
         let until = self.deadline + DEADLINE_GRACE;
         let sent = Instant::now();
--- a/bins/edge/src/forward/outcome.rs
+++ b/bins/edge/src/forward/outcome.rs
@@ -4,8 +4,6 @@
 
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::header;
-use hyper::header::HeaderValue;
 
 use caraway_core::time::Clock;
 use caraway_core::time::millis;
@@ -121,10 +119,7 @@
     });
     Metrics::count(&state.metrics.refused, "reason", reason.as_str());
     let mut response = response::plain(StatusCode::SERVICE_UNAVAILABLE, reason.as_str());
-    let seconds = format!("{:.3}", retry_after.as_secs_f64());
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
-        response.headers_mut().insert(header::RETRY_AFTER, value);
-    }
+    response::set_retry_after(&mut response, retry_after);
     response
 }
 
--- a/bins/edge/src/http.rs
+++ b/bins/edge/src/http.rs
@@ -99,6 +99,8 @@
     framing: Framing,
     /// Whether the peer closes the connection after the response, so that it cannot be reused.
     closing: bool,
+    /// Whether responses have no body, since the request is a HEAD request.
+    bodiless: bool,
     /// Idle timeout that the peer announced in a `keep-alive` header.
     pub keep_alive: Option<Duration>,
     /// Time at which the connection became idle.
@@ -132,6 +134,7 @@
             buffer: BytesMut::new(),
             framing: Framing::Ended,
             closing: false,
+            bodiless: false,
             keep_alive: None,
             idle_since: Stamp::default(),
             refusals: Vec::new(),
@@ -163,6 +166,11 @@
         self.closing = true;
     }
 
+    /// Sets whether the response to the next request has no body, whatever its header fields say.
+    pub fn set_bodiless(&mut self, bodiless: bool) {
+        self.bodiless = bodiless;
+    }
+
     /// Makes closing the connection send a TCP reset, which discards data that is not yet delivered.
     pub fn reset_on_close(&self) {
         // Fails only if the socket is already closed.
@@ -271,6 +279,9 @@
             Framing::Ended => Some(0),
             _ => None,
         };
+        if self.bodiless {
+            self.framing = Framing::Ended;
+        }
         Ok(Some(Head { status, headers, length }))
     }
 
--- a/bins/edge/src/ingress/body.rs
+++ b/bins/edge/src/ingress/body.rs
@@ -1,6 +1,8 @@
 //! Request bodies: held once, in pieces that are written to the target as they are.
 
+use bytes::BufMut;
 use bytes::BytesMut;
+use tokio::net::TcpStream;
 
 use caraway_core::shard::Hasher;
 
@@ -66,6 +68,21 @@
         self.pieces.push(BytesMut::with_capacity(capacity));
     }
 
+    /// Reads up to `limit` bytes into the last piece.
+    ///
+    /// # Errors
+    ///
+    /// Fails like the read; [`std::io::ErrorKind::WouldBlock`] if nothing has arrived.
+    pub fn read_from(&mut self, stream: &TcpStream, limit: usize) -> std::io::Result<usize> {
+        let limit = limit.min(self.room());
+        let Some(piece) = self.pieces.last_mut() else { return Ok(0) };
+        let before = piece.len();
+        let size = stream.try_read_buf(&mut (&mut *piece).limit(limit))?;
+        self.hasher.update(piece.get(before..).unwrap_or_default());
+        self.length += size;
+        Ok(size)
+    }
+
     /// Adds bytes to the last piece, as many as fit. Returns their number.
     pub fn push(&mut self, bytes: &[u8]) -> usize {
         let size = bytes.len().min(self.room());
--- /dev/null
+++ b/bins/edge/src/ingress/writer.rs
@@ -0,0 +1,202 @@
+//! Writing of responses to a client.
+
+use std::cell::Cell;
+use std::future::poll_fn;
+use std::io;
+use std::io::ErrorKind;
+use std::io::IoSlice;
+use std::pin::Pin;
+use std::task::Poll;
+use std::time::SystemTime;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper::body::Body as _;
+use hyper::body::Frame;
+use hyper::header;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use crate::response::Body;
+
+/// Number of written bytes that count as progress. A client that reads single bytes makes none.
+const PROGRESS_BYTES: usize = 1 << 10;
+
+/// Most bytes that are collected before a write. Larger pieces are written as they are.
+const MAX_JOINED_BYTES: usize = 8 << 10;
+
+/// How a response is written.
+#[derive(Clone, Copy, Debug)]
+pub struct Form {
+    /// Whether the request was a HEAD request.
+    pub head_only: bool,
+    /// Whether the client uses HTTP/1.0.
+    pub http_1_0: bool,
+    /// Whether the connection is closed after the response.
+    pub close: bool,
+}
+
+/// The sending side of a connection.
+#[derive(Debug)]
+pub struct Writer<'a> {
+    stream: &'a TcpStream,
+    /// Time since which the client has taken too few bytes of a response that is waiting for it.
+    unread_since: &'a Cell<Option<Instant>>,
+    /// Number of bytes written since the last progress.
+    written: usize,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Framing {
+    None,
+    Length(u64),
+    Chunked,
+    Close,
+}
+
+impl<'a> Writer<'a> {
+    /// Creates the sending side of a connection.
+    pub fn new(stream: &'a TcpStream, unread_since: &'a Cell<Option<Instant>>) -> Self {
+        Self { stream, unread_since, written: 0 }
+    }
+
+    /// Writes a response.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the client is gone or the body ends early. The connection must then be reset.
+    pub async fn respond(&mut self, response: Response<Body>, form: Form) -> io::Result<()> {
+        let (mut parts, mut body) = response.into_parts();
+        let without_body =
+            matches!(parts.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
+        let framing = match body.size_hint().exact() {
+            _ if form.head_only || without_body => Framing::None,
+            Some(length) => Framing::Length(length),
+            None if form.http_1_0 => Framing::Close,
+            None => Framing::Chunked,
+        };
+        let length = parts.headers.remove(header::CONTENT_LENGTH);
+        let mut head = Vec::with_capacity(512);
+        head.extend_from_slice(b"HTTP/1.1 ");
+        head.extend_from_slice(parts.status.as_str().as_bytes());
+        head.push(b' ');
+        head.extend_from_slice(parts.status.canonical_reason().unwrap_or("").as_bytes());
+        head.extend_from_slice(b"\r\n");
+        let mut add = |name: &[u8], value: &[u8]| {
+            head.extend_from_slice(name);
+            head.extend_from_slice(b": ");
+            head.extend_from_slice(value);
+            head.extend_from_slice(b"\r\n");
+        };
+        for (name, value) in &parts.headers {
+            if !matches!(*name, header::CONNECTION | header::TRANSFER_ENCODING) {
+                add(name.as_str().as_bytes(), value.as_bytes());
+            }
+        }
+        if !parts.headers.contains_key(header::DATE) {
+            add(b"date", httpdate::fmt_http_date(SystemTime::now()).as_bytes());
+        }
+        match (framing, length) {
+            (Framing::Length(length), _) => add(b"content-length", length.to_string().as_bytes()),
+            (Framing::Chunked, _) => add(b"transfer-encoding", b"chunked"),
+            // The length that the response to a GET request would have.
+            (Framing::None, Some(length)) if !without_body => {
+                add(b"content-length", length.as_bytes());
+            }
+            (Framing::None | Framing::Close, _) => {}
+        }
+        if form.close || framing == Framing::Close {
+            add(b"connection", b"close");
+        }
+        head.extend_from_slice(b"\r\n");
+        let mut left = match framing {
+            Framing::Length(length) => length,
+            _ => u64::MAX,
+        };
+        // Everything that is there already goes out together, in few writes.
+        let mut out = head;
+        while !body.is_end_stream() {
+            let ready = poll_fn(|cx| {
+                Poll::Ready(match Pin::new(&mut body).poll_frame(cx) {
+                    Poll::Ready(frame) => Some(frame),
+                    Poll::Pending => None,
+                })
+            });
+            let next = match ready.await {
+                Some(next) => next,
+                None => {
+                    self.write([&out, b"", b""]).await?;
+                    out.clear();
+                    body.frame().await
+                }
+            };
+            let Some(data) = next.transpose().map_err(io::Error::other)?.map(data) else { break };
+            left = left
+                .checked_sub(data.len() as u64)
+                .ok_or_else(|| io::Error::other("the body is longer than its length"))?;
+            if framing == Framing::None || data.is_empty() {
+                continue;
+            }
+            let chunked = framing == Framing::Chunked;
+            if chunked {
+                out.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+            }
+            let end: &[u8] = if chunked { b"\r\n" } else { b"" };
+            if out.len() + data.len() <= MAX_JOINED_BYTES {
+                out.extend_from_slice(&data);
+                out.extend_from_slice(end);
+            } else {
+                self.write([&out, &data, end]).await?;
+                out.clear();
+            }
+        }
+        match framing {
+            Framing::Length(_) if left > 0 => return Err(ErrorKind::UnexpectedEof.into()),
+            Framing::Chunked => out.extend_from_slice(b"0\r\n\r\n"),
+            _ => {}
+        }
+        self.write([&out, b"", b""]).await
+    }
+
+    /// Writes parts one after the other.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the client is gone.
+    pub async fn write(&mut self, mut parts: [&[u8]; 3]) -> io::Result<()> {
+        while parts.iter().any(|part| !part.is_empty()) {
+            let slices = parts.map(IoSlice::new);
+            match self.stream.try_write_vectored(&slices) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(mut size) => {
+                    self.written += size;
+                    if self.written >= PROGRESS_BYTES {
+                        self.written = 0;
+                        self.unread_since.set(None);
+                    }
+                    for part in &mut parts {
+                        let used = size.min(part.len());
+                        *part = part.get(used..).unwrap_or_default();
+                        size -= used;
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    if self.unread_since.get().is_none() {
+                        self.unread_since.set(Some(Instant::now()));
+                    }
+                    self.stream.writable().await?;
+                }
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        self.unread_since.set(None);
+        Ok(())
+    }
+}
+
+fn data(frame: Frame<Bytes>) -> Bytes {
+    frame.into_data().unwrap_or_default()
+}
--- a/bins/edge/src/memory.rs
+++ b/bins/edge/src/memory.rs
@@ -18,7 +18,7 @@
 
 /// Longest time that a request waits for memory. It is longer than the time after which a stalled body is
 /// given up, so that memory held by stalled bodies is found.
-const MAX_WAIT: Duration = Duration::from_secs(2);
+pub const MAX_WAIT: Duration = Duration::from_secs(2);
 
 /// Interval of checks for bodies that have become stalled while a request waits.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
--- a/bins/edge/src/metrics.rs
+++ b/bins/edge/src/metrics.rs
@@ -37,6 +37,8 @@
     pub departures: Family<Labels, Counter>,
     /// Pauses that targets asked for, by service.
     pub pauses: Family<Labels, Counter>,
+    /// Request heads that were refused, by reason.
+    pub heads_refused: Family<Labels, Counter>,
     /// Request bodies that were not received, by reason.
     pub bodies_refused: Family<Labels, Counter>,
     /// Memory that requests and responses in flight use, in bytes.
@@ -73,6 +75,7 @@
             messages: Family::default(),
             departures: Family::default(),
             pauses: Family::default(),
+            heads_refused: Family::default(),
             bodies_refused: Family::default(),
             memory_used: Gauge::default(),
             ignored_entries: Counter::default(),
@@ -95,6 +98,7 @@
         registry.register("messages", "Messages to instances", m.messages.clone());
         registry.register("targets_leaving", "Announced departures", m.departures.clone());
         registry.register("target_pauses", "Pauses of targets", m.pauses.clone());
+        registry.register("heads_refused", "Request heads refused", m.heads_refused.clone());
         registry.register("bodies_refused", "Bodies not received", m.bodies_refused.clone());
         registry.register("memory_used", "Bytes of requests in flight", m.memory_used.clone());
         registry.register("ignored_entries", "Unreadable entries", m.ignored_entries.clone());
--- a/bins/edge/src/response.rs
+++ b/bins/edge/src/response.rs
@@ -161,11 +161,11 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let this = self.get_mut();
         if !this.buffered.is_empty() {
-            let bytes = this.buffered.split().freeze();
-            // What the caller's connection holds from here on is bounded by the size of its buffer.
-            this.lease = None;
+            let bytes = std::mem::take(&mut this.buffered).freeze();
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
+        // The buffered part has been written.
+        this.lease = None;
         if this.connection.is_some() && this.poll_deadline(cx).is_ready() {
             this.attempt.end(Outcome::Abandoned);
             this.connection = None;
@@ -220,6 +220,13 @@
     response
 }
 
+/// Tells the caller when to send a refused request again.
+pub fn set_retry_after(response: &mut Response<Body>, delay: Duration) {
+    if let Ok(value) = HeaderValue::from_str(&format!("{:.3}", delay.as_secs_f64())) {
+        response.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+}
+
 /// Returns a plain-text response of this instance.
 pub fn plain(status: StatusCode, text: &str) -> Response<Body> {
     let mut response = Response::new(Either::Left(Full::new(Bytes::from(format!("{text}\n")))));
--- a/bins/edge/tests/process/main.rs
+++ b/bins/edge/tests/process/main.rs
@@ -7,5 +7,6 @@
 mod configuration;
 mod lifecycle;
 mod ownership;
+mod pipelining;
 mod responses;
 mod trouble;
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -71,15 +71,19 @@
     pub idle_timeout: Duration,
 }
 
+impl Limits {
+    /// Limits that apply before the first configuration is loaded.
+    pub const DEFAULT: Self = Self {
+        max_head_bytes: 16 << 10,
+        max_body_bytes: 64 << 20,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+}
+
 impl Default for Limits {
-    /// Returns the limits that apply before the first configuration is loaded.
     fn default() -> Self {
-        Self {
-            max_head_bytes: 16 << 10,
-            max_body_bytes: 64 << 20,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        }
+        Self::DEFAULT
     }
 }
 
--- a/crates/fleet/tests/memory.rs
+++ b/crates/fleet/tests/memory.rs
@@ -110,9 +110,8 @@
             match (step, held.get_mut(index)) {
                 (0, _) => held.push((budget.begin(caller(number), at(0)), 0)),
                 (1, Some((id, size))) => {
-                    if budget.grow(*id, bytes, at(0)) == Answer::Granted {
-                        *size += bytes;
-                    }
+                    let granted = budget.grow(*id, bytes, at(0)) == Answer::Granted;
+                    *size += if granted { bytes } else { 0 };
                 }
                 (2, Some((id, size))) => {
                     budget.shrink(*id, bytes);
--- a/standins/production/src/caller.rs
+++ b/standins/production/src/caller.rs
@@ -75,6 +75,15 @@
         self.stream.get_mut().write_all(text.as_bytes())
     }
 
+    /// Sends bytes as they are.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes cannot be written.
+    pub fn send_raw(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.get_mut().write_all(bytes)
+    }
+
     /// Reads the next response.
     ///
     /// # Errors
