--- a/bins/edge/src/main.rs
+++ b/bins/edge/src/main.rs
@@ -10,6 +10,7 @@
 mod http;
 mod ingress;
 mod leader;
+mod memory;
 mod metrics;
 mod peers;
 mod pool;
--- a/bins/edge/src/metrics.rs
+++ b/bins/edge/src/metrics.rs
@@ -42,6 +42,12 @@
     pub pauses: Family<Labels, Counter>,
     /// Requests sent to cold targets by service.
     pub cold_requests: Family<Labels, Counter>,
+    /// Request heads that were refused, by reason.
+    pub heads_refused: Family<Labels, Counter>,
+    /// Request bodies that were not received, by reason.
+    pub bodies_refused: Family<Labels, Counter>,
+    /// Memory that requests and responses in flight use, in bytes.
+    pub memory_used: Gauge,
     /// Entries of the store that were ignored because they cannot be read.
     pub ignored_entries: Counter,
     /// Holdings that moved to another owner.
@@ -81,6 +87,9 @@
             departures: Family::default(),
             pauses: Family::default(),
             cold_requests: Family::default(),
+            heads_refused: Family::default(),
+            bodies_refused: Family::default(),
+            memory_used: Gauge::default(),
             ignored_entries: Counter::default(),
             holdings_moved: Counter::default(),
             config_version: Gauge::default(),
@@ -105,6 +114,9 @@
         registry.register("targets_leaving", "Announced departures", m.departures.clone());
         registry.register("target_pauses", "Pauses of targets", m.pauses.clone());
         registry.register("cold_requests", "Requests to cold targets", m.cold_requests.clone());
+        registry.register("heads_refused", "Request heads refused", m.heads_refused.clone());
+        registry.register("bodies_refused", "Bodies not received", m.bodies_refused.clone());
+        registry.register("memory_used", "Bytes of requests in flight", m.memory_used.clone());
         registry.register("ignored_entries", "Unreadable entries", m.ignored_entries.clone());
         registry.register("holdings_moved", "Holdings with a new owner", m.holdings_moved.clone());
         let evacuated = m.evacuated_domains.clone();
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -41,6 +41,7 @@
 use caraway_fleet::membership::Member;
 use caraway_fleet::membership::Registry;
 use caraway_fleet::membership::Target;
+use caraway_fleet::memory::Budget;
 use caraway_fleet::pause::Pauses;
 use caraway_fleet::rendezvous::Domains;
 use caraway_fleet::share::Share;
@@ -54,6 +55,7 @@
 use caraway_telemetry::event::emit;
 
 use crate::http::Connection;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::peers::CrashLog;
 use crate::pool::Pool;
@@ -131,6 +133,8 @@
     pub settings: Settings,
     /// Pool of connections to targets, the store and other instances.
     pub pool: Pool,
+    /// Memory budget of requests and responses.
+    pub memory: Rc<Memory>,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// The configuration in force, once one was received.
@@ -230,9 +234,13 @@
     pub fn new(settings: Settings) -> Self {
         let warmup = RefCell::new(warmup::Shares::new(settings.name.clone()));
         let evacuations = RefCell::new(Evacuations::new(settings.evacuation_time));
+        // Without a limit of the platform, memory is not limited.
+        let bytes = settings.memory_mb.map(|megabytes| megabytes.saturating_mul(1_000_000));
+        let budget = bytes.map_or_else(|| Budget::new(u64::MAX), Budget::of_machine);
         Self {
             evacuations,
             warmup,
+            memory: Memory::new(budget),
             pool: Pool::default(),
             metrics: Metrics::new(),
             active_configuration: RefCell::default(),
--- a/bins/edge/tests/process/main.rs
+++ b/bins/edge/tests/process/main.rs
@@ -10,6 +10,7 @@
 mod following;
 mod lifecycle;
 mod ownership;
+mod pipelining;
 mod responses;
 mod trouble;
 mod warmup;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod holds;
 pub mod load;
 pub mod membership;
+pub mod memory;
 pub mod ownership;
 pub mod pause;
 pub mod plan;
