Count the drain time from the earliest time of the notice

Cause: the drain time of a target ran from when the first instance read its notice. Change: a notice counts from the time as of which the view was known, or from shortly before the response of a watch that waited.

--- a/bins/edge/src/state/source.rs
+++ b/bins/edge/src/state/source.rs
@@ -133,6 +133,11 @@
         self.following.borrow().age(Clock.now())
     }
 
+    /// Returns the time as of which the contents of the store are known.
+    pub fn known_at(&self) -> Stamp {
+        Clock.now() - self.view_age()
+    }
+
     /// Returns whether this instance watches the store and is up to date with it.
     pub fn is_fresh(&self) -> bool {
         let now = Clock.now();
--- a/bins/edge/src/sync.rs
+++ b/bins/edge/src/sync.rs
@@ -16,6 +16,7 @@
 use caraway_core::time::Stamp;
 use caraway_core::time::millis;
 use caraway_fleet::coordinator::Tables;
+use caraway_fleet::following;
 use caraway_fleet::view::View;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
@@ -115,6 +116,7 @@
         }
         let after = state.revision.get();
         let call = store::watch("", after, wait);
+        let (known, sent) = (state.known_at(), Clock.now());
         let response = tokio::select! {
             response = send(state, &call, "watch", wait) => response,
             () = state.watch_restart.notified() => return Ok(()),
@@ -134,7 +136,7 @@
             Err(error) => return Err(error.to_string()),
         };
         end_outage(state, outage_start);
-        apply(state, &page);
+        apply(state, &page, following::changed_since(known, sent, Clock.now()));
         state.revision.set(state.revision.get().max(page.revision));
         // After a large response, more changes are probably waiting.
         if !page.items.is_empty() && size < LARGE_RESPONSE_BYTES {
@@ -185,7 +187,8 @@
     let call = store::read_range(OWN_PREFIX, None);
     let response = send(state, &call, "range", Duration::ZERO).await;
     let (status, body) = response.map_err(|error| error.to_string())?;
-    apply(state, &store::parse_page(status, &body).map_err(|error| error.to_string())?);
+    let page = store::parse_page(status, &body).map_err(|error| error.to_string())?;
+    apply(state, &page, state.known_at());
     Ok(())
 }
 
@@ -195,6 +198,7 @@
     let mut seen: HashSet<String> = HashSet::new();
     let mut last: Option<String> = None;
     let mut first = None;
+    let known = state.known_at();
     loop {
         let call = store::read_range("", last.as_deref());
         let (status, body) =
@@ -205,7 +209,7 @@
         if last.is_none() {
             state.history.borrow_mut().restart(revision);
         }
-        apply(state, &page);
+        apply(state, &page, known);
         seen.extend(page.items.into_iter().map(|item| item.key));
         seen.extend(page.unreadable.into_iter().filter_map(|item| item.key));
         if page.more {
@@ -233,9 +237,10 @@
     }
 }
 
-fn apply(state: &State, page: &Page) {
+/// Applies a page of entries that were written at `since` at the earliest, unless they are known.
+fn apply(state: &State, page: &Page, since: Stamp) {
     for item in &page.items {
-        apply_item(state, item);
+        apply_item(state, item, since);
     }
     for item in &page.unreadable {
         let key = item.key.clone().unwrap_or_default();
@@ -243,7 +248,7 @@
     }
 }
 
-fn apply_item(state: &State, item: &Item) {
+fn apply_item(state: &State, item: &Item, since: Stamp) {
     if item.key == configuration::KEY {
         if let Some(value) = &item.value {
             state.configure(value, item.revision, "store");
@@ -258,6 +263,8 @@
                 Ok(target) => {
                     state.accept_entry(&item.key);
                     state.record_target(target, item.revision);
+                    // The drain time runs from the acknowledgement of the entry.
+                    state.registry.borrow_mut().update_draining_since(id, since);
                 }
                 Err(error) => state.ignore_entry(&item.key, &error.to_string()),
             },
--- a/crates/fleet/src/following.rs
+++ b/crates/fleet/src/following.rs
@@ -31,6 +31,17 @@
 /// Smallest processor share of a deputy, as a ratio of the largest one in its failure domain.
 const MIN_CAPACITY_RATIO: f64 = 0.5;
 
+/// Time from a change of the store to the response of a watch that was waiting for it.
+const DELIVERY_TIME: Duration = Duration::from_millis(100);
+
+/// Returns the earliest time at which changes in a response of the store can have been made. The
+/// contents were known as of `known`, and the call was sent at `sent`. A watch that had to wait
+/// responds to a change at once; otherwise the change may be as old as the view.
+pub fn changed_since(known: Stamp, sent: Stamp, now: Stamp) -> Stamp {
+    let waited = now.since(sent) > DELIVERY_TIME;
+    if waited { known.max(now - DELIVERY_TIME) } else { known.min(now) }
+}
+
 /// How an instance learns the contents of the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Mode {
--- a/crates/fleet/tests/following.rs
+++ b/crates/fleet/tests/following.rs
@@ -16,6 +16,7 @@
 use proptest::test_runner::TestRunner;
 
 use caraway_core::time::Stamp;
+use caraway_fleet::following;
 use caraway_fleet::following::Fleet;
 use caraway_fleet::following::Following;
 use caraway_fleet::following::MAX_SILENCE;
@@ -313,3 +314,17 @@
     // Two deputies in each of four domains.
     assert_eq!(first.len(), 8);
 }
+
+/// Guards against a drain time that runs from when a late response was read: a target got a request
+/// 2,875 ms after its notice because the instance that saw it first had not heard from the store for
+/// a while.
+#[test]
+fn changes_in_a_response_may_be_as_old_as_the_view() {
+    let at = |ms| Stamp::default() + Duration::from_millis(ms);
+    // The watch had no need to wait, so the change may have come right after the last news.
+    assert_eq!(following::changed_since(at(1000), at(2400), at(2405)), at(1000));
+    // A watch that waited responds to a change at once.
+    assert_eq!(following::changed_since(at(1000), at(1005), at(1900)), at(1800));
+    // A view that is newer than the response bounds the time as well.
+    assert_eq!(following::changed_since(at(1850), at(1005), at(1900)), at(1850));
+}
