Limit connections, heads, requests in flight and slow readers

Cause: connections were accepted without a limit, so a crowd of silent clients took all descriptors, and the listeners for readiness, metrics and instances had no limits at all.

Change: shares of self.limits.max_fds for each listener and for requests in flight (fleet::descriptors). When all places are taken, the connection without a complete request for the longest time is closed. Responses in small chunks are joined, and no task reads or relays without letting timers and sockets have their turn.

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -161,9 +161,13 @@
     Some(Preview { time_limit, repeatable: route.repeatable })
 }
 
-/// Refuses a request whose body does not fit into the memory.
-pub fn refuse_for_memory(state: &Rc<State>, request: &Request) -> Response<response::Body> {
-    refuse(state, request, None, Reason::MemoryShort)
+/// Refuses a request that did not reach a target.
+pub fn refuse_early(
+    state: &Rc<State>,
+    request: &Request,
+    reason: Reason,
+) -> Response<response::Body> {
+    refuse(state, request, None, reason)
 }
 
 /// Forwards a request and returns the response for the caller.
--- a/bins/edge/src/ingress.rs
+++ b/bins/edge/src/ingress.rs
@@ -6,6 +6,7 @@
 mod head;
 mod reader;
 mod service;
+mod slots;
 mod writer;
 
 use std::cell::RefCell;
@@ -28,6 +29,7 @@
 use caraway_telemetry::event::emit;
 
 use crate::ingress::service::Service;
+use crate::ingress::slots::Slots;
 use crate::state::State;
 
 /// Length of the accept queue, in connections.
@@ -89,8 +91,12 @@
 ) {
     let mut connections = JoinSet::new();
     let mut stop = closing.clone();
+    let slots = Slots::new(service.max_connections(&state));
+    let open =
+        state.metrics.connections.get_or_create(&[("listener", service.name().to_owned())]).clone();
     loop {
         while connections.try_join_next().is_some() {}
+        open.set(i64::try_from(slots.len()).unwrap_or(i64::MAX));
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, address)) => {
@@ -99,14 +105,23 @@
                         emit(Event::CallerInvalid { address, problem });
                         continue;
                     }
-                    let (state, service, closing) = (state.clone(), service.clone(), closing.clone());
-                    let serving = connection::serve(state, service, stream, address.ip(), closing);
+                    if slots.is_full() && !slots.evict().await {
+                        let reason = "all places are taken by requests in flight";
+                        connection::record_closed(&state, &service, address.ip(), reason);
+                        continue;
+                    }
+                    let (state, service) = (state.clone(), service.clone());
+                    let (slot, address) = (slots.take(), address.ip());
+                    let closing = closing.clone();
+                    let serving =
+                        connection::serve(state, service, slot, stream, address, closing);
                     connections.spawn_local(serving);
                 }
                 Err(error) => {
                     // Most likely out of file descriptors; closing connections frees some.
                     let address = listener.local_addr().map_or(String::new(), |a| a.to_string());
                     emit(Event::ListenerFailed { address, error: error.to_string() });
+                    slots.evict().await;
                     sleep(ACCEPT_RETRY_DELAY).await;
                 }
             },
--- a/bins/edge/src/ingress/connection.rs
+++ b/bins/edge/src/ingress/connection.rs
@@ -24,18 +24,24 @@
 use tokio::time::sleep_until;
 use tokio::time::timeout;
 
+use caraway_telemetry::event::Event;
+use caraway_telemetry::event::emit;
+
 use crate::ingress::head::Problem;
 use crate::ingress::reader::Reader;
 use crate::ingress::reader::Stop;
 use crate::ingress::service::Service;
+use crate::ingress::slots::Slot;
 use crate::ingress::writer::Form;
 use crate::ingress::writer::Writer;
+use crate::metrics::Metrics;
 use crate::reason::Reason;
 use crate::response;
 use crate::response::Body;
 use crate::state::State;
 
-/// Most requests of one connection that are in flight. Clients of the deployments in use send up to 8 ahead.
+/// Most requests of one connection that are in flight, unless a setting says otherwise. It bounds what one
+/// connection can take of the targets; what is sent beyond waits in the socket.
 const READ_AHEAD: usize = 16;
 
 /// Time for which the rest of what a client sends is read and discarded after a response that closes the
@@ -72,6 +78,8 @@
     pub state: Rc<State>,
     /// What is served on the connection.
     pub service: Service,
+    /// Place of the connection among those of its listener.
+    slot: Slot,
     /// The connection.
     pub stream: TcpStream,
     /// Address of the client.
@@ -123,9 +131,12 @@
         loop {
             let changed = self.changed.notified();
             let count = self.queue.borrow().len() + usize::from(self.responding.get());
-            if count < READ_AHEAD || self.closing.get() {
+            if count < self.state.settings.ingress.read_ahead.unwrap_or(READ_AHEAD)
+                || self.closing.get()
+            {
                 return;
             }
+            self.state.metrics.read_ahead_reached.inc();
             changed.await;
         }
     }
@@ -147,6 +158,7 @@
             return;
         }
         let running = Running(tokio::task::spawn_local(response));
+        self.slot.set_busy(true);
         self.queue.borrow_mut().push_back(Entry { running, form });
         self.changed.notify_waiters();
     }
@@ -195,6 +207,7 @@
             }
             self.responding.set(false);
             self.last_response.set(Instant::now());
+            self.slot.set_busy(!self.is_idle());
             self.changed.notify_waiters();
             if entry.form.close {
                 return true;
@@ -206,13 +219,17 @@
     fn check_timeouts(&self) -> Option<Instant> {
         let (head_timeout, idle_timeout) = self.service.timeouts(&self.state);
         let now = Instant::now();
-        if self.unread_since.get().is_some_and(|since| now - since > idle_timeout) {
-            self.reset();
+        let read_timeout = self.state.settings.ingress.read_timeout.unwrap_or(idle_timeout);
+        if self.unread_since.get().is_some_and(|since| now - since > read_timeout) {
+            self.record_closed("unread response");
             return None;
         }
         if let Some(since) = self.head_started.get() {
             // Requests in flight are answered first.
             let late = now - since > head_timeout && self.is_idle();
+            if late {
+                self.record_closed("late head");
+            }
             return (!late).then_some(now + CHECK_INTERVAL);
         }
         if !self.is_idle() || self.receiving_body.get() {
@@ -231,6 +248,10 @@
         let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
     }
 
+    fn record_closed(&self, reason: &str) {
+        record_closed(&self.state, &self.service, self.caller, reason);
+    }
+
     /// Returns when the client has closed its side, even if bytes that it sent have not been read.
     async fn gone(&self) {
         // The operating system reports the end of a stream with any interest except that in writing.
@@ -270,6 +291,7 @@
 pub async fn serve(
     state: Rc<State>,
     service: Service,
+    slot: Slot,
     stream: TcpStream,
     caller: IpAddr,
     mut closing: Receiver<bool>,
@@ -278,6 +300,7 @@
     let link = Link {
         state,
         service,
+        slot,
         stream,
         caller,
         queue: RefCell::default(),
@@ -310,6 +333,10 @@
                 }
                 complete = responding.as_mut() => break complete,
                 () = gone.as_mut() => break false,
+                () = link.slot.closed() => {
+                    link.record_closed("all places are taken");
+                    break false;
+                }
                 _ = closing.wait_for(|closing| *closing), if !link.draining.get() => {
                     link.draining.set(true);
                     link.changed.notify_waiters();
@@ -324,12 +351,28 @@
     // Dropping the queue aborts the requests that are still running.
     link.queue.borrow_mut().clear();
     if complete {
-        link.linger().await;
+        tokio::select! {
+            () = link.linger() => {}
+            () = link.slot.closed() => {}
+        }
     } else if link.responding.get() {
         link.reset();
     }
 }
 
+/// Records that a connection is closed because of a limit.
+pub fn record_closed(state: &State, service: &Service, caller: IpAddr, reason: &str) {
+    Metrics::count(&state.metrics.connections_closed, "reason", reason);
+    let labels = [("listener", service.name().to_owned())];
+    let open = state.metrics.connections.get_or_create(&labels).get();
+    emit(Event::ConnectionClosed {
+        listener: service.name().to_owned(),
+        address: caller.to_string(),
+        reason: reason.to_owned(),
+        open: u64::try_from(open).unwrap_or(0),
+    });
+}
+
 /// Returns the form of the response to a request.
 pub fn form(method: &Method, http_1_0: bool, close: bool) -> Form {
     Form { head_only: *method == Method::HEAD, http_1_0, close }
--- a/bins/edge/src/ingress/reader.rs
+++ b/bins/edge/src/ingress/reader.rs
@@ -31,6 +31,13 @@
 /// Largest body of a refused request that is read and discarded, so that its connection stays open.
 const MAX_DISCARD_BYTES: usize = 64 << 10;
 
+/// Most reads in a row before other tasks, timers and sockets have their turn. A client that sends at full speed
+/// would otherwise never let go.
+const MAX_READS: u32 = 8;
+
+/// Most empty lines before a request. Clients send one at most, after the body of the request before.
+const MAX_EMPTY_LINES: u32 = 8;
+
 /// Why no further request is read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Stop {
@@ -49,6 +56,8 @@
     lease: Option<Lease>,
     /// Size of the buffer as counted.
     counted: usize,
+    /// Number of reads.
+    reads: u32,
 }
 
 /// Why a body was not received.
@@ -62,7 +71,7 @@
 impl<'a> Reader<'a> {
     /// Creates the reading side of a connection.
     pub fn new(link: &'a Link) -> Self {
-        Self { link, buffer: BytesMut::new(), lease: None, counted: 0 }
+        Self { link, buffer: BytesMut::new(), lease: None, counted: 0, reads: 0 }
     }
 
     /// Reads requests and starts them.
@@ -105,6 +114,7 @@
                     if let Some(lease) = &self.lease {
                         lease.record_arrival(size);
                     }
+                    self.yield_turn().await;
                     return Ok(());
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => self.release(),
@@ -113,6 +123,14 @@
         }
     }
 
+    /// Lets other tasks, timers and sockets have their turn after some reads.
+    async fn yield_turn(&mut self) {
+        self.reads = self.reads.wrapping_add(1);
+        if self.reads.is_multiple_of(MAX_READS) {
+            tokio::task::yield_now().await;
+        }
+    }
+
     /// Makes room for more bytes in the buffer. Returns false if there is no memory.
     async fn make_room(&mut self) -> bool {
         if self.buffer.len() < self.buffer.capacity() || self.buffer.try_reclaim(BUFFER_BYTES) {
@@ -147,7 +165,7 @@
     /// Reads the next head and takes the memory for it. Answers an invalid one.
     async fn read_head(&mut self) -> Result<(Head, Lease), Stop> {
         let limits = self.link.service.head_limits(&self.link.state);
-        let mut scanned = 0;
+        let (mut scanned, mut empty_lines) = (0, 0);
         loop {
             if self.link.is_closing() {
                 return Err(Stop::Finished);
@@ -155,6 +173,10 @@
             // Empty lines before a request are ignored.
             while scanned == 0 && self.buffer.starts_with(b"\r\n") {
                 self.buffer.advance(2);
+                empty_lines += 1;
+                if empty_lines > MAX_EMPTY_LINES {
+                    return Err(self.refuse(head::invalid("there are too many empty lines")));
+                }
             }
             self.release();
             let end = match head::find_end(&self.buffer, scanned) {
@@ -314,6 +336,7 @@
                 Ok(size) => {
                     self.link.last_read.set(Instant::now());
                     lease.record_arrival(size);
+                    self.yield_turn().await;
                 }
                 Err(error) if error.kind() == ErrorKind::WouldBlock => {}
                 Err(_) => return Err(Break::Gone),
--- a/bins/edge/src/ingress/service.rs
+++ b/bins/edge/src/ingress/service.rs
@@ -26,6 +26,7 @@
 use crate::memory::Lease;
 use crate::metrics::Metrics;
 use crate::peers;
+use crate::reason::Reason;
 use crate::response;
 use crate::response::Body;
 use crate::state::State;
@@ -105,6 +106,26 @@
 }
 
 impl Service {
+    /// Returns the name of the listener in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Callers => "callers",
+            Self::Readiness => "readiness",
+            Self::Instances(_) => "instances",
+            Self::Metrics => "metrics",
+        }
+    }
+
+    /// Returns the largest number of connections.
+    pub fn max_connections(&self, state: &State) -> usize {
+        match self {
+            Self::Callers => state.shares.callers,
+            Self::Readiness => state.shares.readiness,
+            Self::Instances(_) => state.shares.instances,
+            Self::Metrics => state.shares.metrics,
+        }
+    }
+
     /// Returns the longest time for a head to arrive, and the longest time without a request or without progress
     /// of a client that reads a response.
     pub fn timeouts(&self, state: &State) -> (Duration, Duration) {
@@ -126,7 +147,11 @@
         };
         let allowed = limits.unwrap_or(Limits::DEFAULT).max_head_bytes;
         // The request line and the line breaks do not count as header fields.
-        HeadLimits { max_bytes: allowed + allowed / 2, max_fields: allowed / SHORTEST_FIELD_BYTES }
+        let max_fields = state.settings.ingress.max_header_fields;
+        HeadLimits {
+            max_bytes: allowed + allowed / 2,
+            max_fields: max_fields.unwrap_or(allowed / SHORTEST_FIELD_BYTES),
+        }
     }
 
     /// Returns how a request is received, or `None` if it is answered without its body.
@@ -157,6 +182,10 @@
         match self {
             Self::Callers => {
                 let _in_flight = InFlight::begin(&state);
+                let running = usize::try_from(state.metrics.in_flight.get()).unwrap_or(0);
+                if running > state.shares.requests {
+                    return forward::refuse_early(&state, &request, Reason::TooManyRequests);
+                }
                 let id = request.parts.headers.get(field::ATTEMPT);
                 if id.is_none_or(|value| value.to_str().is_err()) {
                     let text = "the id of the attempt is missing";
@@ -203,7 +232,7 @@
             memory_used: state.memory.used(),
         });
         match failure {
-            Failure::Shortage => forward::refuse_for_memory(state, request),
+            Failure::Shortage => forward::refuse_early(state, request, Reason::MemoryShort),
             Failure::TooLong => {
                 response::plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
             }
--- a/bins/edge/src/ingress/writer.rs
+++ b/bins/edge/src/ingress/writer.rs
@@ -27,6 +27,10 @@
 /// Most bytes that are collected before a write. Larger pieces are written as they are.
 const MAX_JOINED_BYTES: usize = 8 << 10;
 
+/// Most frames of a body that are taken before other tasks, timers and sockets have their turn. Ten responses in
+/// endless small chunks delayed all timers by up to 2 s when only the runtime's own budget ended their turn.
+const MAX_FRAMES: u32 = 32;
+
 /// How a response is written.
 #[derive(Clone, Copy, Debug)]
 pub struct Form {
@@ -115,9 +119,15 @@
             Framing::Length(length) => length,
             _ => u64::MAX,
         };
-        // Everything that is there already goes out together, in few writes.
-        let mut out = head;
+        // Everything that is there already goes out together, as one chunk: a target may send very small ones.
+        let chunked = framing == Framing::Chunked;
+        let mut joined = Vec::new();
+        let mut frames = 0_u32;
         while !body.is_end_stream() {
+            frames += 1;
+            if frames.is_multiple_of(MAX_FRAMES) {
+                tokio::task::yield_now().await;
+            }
             let ready = poll_fn(|cx| {
                 Poll::Ready(match Pin::new(&mut body).poll_frame(cx) {
                     Poll::Ready(frame) => Some(frame),
@@ -127,8 +137,8 @@
             let next = match ready.await {
                 Some(next) => next,
                 None => {
-                    self.write([&out, b"", b""]).await?;
-                    out.clear();
+                    self.write_data(&mut head, &joined, chunked).await?;
+                    joined.clear();
                     body.frame().await
                 }
             };
@@ -136,28 +146,45 @@
             left = left
                 .checked_sub(data.len() as u64)
                 .ok_or_else(|| io::Error::other("the body is longer than its length"))?;
-            if framing == Framing::None || data.is_empty() {
+            if framing == Framing::None {
                 continue;
             }
-            let chunked = framing == Framing::Chunked;
-            if chunked {
-                out.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+            if joined.len() + data.len() > MAX_JOINED_BYTES {
+                self.write_data(&mut head, &joined, chunked).await?;
+                joined.clear();
             }
-            let end: &[u8] = if chunked { b"\r\n" } else { b"" };
-            if out.len() + data.len() <= MAX_JOINED_BYTES {
-                out.extend_from_slice(&data);
-                out.extend_from_slice(end);
+            if data.len() > MAX_JOINED_BYTES {
+                self.write_data(&mut head, &data, chunked).await?;
             } else {
-                self.write([&out, &data, end]).await?;
-                out.clear();
+                joined.extend_from_slice(&data);
             }
         }
-        match framing {
-            Framing::Length(_) if left > 0 => return Err(ErrorKind::UnexpectedEof.into()),
-            Framing::Chunked => out.extend_from_slice(b"0\r\n\r\n"),
-            _ => {}
+        if matches!(framing, Framing::Length(_)) && left > 0 {
+            return Err(ErrorKind::UnexpectedEof.into());
         }
-        self.write([&out, b"", b""]).await
+        let end: &[u8] = if chunked { b"0\r\n\r\n" } else { b"" };
+        if joined.is_empty() {
+            return self.write([&head, end, b""]).await;
+        }
+        self.write_data(&mut head, &joined, chunked).await?;
+        self.write([end, b"", b""]).await
+    }
+
+    /// Writes what is left of a head, and data.
+    async fn write_data(
+        &mut self,
+        head: &mut Vec<u8>,
+        data: &[u8],
+        chunked: bool,
+    ) -> io::Result<()> {
+        let framed = chunked && !data.is_empty();
+        if framed {
+            head.extend_from_slice(format!("{:x}\r\n", data.len()).as_bytes());
+        }
+        let end: &[u8] = if framed { b"\r\n" } else { b"" };
+        self.write([head, data, end]).await?;
+        head.clear();
+        Ok(())
     }
 
     /// Writes parts one after the other.
--- a/bins/edge/src/metrics.rs
+++ b/bins/edge/src/metrics.rs
@@ -37,6 +37,12 @@
     pub departures: Family<Labels, Counter>,
     /// Pauses that targets asked for, by service.
     pub pauses: Family<Labels, Counter>,
+    /// Connections, by listener.
+    pub connections: Family<Labels, Gauge>,
+    /// Connections that were closed because of a limit, by reason.
+    pub connections_closed: Family<Labels, Counter>,
+    /// Times at which a connection had as many requests in flight as it may have.
+    pub read_ahead_reached: Counter,
     /// Request heads that were refused, by reason.
     pub heads_refused: Family<Labels, Counter>,
     /// Request bodies that were not received, by reason.
@@ -75,6 +81,9 @@
             messages: Family::default(),
             departures: Family::default(),
             pauses: Family::default(),
+            connections: Family::default(),
+            connections_closed: Family::default(),
+            read_ahead_reached: Counter::default(),
             heads_refused: Family::default(),
             bodies_refused: Family::default(),
             memory_used: Gauge::default(),
@@ -98,6 +107,11 @@
         registry.register("messages", "Messages to instances", m.messages.clone());
         registry.register("targets_leaving", "Announced departures", m.departures.clone());
         registry.register("target_pauses", "Pauses of targets", m.pauses.clone());
+        registry.register("connections", "Open connections", m.connections.clone());
+        let closed = m.connections_closed.clone();
+        registry.register("connections_closed", "Connections closed by a limit", closed);
+        let reached = m.read_ahead_reached.clone();
+        registry.register("read_ahead_reached", "Connections at the bound", reached);
         registry.register("heads_refused", "Request heads refused", m.heads_refused.clone());
         registry.register("bodies_refused", "Bodies not received", m.bodies_refused.clone());
         registry.register("memory_used", "Bytes of requests in flight", m.memory_used.clone());
--- a/bins/edge/src/reason.rs
+++ b/bins/edge/src/reason.rs
@@ -42,6 +42,8 @@
     TimedOut,
     /// The body does not fit into the memory of this instance.
     MemoryShort,
+    /// This instance has as many requests in flight as its descriptors allow.
+    TooManyRequests,
     /// This instance stops before the target has responded.
     Stopping,
     /// The response is not a valid response to this request.
@@ -71,6 +73,7 @@
             Self::ConnectionLost => "the connection broke",
             Self::TimedOut => "no answer in time",
             Self::MemoryShort => "this instance has no memory for the body at the moment",
+            Self::TooManyRequests => "this instance has too many requests in flight",
             Self::Stopping => "this instance stops before the target has answered",
             Self::Mismatched => "the answer belongs to another request",
             Self::Failed => "the target failed",
@@ -87,7 +90,7 @@
             }
             Self::OwnerUnreachable => load::EJECTION,
             // Another instance may have memory; here it takes about as long as a body is received.
-            Self::MemoryShort => Duration::from_millis(500),
+            Self::MemoryShort | Self::TooManyRequests => Duration::from_millis(500),
             // A quarantine ends only by timeout.
             Self::Quarantined => Duration::from_secs(60),
             Self::Overloaded
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -31,6 +31,7 @@
 use caraway_fleet::allowance::Allowance;
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Splitter;
+use caraway_fleet::descriptors::Shares;
 use caraway_fleet::load::Estimate;
 use caraway_fleet::membership::Change;
 use caraway_fleet::membership::Incarnation;
@@ -162,6 +163,8 @@
     pub pool: Pool,
     /// Memory budget of requests and responses.
     pub memory: Rc<Memory>,
+    /// Shares of the descriptors.
+    pub shares: Shares,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// The configuration in force, once one was received.
@@ -241,10 +244,17 @@
     /// Creates the initial state, without data from the store.
     pub fn new(settings: Settings) -> Self {
         // Without a limit of the platform, memory is not limited.
-        let bytes = settings.memory_mb.map(|megabytes| megabytes.saturating_mul(1_000_000));
-        let budget = bytes.map_or_else(|| Budget::new(u64::MAX), Budget::of_machine);
+        let budget = match (settings.ingress.memory_mb, settings.memory_mb) {
+            (Some(megabytes), _) => Budget::new(megabytes.saturating_mul(1_000_000)),
+            (None, Some(megabytes)) => Budget::of_machine(megabytes.saturating_mul(1_000_000)),
+            (None, None) => Budget::new(u64::MAX),
+        };
+        let mut shares = settings.max_descriptors.map_or(Shares::UNLIMITED, Shares::of);
+        shares.callers = settings.ingress.max_connections.unwrap_or(shares.callers);
+        shares.requests = settings.ingress.max_requests.unwrap_or(shares.requests);
         Self {
             memory: Memory::new(budget),
+            shares,
             settings,
             pool: Pool::default(),
             metrics: Metrics::new(),
--- a/bins/edge/tests/clients/crowd.rs
+++ b/bins/edge/tests/clients/crowd.rs
@@ -59,6 +59,11 @@
 impl Watched {
     /// Starts an instance on a machine with `memory_mb` that accepts bodies of up to `max_body_bytes`.
     pub fn start(memory_mb: u64, max_body_bytes: u64) -> Self {
+        Self::start_with(memory_mb, max_body_bytes, "")
+    }
+
+    /// Starts an instance whose settings have further lines.
+    pub fn start_with(memory_mb: u64, max_body_bytes: u64, more: &str) -> Self {
         let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
         let store = Store::start().unwrap();
         let mut document = configuration(1);
@@ -76,7 +81,7 @@
         let program = Path::new(env!("CARGO_BIN_EXE_caraway-edge"));
         let limits = format!(
             "self.limits.memory_mb={memory_mb}\nself.limits.max_fds={MAX_DESCRIPTORS}\n\
-             self.limits.link_mbps=1000\n"
+             self.limits.link_mbps=1000\n{more}"
         );
         let instance = Instance::start_with(program, "a", store.address, &limits).unwrap();
         let descriptors = Arc::new(AtomicUsize::new(0));
@@ -115,7 +120,10 @@
         assert!(self.cluster.ready(0), "the readiness check fails");
         assert!(self.cluster.instances[0].wait(Duration::from_millis(50)).is_none(), "ended");
         let peak = self.instance().peak_memory_kib() * 1024;
+        // The watcher may not have run since the crowd came.
+        self.descriptors.fetch_max(self.instance().open_descriptors(), Ordering::SeqCst);
         let descriptors = self.descriptors.load(Ordering::SeqCst);
+        assert!(descriptors > 0, "the descriptors cannot be read");
         println!("peak memory {peak} bytes, peak descriptors {descriptors}");
         assert!(peak < self.memory_mb * 1_000_000, "peak memory {peak} bytes");
         assert!(descriptors < MAX_DESCRIPTORS, "{descriptors} descriptors");
--- a/bins/edge/tests/clients/main.rs
+++ b/bins/edge/tests/clients/main.rs
@@ -15,4 +15,5 @@
 mod connections;
 mod crowd;
 mod heads;
+mod limits;
 mod readers;
--- a/bins/edge/tests/process/pipelining.rs
+++ b/bins/edge/tests/process/pipelining.rs
@@ -315,3 +315,13 @@
     assert_eq!(caller.receive().unwrap().status, 404);
     assert_eq!(caller.receive().unwrap().body, "p0:a");
 }
+
+/// Guards against a client that keeps the process busy with empty lines, which are not part of any request.
+#[test]
+fn empty_lines_before_a_request_are_limited() {
+    let cluster = Cluster::start(1, 0, 1);
+    let answer = exchange(&cluster, &format!("\r\n\r\n{}", get("/read/x", "a", "")));
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    let answer = exchange(&cluster, &"\r\n".repeat(1000));
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod configuration;
 pub mod coordinator;
 pub mod demand;
+pub mod descriptors;
 pub mod election;
 pub mod load;
 pub mod membership;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -268,6 +268,9 @@
     /// A request body was not received.
     415 Warn BodyRefused "body-refused" { request_id: String, address: String, reason: String, held_ms: u64, memory_used: u64 }
         "the body of request {request_id} from {address} was not received: {reason}"
+    /// A connection was closed because of a limit.
+    416 Warn ConnectionClosed "connection-closed" { listener: String, address: String, reason: String, open: u64 }
+        "a connection of {address} to the listener for {listener} was closed: {reason}"
 
     /// A configuration version is in force.
     501 Info ConfigurationApplied "configuration-applied" { version: u64, source: String }
