--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -33,6 +33,7 @@
 use caraway_fleet::backoff::Backoff;
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Splitter;
+use caraway_fleet::descriptors;
 use caraway_fleet::evacuation::Evacuations;
 use caraway_fleet::following::Following;
 use caraway_fleet::load::Estimate;
@@ -135,6 +136,8 @@
     pub pool: Pool,
     /// Memory budget of requests and responses.
     pub memory: Rc<Memory>,
+    /// Shares of the descriptors.
+    pub descriptors: descriptors::Shares,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// The configuration in force, once one was received.
@@ -235,12 +238,20 @@
         let warmup = RefCell::new(warmup::Shares::new(settings.name.clone()));
         let evacuations = RefCell::new(Evacuations::new(settings.evacuation_time));
         // Without a limit of the platform, memory is not limited.
-        let bytes = settings.memory_mb.map(|megabytes| megabytes.saturating_mul(1_000_000));
-        let budget = bytes.map_or_else(|| Budget::new(u64::MAX), Budget::of_machine);
+        let budget = match (settings.ingress.memory_mb, settings.memory_mb) {
+            (Some(megabytes), _) => Budget::new(megabytes.saturating_mul(1_000_000)),
+            (None, Some(megabytes)) => Budget::of_machine(megabytes.saturating_mul(1_000_000)),
+            (None, None) => Budget::new(u64::MAX),
+        };
+        let limit = settings.max_descriptors;
+        let mut descriptors = limit.map_or(descriptors::Shares::UNLIMITED, descriptors::Shares::of);
+        descriptors.callers = settings.ingress.max_connections.unwrap_or(descriptors.callers);
+        descriptors.requests = settings.ingress.max_requests.unwrap_or(descriptors.requests);
         Self {
             evacuations,
             warmup,
             memory: Memory::new(budget),
+            descriptors,
             pool: Pool::default(),
             metrics: Metrics::new(),
             active_configuration: RefCell::default(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod configuration;
 pub mod coordinator;
 pub mod demand;
+pub mod descriptors;
 pub mod election;
 pub mod evacuation;
 pub mod following;
