Serve urgent requests of a service first while there is not room for all

Cause: in a service without keys, urgent requests competed with all others for the places of an instance. With 60 other requests per second where there is room for 35, half of the urgent ones were refused like half of the others.

Change: `caraway_fleet::classes`. Nothing is limited until a request finds no room. For 2 s after that, requests that are not urgent leave as much room as urgent ones were seen to want, and each class that was seen in the last 5 s keeps a sixth of the room that a flood of the other cannot take. A class may always have one request in flight. Services with one class of routes are not affected. Owners of keys keep their rule (urgent requests are not throttled and may exceed the limit of an instance by one), but are refused like others at an owner that is known to be full.

Without the limits the three cases of `urgent_requests_are_served_before_others` fail.

--- a/bins/edge/src/attempt.rs
+++ b/bins/edge/src/attempt.rs
@@ -19,18 +19,20 @@
     target: Arc<Target>,
     started: Stamp,
     factor: f64,
+    urgent: bool,
     open: Cell<bool>,
 }
 
 impl Attempt {
-    /// Records the start of an attempt.
-    pub fn begin(state: &Rc<State>, target: &Arc<Target>) -> Self {
+    /// Records the start of an attempt of a request that is urgent or not.
+    pub fn begin(state: &Rc<State>, target: &Arc<Target>, urgent: bool) -> Self {
         let started = Clock.now();
         let factor = state.with_estimate(&target.incarnation.id, |estimate| {
             estimate.begin(target.slots, started)
         });
+        state.with_classes(&target.service, |classes| classes.begin(urgent));
         let (state, target) = (state.clone(), target.clone());
-        Self { state, target, started, factor, open: Cell::new(true) }
+        Self { state, target, started, factor, urgent, open: Cell::new(true) }
     }
 
     /// Records that a response has begun. Its body may take as long as the caller reads it.
@@ -49,6 +51,7 @@
             self.state.with_estimate(&self.target.incarnation.id, |estimate| {
                 estimate.end(outcome, time, factor, now)
             });
+            self.state.with_classes(&self.target.service, |classes| classes.end(self.urgent));
             self.state.changed.notify_waiters();
         }
     }
--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -174,6 +174,7 @@
             *demand.entry(service.clone()).or_default().entry(key).or_default() += 1;
         }
         state.record_request(&service);
+        state.with_classes(&service, |classes| classes.record_request(urgent, Clock.now()));
         Some(Self {
             state,
             request,
@@ -282,7 +283,7 @@
 
     /// Sends the request to a target.
     async fn attempt(&self, target: &Arc<Target>) -> Completion {
-        let attempt = Attempt::begin(self.state, target);
+        let attempt = Attempt::begin(self.state, target, self.urgent);
         let max_idle =
             if self.route.repeatable { MAX_IDLE_IDEMPOTENT } else { MAX_IDLE_NON_IDEMPOTENT };
         let mut connection = match self.state.pool.take(target.address, max_idle, &self.request.id)
--- a/bins/edge/src/forward/selection.rs
+++ b/bins/edge/src/forward/selection.rs
@@ -89,11 +89,21 @@
         let mut waiting = None;
         loop {
             let changed = self.state.changed.notified();
-            let selected = self.select_least_loaded();
+            let now = Clock.now();
+            let may_send = self
+                .state
+                .with_classes(&self.service, |classes| classes.may_send(self.urgent, now));
+            let selected =
+                if may_send { self.select_least_loaded() } else { Err(Reason::InFlightLimit) };
             if selected != Err(Reason::InFlightLimit) {
                 return selected;
             }
             if waiting.is_none() {
+                if may_send {
+                    self.state.with_classes(&self.service, |classes| {
+                        classes.record_shortage(self.urgent, now)
+                    });
+                }
                 if !self.is_room_expected(end.saturating_duration_since(Instant::now())) {
                     return selected;
                 }
--- a/bins/edge/src/main.rs
+++ b/bins/edge/src/main.rs
@@ -4,6 +4,7 @@
 #![warn(missing_docs)]
 
 mod attempt;
+mod capacity;
 mod forward;
 mod grant;
 mod http;
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -29,6 +29,7 @@
 use caraway_fleet::admission;
 use caraway_fleet::allowance;
 use caraway_fleet::allowance::Allowance;
+use caraway_fleet::classes::Classes;
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Splitter;
 use caraway_fleet::load::Estimate;
@@ -39,8 +40,6 @@
 use caraway_fleet::membership::Target;
 use caraway_fleet::pause::Pauses;
 use caraway_fleet::refusal::Callers;
-use caraway_fleet::rendezvous::Domains;
-use caraway_fleet::share::Share;
 use caraway_fleet::share::Shares;
 use caraway_fleet::unowned::Ranges;
 use caraway_fleet::view::Change as OwnersChange;
@@ -201,7 +200,9 @@
     /// Keys of entries in the store that cannot be read.
     ignored_entries: RefCell<HashSet<String>>,
     /// This instance's shares of the targets of services without keys.
-    shares: RefCell<Shares>,
+    pub shares: RefCell<Shares>,
+    /// Urgent and other requests by service.
+    pub classes: RefCell<HashMap<Arc<str>, Classes>>,
     /// Callers that wait or were refused, by service, and by target for owners of keys.
     pub callers: RefCell<HashMap<Arc<str>, Callers>>,
     /// Load estimates by target id.
@@ -266,6 +267,7 @@
             pauses: RefCell::default(),
             ignored_entries: RefCell::default(),
             shares: RefCell::default(),
+            classes: RefCell::default(),
             callers: RefCell::default(),
             estimates: RefCell::default(),
             splitters: RefCell::default(),
@@ -547,28 +549,6 @@
         self.pool.put_within(target.address, connection, max_connections);
     }
 
-    /// Returns the failure domains of the known instances, including this one.
-    pub fn domains(&self) -> Domains {
-        let instances = self.instances.borrow();
-        let known = instances.iter().map(|(name, known)| (name.clone(), known.domain.clone()));
-        let this = (self.settings.name.clone(), self.settings.domain.clone());
-        known.chain(std::iter::once(this)).collect()
-    }
-
-    /// Returns this instance's share of the targets of a service without keys, or `None` if they
-    /// are not divided among the instances.
-    pub fn share(&self, service: &Arc<str>, now: Stamp) -> Option<Arc<Share>> {
-        let lists = || {
-            let registry = self.registry.borrow();
-            let listed = registry
-                .members()
-                .filter(|member| member.target.service == *service)
-                .filter(|member| member.draining_since.is_none());
-            (listed.map(|member| member.target.clone()).collect(), self.domains())
-        };
-        self.shares.borrow_mut().get(service, &self.settings.name, lists, now)
-    }
-
     /// Calls a function with the load estimate of a target.
     pub fn with_estimate<T>(&self, id: &Arc<str>, operate: impl FnOnce(&mut Estimate) -> T) -> T {
         operate(self.estimates.borrow_mut().entry(id.clone()).or_default())
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod allowance;
 pub mod balance;
+pub mod classes;
 pub mod configuration;
 pub mod coordinator;
 pub mod demand;
