--- a/bins/edge/src/attempt.rs
+++ b/bins/edge/src/attempt.rs
@@ -20,20 +20,23 @@
     target: Arc<Target>,
     started: Stamp,
     factor: f64,
+    urgent: bool,
     open: Cell<bool>,
     /// Time from the start until the pace of the caller determines the rest, if it does.
     own_time: Cell<Option<Duration>>,
 }
 
 impl Attempt {
-    /// Records the start of an attempt.
-    pub fn begin(state: &Rc<State>, target: &Arc<Target>) -> Self {
+    /// Records the start of an attempt of a request that is urgent or not.
+    pub fn begin(state: &Rc<State>, target: &Arc<Target>, urgent: bool) -> Self {
         let started = Clock.now();
         let factor = state.with_estimate(&target.incarnation.id, |estimate| {
             estimate.begin(target.slots, started)
         });
+        state.with_classes(&target.service, |classes| classes.begin(urgent));
         let (state, target) = (state.clone(), target.clone());
-        Self { state, target, started, factor, open: Cell::new(true), own_time: Cell::new(None) }
+        let (open, own_time) = (Cell::new(true), Cell::new(None));
+        Self { state, target, started, factor, urgent, open, own_time }
     }
 
     /// Records that the rest of the response is read at the pace of the caller. The time that this takes says
@@ -44,6 +47,13 @@
         }
     }
 
+    /// Records that a response has begun. Its body may take as long as the caller reads it.
+    pub fn record_response(&self) {
+        self.state.with_estimate(&self.target.incarnation.id, |estimate| {
+            estimate.record_response(self.started);
+        });
+    }
+
     /// Records the end of the attempt; later calls have no effect.
     pub fn end(&self, outcome: Outcome) {
         if self.open.replace(false) {
@@ -53,6 +63,7 @@
             self.state.with_estimate(&self.target.incarnation.id, |estimate| {
                 estimate.end(outcome, time, factor, now)
             });
+            self.state.with_classes(&self.target.service, |classes| classes.end(self.urgent));
             self.state.changed.notify_waiters();
         }
     }
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -31,6 +31,7 @@
 use caraway_fleet::allowance;
 use caraway_fleet::allowance::Allowance;
 use caraway_fleet::backoff::Backoff;
+use caraway_fleet::classes::Classes;
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Splitter;
 use caraway_fleet::descriptors;
@@ -44,8 +45,7 @@
 use caraway_fleet::membership::Target;
 use caraway_fleet::memory::Budget;
 use caraway_fleet::pause::Pauses;
-use caraway_fleet::rendezvous::Domains;
-use caraway_fleet::share::Share;
+use caraway_fleet::refusal::Callers;
 use caraway_fleet::share::Shares;
 use caraway_fleet::unowned::Ranges;
 use caraway_fleet::view;
@@ -187,7 +187,11 @@
     /// Keys of entries in the store that cannot be read.
     ignored_entries: RefCell<HashSet<String>>,
     /// This instance's shares of the targets of services without keys.
-    shares: RefCell<Shares>,
+    pub shares: RefCell<Shares>,
+    /// Urgent and other requests by service.
+    pub classes: RefCell<HashMap<Arc<str>, Classes>>,
+    /// Callers that wait or were refused, by service, and by target for owners of keys.
+    pub callers: RefCell<HashMap<Arc<str>, Callers>>,
     /// Load estimates by target id.
     pub estimates: RefCell<HashMap<Arc<str>, Estimate>>,
     /// When the coordinator last sent the load of other instances.
@@ -276,6 +280,8 @@
             pauses: RefCell::default(),
             ignored_entries: RefCell::default(),
             shares: RefCell::default(),
+            classes: RefCell::default(),
+            callers: RefCell::default(),
             estimates: RefCell::default(),
             loads_at: Cell::new(Stamp::default()),
             splitters: RefCell::default(),
@@ -494,36 +500,6 @@
         self.pool.put_within(target.address, connection, max_connections);
     }
 
-    /// Returns the failure domains of the known instances, including this one.
-    pub fn domains(&self) -> Domains {
-        let instances = self.instances.borrow();
-        let known = instances.iter().map(|(name, known)| (name.clone(), known.domain.clone()));
-        let this = (self.settings.name.clone(), self.settings.domain.clone());
-        known.chain(std::iter::once(this)).collect()
-    }
-
-    /// Returns this instance's share of the targets of a service without keys, or `None` if they
-    /// are not divided among the instances.
-    pub fn share(&self, service: &Arc<str>, now: Stamp) -> Option<Arc<Share>> {
-        let lists = || {
-            let registry = self.registry.borrow();
-            let evacuations = self.evacuations.borrow();
-            let listed = registry
-                .members()
-                .filter(|member| member.target.service == *service)
-                .filter(|member| member.draining_since.is_none())
-                .filter(|member| !evacuations.is_evacuated(&member.target.domain));
-            (listed.map(|member| member.target.clone()).collect(), self.domains())
-        };
-        self.shares.borrow_mut().get(service, &self.settings.name, lists, now)
-    }
-
-    /// Returns whether the targets of a service are divided among the instances, as far as requests
-    /// of this instance have shown.
-    pub fn is_divided(&self, service: &str) -> bool {
-        self.shares.borrow().is_divided(service)
-    }
-
     /// Calls a function with the load estimate of a target.
     pub fn with_estimate<T>(&self, id: &Arc<str>, operate: impl FnOnce(&mut Estimate) -> T) -> T {
         operate(self.estimates.borrow_mut().entry(id.clone()).or_default())
