--- a/bins/edge/src/forward/outcome.rs
+++ b/bins/edge/src/forward/outcome.rs
@@ -4,8 +4,6 @@
 
 use hyper::Response;
 use hyper::StatusCode;
-use hyper::header;
-use hyper::header::HeaderValue;
 
 use caraway_core::time::Clock;
 use caraway_core::time::millis;
@@ -106,8 +104,12 @@
     let now = Clock.now();
     let has_end = matches!(reason, Reason::Paused | Reason::WarmingUp);
     let pause_end = call.and_then(|call| call.pause_end.get()).filter(|_| has_end);
+    let lacks_room = reason.is_lack_of_room();
+    let room_delay = call.filter(|_| lacks_room).and_then(|call| call.return_delay(now));
     let retry_after = pause_end
-        .map_or(reason.retry_after(), |end| pause::return_delay(end, now, rand::random::<f64>()));
+        .map(|end| pause::return_delay(end, now, rand::random::<f64>()))
+        .or(room_delay)
+        .unwrap_or(reason.retry_after());
     emit(Event::RequestRefused {
         request_id: request.id.to_string(),
         route: call.map(|call| call.route.name.to_string()).unwrap_or_default(),
@@ -123,10 +125,7 @@
     });
     Metrics::count(&state.metrics.refused, "reason", reason.as_str());
     let mut response = response::plain(StatusCode::SERVICE_UNAVAILABLE, reason.as_str());
-    let seconds = format!("{:.3}", retry_after.as_secs_f64());
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
-        response.headers_mut().insert(header::RETRY_AFTER, value);
-    }
+    response::set_retry_after(&mut response, retry_after);
     response
 }
 
--- a/bins/edge/src/main.rs
+++ b/bins/edge/src/main.rs
@@ -4,12 +4,14 @@
 #![warn(missing_docs)]
 
 mod attempt;
+mod capacity;
 mod evacuation;
 mod forward;
 mod grant;
 mod http;
 mod ingress;
 mod leader;
+mod memory;
 mod metrics;
 mod peers;
 mod pool;
--- a/bins/edge/src/metrics.rs
+++ b/bins/edge/src/metrics.rs
@@ -42,6 +42,18 @@
     pub pauses: Family<Labels, Counter>,
     /// Requests sent to cold targets by service.
     pub cold_requests: Family<Labels, Counter>,
+    /// Connections, by listener.
+    pub connections: Family<Labels, Gauge>,
+    /// Connections that were closed because of a limit, by reason.
+    pub connections_closed: Family<Labels, Counter>,
+    /// Times at which a connection had as many requests in flight as it may have.
+    pub read_ahead_reached: Counter,
+    /// Request heads that were refused, by reason.
+    pub heads_refused: Family<Labels, Counter>,
+    /// Request bodies that were not received, by reason.
+    pub bodies_refused: Family<Labels, Counter>,
+    /// Memory that requests and responses in flight use, in bytes.
+    pub memory_used: Gauge,
     /// Entries of the store that were ignored because they cannot be read.
     pub ignored_entries: Counter,
     /// Holdings that moved to another owner.
@@ -81,6 +93,12 @@
             departures: Family::default(),
             pauses: Family::default(),
             cold_requests: Family::default(),
+            connections: Family::default(),
+            connections_closed: Family::default(),
+            read_ahead_reached: Counter::default(),
+            heads_refused: Family::default(),
+            bodies_refused: Family::default(),
+            memory_used: Gauge::default(),
             ignored_entries: Counter::default(),
             holdings_moved: Counter::default(),
             config_version: Gauge::default(),
@@ -105,6 +123,14 @@
         registry.register("targets_leaving", "Announced departures", m.departures.clone());
         registry.register("target_pauses", "Pauses of targets", m.pauses.clone());
         registry.register("cold_requests", "Requests to cold targets", m.cold_requests.clone());
+        registry.register("connections", "Open connections", m.connections.clone());
+        let closed = m.connections_closed.clone();
+        registry.register("connections_closed", "Connections closed by a limit", closed);
+        let reached = m.read_ahead_reached.clone();
+        registry.register("read_ahead_reached", "Connections at the bound", reached);
+        registry.register("heads_refused", "Request heads refused", m.heads_refused.clone());
+        registry.register("bodies_refused", "Bodies not received", m.bodies_refused.clone());
+        registry.register("memory_used", "Bytes of requests in flight", m.memory_used.clone());
         registry.register("ignored_entries", "Unreadable entries", m.ignored_entries.clone());
         registry.register("holdings_moved", "Holdings with a new owner", m.holdings_moved.clone());
         let evacuated = m.evacuated_domains.clone();
--- a/bins/edge/src/reason.rs
+++ b/bins/edge/src/reason.rs
@@ -47,6 +47,10 @@
     ConnectionLost,
     /// No response arrived before the deadline.
     TimedOut,
+    /// The body does not fit into the memory of this instance.
+    MemoryShort,
+    /// This instance has as many requests in flight as its descriptors allow.
+    TooManyRequests,
     /// This instance stops before the target has responded.
     Stopping,
     /// The response is not a valid response to this request.
@@ -78,12 +82,23 @@
             Self::NotOwner => "the target does not own the key",
             Self::ConnectionLost => "the connection broke",
             Self::TimedOut => "no answer in time",
+            Self::MemoryShort => "this instance has no memory for the body at the moment",
+            Self::TooManyRequests => "this instance has too many requests in flight",
             Self::Stopping => "this instance stops before the target has answered",
             Self::Mismatched => "the answer belongs to another request",
             Self::Failed => "the target failed",
         }
     }
 
+    /// Returns whether the request was refused because there is no room for it at present. The delay
+    /// after which the caller should return then follows from the expected time until there is.
+    pub fn is_lack_of_room(self) -> bool {
+        matches!(
+            self,
+            Self::Overloaded | Self::Throttled | Self::BackedOff | Self::InFlightLimit | Self::Shed
+        )
+    }
+
     /// Returns the delay after which a caller should retry: the typical time until a key has an
     /// owner or a queue has drained. Another target can be tried almost at once.
     pub fn retry_after(self) -> Duration {
@@ -94,6 +109,8 @@
             // An evacuation lasts for minutes rather than for moments.
             Self::Evacuated => Duration::from_secs(2),
             Self::OwnerUnreachable | Self::Silent => load::EJECTION,
+            // Another instance may have memory; here it takes about as long as a body is received.
+            Self::MemoryShort | Self::TooManyRequests => Duration::from_millis(500),
             // A quarantine ends only by timeout.
             Self::Quarantined => Duration::from_secs(60),
             Self::Overloaded
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -31,8 +31,10 @@
 use caraway_fleet::allowance;
 use caraway_fleet::allowance::Allowance;
 use caraway_fleet::backoff::Backoff;
+use caraway_fleet::classes::Classes;
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Splitter;
+use caraway_fleet::descriptors;
 use caraway_fleet::evacuation::Evacuations;
 use caraway_fleet::following::Following;
 use caraway_fleet::load::Estimate;
@@ -41,9 +43,9 @@
 use caraway_fleet::membership::Member;
 use caraway_fleet::membership::Registry;
 use caraway_fleet::membership::Target;
+use caraway_fleet::memory::Budget;
 use caraway_fleet::pause::Pauses;
-use caraway_fleet::rendezvous::Domains;
-use caraway_fleet::share::Share;
+use caraway_fleet::refusal::Callers;
 use caraway_fleet::share::Shares;
 use caraway_fleet::unowned::Ranges;
 use caraway_fleet::view;
@@ -54,6 +56,7 @@
 use caraway_telemetry::event::emit;
 
 use crate::http::Connection;
+use crate::memory::Memory;
 use crate::metrics::Metrics;
 use crate::peers::CrashLog;
 use crate::pool::Pool;
@@ -131,6 +134,10 @@
     pub settings: Settings,
     /// Pool of connections to targets, the store and other instances.
     pub pool: Pool,
+    /// Memory budget of requests and responses.
+    pub memory: Rc<Memory>,
+    /// Shares of the descriptors.
+    pub descriptors: descriptors::Shares,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// The configuration in force, once one was received.
@@ -180,7 +187,11 @@
     /// Keys of entries in the store that cannot be read.
     ignored_entries: RefCell<HashSet<String>>,
     /// This instance's shares of the targets of services without keys.
-    shares: RefCell<Shares>,
+    pub shares: RefCell<Shares>,
+    /// Urgent and other requests by service.
+    pub classes: RefCell<HashMap<Arc<str>, Classes>>,
+    /// Callers that wait or were refused, by service, and by target for owners of keys.
+    pub callers: RefCell<HashMap<Arc<str>, Callers>>,
     /// Load estimates by target id.
     pub estimates: RefCell<HashMap<Arc<str>, Estimate>>,
     /// When the coordinator last sent the load of other instances.
@@ -230,9 +241,21 @@
     pub fn new(settings: Settings) -> Self {
         let warmup = RefCell::new(warmup::Shares::new(settings.name.clone()));
         let evacuations = RefCell::new(Evacuations::new(settings.evacuation_time));
+        // Without a limit of the platform, memory is not limited.
+        let budget = match (settings.ingress.memory_mb, settings.memory_mb) {
+            (Some(megabytes), _) => Budget::new(megabytes.saturating_mul(1_000_000)),
+            (None, Some(megabytes)) => Budget::of_machine(megabytes.saturating_mul(1_000_000)),
+            (None, None) => Budget::new(u64::MAX),
+        };
+        let limit = settings.max_descriptors;
+        let mut descriptors = limit.map_or(descriptors::Shares::UNLIMITED, descriptors::Shares::of);
+        descriptors.callers = settings.ingress.max_connections.unwrap_or(descriptors.callers);
+        descriptors.requests = settings.ingress.max_requests.unwrap_or(descriptors.requests);
         Self {
             evacuations,
             warmup,
+            memory: Memory::new(budget),
+            descriptors,
             pool: Pool::default(),
             metrics: Metrics::new(),
             active_configuration: RefCell::default(),
@@ -257,6 +280,8 @@
             pauses: RefCell::default(),
             ignored_entries: RefCell::default(),
             shares: RefCell::default(),
+            classes: RefCell::default(),
+            callers: RefCell::default(),
             estimates: RefCell::default(),
             loads_at: Cell::new(Stamp::default()),
             splitters: RefCell::default(),
@@ -475,36 +500,6 @@
         self.pool.put_within(target.address, connection, max_connections);
     }
 
-    /// Returns the failure domains of the known instances, including this one.
-    pub fn domains(&self) -> Domains {
-        let instances = self.instances.borrow();
-        let known = instances.iter().map(|(name, known)| (name.clone(), known.domain.clone()));
-        let this = (self.settings.name.clone(), self.settings.domain.clone());
-        known.chain(std::iter::once(this)).collect()
-    }
-
-    /// Returns this instance's share of the targets of a service without keys, or `None` if they
-    /// are not divided among the instances.
-    pub fn share(&self, service: &Arc<str>, now: Stamp) -> Option<Arc<Share>> {
-        let lists = || {
-            let registry = self.registry.borrow();
-            let evacuations = self.evacuations.borrow();
-            let listed = registry
-                .members()
-                .filter(|member| member.target.service == *service)
-                .filter(|member| member.draining_since.is_none())
-                .filter(|member| !evacuations.is_evacuated(&member.target.domain));
-            (listed.map(|member| member.target.clone()).collect(), self.domains())
-        };
-        self.shares.borrow_mut().get(service, &self.settings.name, lists, now)
-    }
-
-    /// Returns whether the targets of a service are divided among the instances, as far as requests
-    /// of this instance have shown.
-    pub fn is_divided(&self, service: &str) -> bool {
-        self.shares.borrow().is_divided(service)
-    }
-
     /// Calls a function with the load estimate of a target.
     pub fn with_estimate<T>(&self, id: &Arc<str>, operate: impl FnOnce(&mut Estimate) -> T) -> T {
         operate(self.estimates.borrow_mut().entry(id.clone()).or_default())
--- a/bins/edge/src/state/entries.rs
+++ b/bins/edge/src/state/entries.rs
@@ -191,6 +191,7 @@
                 self.pool.remove(target.address);
                 self.record_crash(&target.incarnation, &target.service);
                 self.estimates.borrow_mut().remove(&target.incarnation.id);
+                self.callers.borrow_mut().remove(&target.incarnation.id);
                 let (target, service) = id_and_service(&target);
                 Event::TargetUnlisted { target, service, revision }
             }
