Refuse invalid statuses and ignore further SIGTERMs

Cause: the parser takes any three digits for a status, so 000 was skipped as an interim response and 600 was relayed. A second SIGTERM ended the process with requests in flight.

Change: a status outside 100 to 599 makes the response invalid; the connection is closed and the request retried where that is allowed. A signed length and transfer encodings other than one 'chunked' are refused in responses, too. Further SIGTERMs are logged (event 113) and ignored; SIGINT still ends a stop at once, for a person at a terminal.

--- a/bins/edge/src/http.rs
+++ b/bins/edge/src/http.rs
@@ -40,6 +40,9 @@
 /// smallest value that the operating system supports.
 const KEEPALIVE: Duration = Duration::from_secs(1);
 
+/// Statuses of responses, including interim ones.
+const STATUSES: std::ops::RangeInclusive<u16> = 100..=599;
+
 /// Size limit of a response head.
 const MAX_HEAD_BYTES: usize = 32 << 10;
 
@@ -254,7 +257,9 @@
             Ok(httparse::Status::Partial) => return Ok(None),
             Err(error) => return Err(invalid(&error.to_string())),
         };
-        let status = response.code.unwrap_or(0);
+        // The parser accepts any three digits. Those below 200 would be skipped as interim responses.
+        let status = response.code.filter(|status| STATUSES.contains(status));
+        let status = status.ok_or_else(|| invalid("the status of the response is invalid"))?;
         let http_1_0 = response.version == Some(0);
         let mut headers = HeaderMap::with_capacity(response.headers.len());
         for field in response.headers.iter() {
@@ -419,7 +424,10 @@
         return Ok(Framing::Ended);
     }
     if headers.contains_key(header::TRANSFER_ENCODING) {
-        let chunked = has_token(headers, header::TRANSFER_ENCODING, "chunked");
+        // No other coding is asked for, and none is decoded.
+        let mut codings = headers.get_all(header::TRANSFER_ENCODING).into_iter();
+        let first = codings.next().is_some_and(|c| c.as_bytes().eq_ignore_ascii_case(b"chunked"));
+        let chunked = first && codings.next().is_none();
         let both = headers.contains_key(header::CONTENT_LENGTH);
         if !chunked || both {
             return Err(invalid("ambiguous response length"));
@@ -431,7 +439,10 @@
     if lengths.any(|other| other != first) {
         return Err(invalid("conflicting content-length fields in the response"));
     }
-    let length: Option<u64> = first.to_str().ok().and_then(|text| text.parse().ok());
+    // Parsing alone would accept a sign.
+    let digits = first.as_bytes().iter().all(u8::is_ascii_digit);
+    let length: Option<u64> =
+        first.to_str().ok().filter(|_| digits).and_then(|text| text.parse().ok());
     match length {
         None => Err(invalid("invalid content-length in the response")),
         Some(0) => Ok(Framing::Ended),
--- a/bins/edge/src/process.rs
+++ b/bins/edge/src/process.rs
@@ -130,10 +130,20 @@
         let _ = coordinate.await;
         let _ = serving.await;
     });
-    tokio::select! {
-        () = stop => {}
-        _ = terminate.recv() => emit(Event::StopForced { signal: name.to_owned() }),
-        _ = interrupt.recv() => emit(Event::StopForced { signal: name.to_owned() }),
+    let mut stop = std::pin::pin!(stop);
+    loop {
+        tokio::select! {
+            () = stop.as_mut() => break,
+            // The platform may repeat its signal; requests in flight still have the rest of the grace period.
+            _ = terminate.recv() => {
+                emit(Event::StopRepeated { stop_ms: millis(began.elapsed()) });
+            }
+            // Only a person at a terminal sends this one.
+            _ = interrupt.recv() => {
+                emit(Event::StopForced { signal: "SIGINT".to_owned() });
+                break;
+            }
+        }
     }
     let stop_ms = millis(began.elapsed());
     emit(Event::ProcessStopped { stop_ms });
--- a/bins/edge/tests/process/responses.rs
+++ b/bins/edge/tests/process/responses.rs
@@ -103,6 +103,34 @@
     assert_eq!(cluster.runs("o1"), 1);
 }
 
+/// Guards against relaying bytes that are not a response, or waiting for another response after them until the
+/// deadline: a target in trouble sent the status 000, which was taken for an interim response.
+#[yare::parameterized(
+    zero = { "000" },
+    below = { "099" },
+    above = { "600" },
+    far_above = { "999" },
+    two_digits = { "20" },
+    four_digits = { "2000" },
+    text = { "abc" },
+    signed = { "+20" },
+    missing = { "" },
+)]
+fn an_invalid_status_is_not_a_response(status: &str) {
+    let cluster = Cluster::start(2, 0, 1);
+    wait_for_retries();
+    let started = Instant::now();
+    let path = format!("/order/status-{status}");
+    let response = cluster.caller(0).call("POST", &path, "o1", &[DEADLINE]).unwrap();
+    assert_eq!(response.status, 502, "the outcome is unknown: {response:?}");
+    assert_eq!(cluster.runs("o1"), 1);
+    let response = cluster.get(0, &format!("/read/status-{status}"), "r1");
+    assert_eq!(response.status, 502, "{response:?}");
+    assert_eq!(cluster.runs("r1"), 2, "a repeatable request is retried");
+    assert!(started.elapsed() < Duration::from_millis(1500), "{:?}", started.elapsed());
+    assert_eq!(cluster.get(0, "/read/x", "after").status, 200);
+}
+
 /// Guards against failing an idempotent request after one broken response, and against more
 /// attempts than the route allows.
 #[test]
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -133,6 +133,9 @@
     /// The settings file was reloaded.
     112 Info SettingsReloaded "settings-reloaded" { result: String }
         "settings reloaded: {result}"
+    /// A further SIGTERM arrived during a planned stop.
+    113 Warn StopRepeated "stop-repeated" { stop_ms: u64 }
+        "SIGTERM again, {stop_ms} ms after the stop began: the planned stop continues"
 
     /// The first heartbeat of an entry instance arrived.
     201 Info MemberJoined "member-joined" { instance: name::Instance, incarnation: u64 }
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -461,6 +461,15 @@
         thread::sleep(Duration::from_millis(20));
     }
     let encoded = http::response(status, &headers, body.as_bytes());
+    if let Some(text) = request.path.split("status-").nth(1) {
+        // A target in trouble sends a status line that is not valid, and stays connected.
+        let text = format!(
+            "HTTP/1.1 {text} Status\r\ncarawayscale-attempt-id: {attempt}\r\n\
+             carawayscale-response-signature: proof\r\ncontent-length: 0\r\n\r\n"
+        );
+        output.write_all(text.as_bytes())?;
+        return Ok(true);
+    }
     if has("crash") {
         shared.crash();
         return Ok(false);
