--- a/bins/edge/src/capacity.rs
+++ b/bins/edge/src/capacity.rs
@@ -1,11 +1,16 @@
 //! This instance's part of the capacity of a service.
 
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use caraway_core::time::Stamp;
 use caraway_fleet::classes::Classes;
 use caraway_fleet::rendezvous::Domains;
 use caraway_fleet::share::Share;
+use caraway_telemetry::event::Event;
+use caraway_telemetry::event::emit;
 
 use crate::state::State;
 
@@ -41,3 +46,108 @@
         operate(self.classes.borrow_mut().entry(service.clone()).or_default())
     }
 }
+
+/// Slowdown from which a target counts as slower than usual in the metrics.
+const SLOW: f64 = 1.5;
+
+/// Load of one service at this instance.
+#[derive(Default)]
+struct Load {
+    in_flight: u32,
+    /// Number of targets with a known service time, and the sum of these in seconds.
+    measured: (u32, f64),
+    slow: i64,
+}
+
+/// Updates the metrics of capacity and speed, and logs changes of them.
+#[derive(Debug, Default)]
+pub struct Monitor {
+    /// Targets that were silent at the latest update, with their services.
+    silent: BTreeMap<Arc<str>, Arc<str>>,
+    /// Requests refused for lack of room until then, by service.
+    refused: HashMap<Arc<str>, u64>,
+    /// Targets and places of the share, by service.
+    shares: HashMap<Arc<str>, (u64, u64)>,
+}
+
+impl Monitor {
+    /// Updates metrics and log; called once a second.
+    pub fn update(&mut self, state: &State, now: Stamp) {
+        let mut loads: BTreeMap<Arc<str>, Load> = BTreeMap::new();
+        let mut silent = BTreeMap::new();
+        {
+            let (registry, estimates) = (state.registry.borrow(), state.estimates.borrow());
+            for member in registry.members() {
+                let (id, service) = (&member.target.incarnation.id, &member.target.service);
+                let load = loads.entry(service.clone()).or_default();
+                let Some(estimate) = estimates.get(id) else { continue };
+                load.in_flight += estimate.in_flight;
+                if estimate.service_time > 0.0 {
+                    load.measured.0 += 1;
+                    load.measured.1 += estimate.service_time;
+                }
+                let is_silent = estimate.is_silent(now);
+                let slow = estimate.slowdown(now) >= SLOW;
+                load.slow += i64::from(slow || is_silent);
+                if is_silent {
+                    silent.insert(id.clone(), service.clone());
+                }
+            }
+        }
+        self.log_silence(silent);
+        for (service, load) in loads {
+            self.record(state, &service, &load, now);
+        }
+    }
+
+    /// Logs targets that have become silent or answer again.
+    fn log_silence(&mut self, silent: BTreeMap<Arc<str>, Arc<str>>) {
+        let (before, after): (HashSet<_>, HashSet<_>) =
+            (self.silent.iter().collect(), silent.iter().collect());
+        for (target, service) in after.difference(&before) {
+            let (target, service) = (target.to_string(), service.to_string());
+            emit(Event::TargetUnanswering { target, service });
+        }
+        for (target, service) in before.difference(&after) {
+            let (target, service) = (target.to_string(), service.to_string());
+            emit(Event::TargetAnswering { target, service });
+        }
+        self.silent = silent;
+    }
+
+    fn record(&mut self, state: &State, service: &Arc<str>, load: &Load, now: Stamp) {
+        let labels = [("service", service.to_string())];
+        let metrics = &state.metrics;
+        if load.measured.0 > 0 {
+            let mean = load.measured.1 * 1000.0 / f64::from(load.measured.0);
+            metrics.service_ms.get_or_create(&labels).set(mean.round() as i64);
+        }
+        metrics.slow_targets.get_or_create(&labels).set(load.slow);
+        let refused = metrics.refused_for_room.get_or_create(&labels).get();
+        let before = self.refused.insert(service.clone(), refused).unwrap_or(0);
+        if refused > before {
+            emit(Event::RoomShort {
+                service: service.to_string(),
+                refused: refused - before,
+                in_flight: load.in_flight.into(),
+            });
+        }
+        let keyed = state.configuration().is_some_and(|current| {
+            current.services.get(service).is_some_and(|service| service.keyed)
+        });
+        let Some(share) = (!keyed).then(|| state.share(service, now)).flatten() else {
+            self.shares.remove(service);
+            return;
+        };
+        let places = share.capacity();
+        let percent = load.in_flight.saturating_mul(100) / places.max(1);
+        metrics.share_percent.get_or_create(&labels).set(percent.into());
+        let targets = share.places().filter(|(_, place)| !place.spare).count();
+        let summary = (u64::try_from(targets).unwrap_or(u64::MAX), u64::from(places));
+        if self.shares.insert(service.clone(), summary) != Some(summary) {
+            let instances = u64::try_from(state.domains().len()).unwrap_or(u64::MAX);
+            let (targets, places) = summary;
+            emit(Event::ShareChanged { service: service.to_string(), targets, places, instances });
+        }
+    }
+}
--- a/bins/edge/src/forward/outcome.rs
+++ b/bins/edge/src/forward/outcome.rs
@@ -124,6 +124,9 @@
         owners: owners_version(state),
     });
     Metrics::count(&state.metrics.refused, "reason", reason.as_str());
+    if let Some(call) = call.filter(|_| lacks_room) {
+        Metrics::count(&state.metrics.refused_for_room, "service", &call.service);
+    }
     let mut response = response::plain(StatusCode::SERVICE_UNAVAILABLE, reason.as_str());
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/bins/edge/src/metrics.rs
+++ b/bins/edge/src/metrics.rs
@@ -25,6 +25,14 @@
     pub answered: Family<Labels, Counter>,
     /// Time from the head of a request to the head of its response, by service.
     pub latency: Family<Labels, Histogram>,
+    /// Requests that were refused for lack of room, by service.
+    pub refused_for_room: Family<Labels, Counter>,
+    /// Requests in flight relative to the places of this instance, by service, in percent.
+    pub share_percent: Family<Labels, Gauge>,
+    /// Mean of the usual service times of the targets, by service, in milliseconds.
+    pub service_ms: Family<Labels, Gauge>,
+    /// Targets that are slower than usual or silent, by service.
+    pub slow_targets: Family<Labels, Gauge>,
     /// Retries, by service.
     pub retries: Family<Labels, Counter>,
     /// Calls to the store, by kind and result.
@@ -63,6 +71,10 @@
             failed: Family::default(),
             answered: Family::default(),
             latency: Family::new_with_constructor(histogram),
+            refused_for_room: Family::default(),
+            share_percent: Family::default(),
+            service_ms: Family::default(),
+            slow_targets: Family::default(),
             retries: Family::default(),
             store_calls: Family::default(),
             grant_calls: Family::default(),
@@ -83,6 +95,11 @@
         registry.register("failed", "Requests failed, may have run", m.failed.clone());
         registry.register("answered", "Answers passed on", m.answered.clone());
         registry.register("latency_seconds", "Time to the answer", m.latency.clone());
+        let refused = m.refused_for_room.clone();
+        registry.register("refused_for_room", "Requests refused for lack of room", refused);
+        registry.register("share_percent", "Use of the share", m.share_percent.clone());
+        registry.register("service_ms", "Usual service time", m.service_ms.clone());
+        registry.register("slow_targets", "Slow or silent targets", m.slow_targets.clone());
         registry.register("repeated", "Requests sent once more", m.retries.clone());
         registry.register("store_calls", "Calls to the store", m.store_calls.clone());
         registry.register("grant_calls", "Calls about keys", m.grant_calls.clone());
--- a/bins/edge/src/process.rs
+++ b/bins/edge/src/process.rs
@@ -31,6 +31,7 @@
 use caraway_telemetry::event::emit;
 use caraway_telemetry::logger;
 
+use crate::capacity::Monitor;
 use crate::ingress;
 use crate::leader;
 use crate::peers;
@@ -228,6 +229,7 @@
 async fn housekeeping(state: Rc<State>, dropped: Dropped) {
     let mut logged_drops = 0;
     let mut last = Clock.now();
+    let mut capacity = Monitor::default();
     loop {
         sleep(Duration::from_secs(1)).await;
         let now = Clock.now();
@@ -238,6 +240,7 @@
         }
         last = now;
         while state.crash_probes.borrow_mut().try_join_next().is_some() {}
+        capacity.update(&state, now);
         event::flush();
         let metrics = &state.metrics;
         let count = dropped.count();
--- a/bins/edge/tests/process/main.rs
+++ b/bins/edge/tests/process/main.rs
@@ -3,6 +3,7 @@
 // The lint settings allow these in test functions only; the helpers use them as well.
 #![allow(clippy::indexing_slicing, clippy::unwrap_used)]
 
+mod capacity;
 mod cluster;
 mod configuration;
 mod lifecycle;
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -252,6 +252,11 @@
         self.slowdown.record(figure, now);
     }
 
+    /// Returns the factor by which work at the target takes longer than usual at present.
+    pub fn slowdown(&self, now: Stamp) -> f64 {
+        self.slowdown.at(now)
+    }
+
     /// Returns whether the target is silent.
     pub fn is_silent(&self, now: Stamp) -> bool {
         self.silence.is_silent(now)
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -298,6 +298,19 @@
     609 Warn EntryIgnored "entry-ignored" { key: String, error: String }
         "entry {key} is ignored: {error}"
 
+    /// The share of this instance in the targets of a service changed.
+    730 Info ShareChanged "share-changed" { service: String, targets: u64, places: u64, instances: u64 }
+        "this instance uses {targets} targets of {service} with {places} places, one of {instances} instances"
+    /// Requests were refused for lack of room.
+    731 Warn RoomShort "room-short" { service: String, refused: u64, in_flight: u64 }
+        "{refused} requests for {service} were refused for lack of room in the last second, {in_flight} are in flight"
+    /// A target does not answer.
+    732 Warn TargetUnanswering "target-unanswering" { target: String, service: String }
+        "target {target} of {service} does not answer and gets single requests only"
+    /// A target answers again.
+    733 Info TargetAnswering "target-answering" { target: String, service: String }
+        "target {target} of {service} answers again, or was given up as silent"
+
     /// An operator declared that an instance or a target is gone.
     802 Warn DeclaredGone "declared-gone" { what: String, source: String }
         "{what} is declared gone by {source}"
