Give more than 255 instances of a test process addresses or ports of their own

Cause: the number of an instance was a byte. With 146 process tests in one binary it wrapped, two instances got the same address, name and directory, and one ended with 'Address already in use': the test malformed_and_older_versions_change_nothing waited 10 s in vain. Change: later instances share addresses and have ports apart.

--- a/standins/production/src/instance.rs
+++ b/standins/production/src/instance.rs
@@ -11,13 +11,22 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
-use std::sync::atomic::AtomicU8;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
-static NEXT_NUMBER: AtomicU8 = AtomicU8::new(1);
+static NEXT_NUMBER: AtomicU16 = AtomicU16::new(0);
+
+/// Number of instances of a test process with addresses of their own. Later ones share an address and
+/// have ports of their own.
+const ADDRESSES: u16 = 254;
+
+/// First port, distance of the ports of instances that share an address, and largest multiple of it.
+const FIRST_PORT: u16 = 20_000;
+const PORTS_PER_GROUP: u16 = 1_000;
+const MAX_GROUPS: u16 = 30;
 
 /// An entry instance that runs as a child process. It is killed on drop.
 #[derive(Debug)]
@@ -81,9 +90,12 @@
     ) -> io::Result<Self> {
         let number = NEXT_NUMBER.fetch_add(1, Ordering::SeqCst);
         let process = std::process::id().to_le_bytes();
-        // A separate address for each test process and instance prevents port conflicts between tests.
-        let ip = Ipv4Addr::new(127, process[0].max(1), process[1], number);
-        let port = (20_000_u16..60_000)
+        // Separate addresses or ports for each test process and instance prevent conflicts between
+        // tests: a port that is free now may be taken before the instance listens on it.
+        let host = u8::try_from(number % ADDRESSES + 1).unwrap_or(1);
+        let ip = Ipv4Addr::new(127, process[0].max(1), process[1], host);
+        let first = FIRST_PORT + (number / ADDRESSES).min(MAX_GROUPS) * PORTS_PER_GROUP;
+        let port = (first..60_000)
             .step_by(8)
             .find(|port| (0..4).all(|offset| TcpListener::bind((ip, port + offset)).is_ok()))
             .ok_or_else(|| io::Error::other("no free ports"))?;
