Answer a request that is not admitted before a configuration can change that

Cause: a request without a route, or before the first configuration, is not admitted, and its body is not read. Change: the response of such a request is made at once.

--- a/bins/edge/src/ingress/reader.rs
+++ b/bins/edge/src/ingress/reader.rs
@@ -243,7 +243,12 @@
                 _ => usize::MAX,
             };
             form.close |= left > MAX_DISCARD_BYTES;
-            link.push(link.service.clone().serve(state.clone(), request, lease), form);
+            // The response is made now: with a configuration that arrives in the meantime, the
+            // request would be forwarded without its body.
+            match link.service.reject(state, &request) {
+                Some(response) => link.push(std::future::ready(response), form),
+                None => link.push(link.service.clone().serve(state.clone(), request, lease), form),
+            }
             return if form.close { Some(Stop::Finished) } else { self.discard(left).await };
         };
         if !plan.repeatable || head.expects_continue {
--- a/bins/edge/src/ingress/service.rs
+++ b/bins/edge/src/ingress/service.rs
@@ -177,6 +177,23 @@
         }
     }
 
+    /// Returns the response to a caller's request that is not admitted, or `None` for other clients,
+    /// whose requests are served without their bodies.
+    pub fn reject(&self, state: &Rc<State>, request: &Request) -> Option<Response<Body>> {
+        if !matches!(self, Self::Callers) {
+            return None;
+        }
+        let id = request.parts.headers.get(field::ATTEMPT);
+        let response = if id.is_none_or(|value| value.to_str().is_err()) {
+            response::plain(StatusCode::BAD_REQUEST, "the id of the attempt is missing")
+        } else if state.configuration().is_none() {
+            forward::refuse_early(state, request, Reason::NoConfiguration)
+        } else {
+            response::plain(StatusCode::NOT_FOUND, "no route")
+        };
+        Some(response)
+    }
+
     /// Returns the response to a request. `lease` is the memory of the request.
     pub async fn serve(self, state: Rc<State>, request: Request, lease: Lease) -> Response<Body> {
         match self {
@@ -186,11 +203,6 @@
                 if running > state.descriptors.requests {
                     return forward::refuse_early(&state, &request, Reason::TooManyRequests);
                 }
-                let id = request.parts.headers.get(field::ATTEMPT);
-                if id.is_none_or(|value| value.to_str().is_err()) {
-                    let text = "the id of the attempt is missing";
-                    return response::plain(StatusCode::BAD_REQUEST, text);
-                }
                 forward::serve(&state, &request).await
             }
             Self::Readiness => {
--- a/bins/edge/tests/process/configuration.rs
+++ b/bins/edge/tests/process/configuration.rs
@@ -1,7 +1,9 @@
 //! Instances apply configuration versions in time and in increasing order.
 
+use std::thread;
 use std::time::Duration;
 
+use caraway_production::caller::Caller;
 use caraway_production::store::Mode;
 
 use crate::cluster::Cluster;
@@ -141,3 +143,30 @@
         assert!(refused.header("retry-after").is_some());
     }
 }
+
+/// Guards against a request that is forwarded without its body: it was not admitted because it had no
+/// route, and a configuration with the route arrived before its response was made.
+#[test]
+fn requests_around_a_new_route_are_whole_or_refused() {
+    let cluster = Cluster::start(1, 0, 1);
+    let headers = [("carawayscale-deadline-ms", "5000")];
+    let mut callers: Vec<Caller> = (0..100).map(|_| cluster.caller(0)).collect();
+    thread::sleep(Duration::from_millis(500));
+    for version in 2..8 {
+        // After the pause, requests are read before the configuration and answered after it.
+        cluster.instances[0].signal("STOP");
+        let path = format!("/version-{version}/x");
+        for (index, caller) in callers.iter_mut().enumerate() {
+            let attempt = format!("{version}-{index}");
+            caller.send("POST", &path, &attempt, &headers, "order").unwrap();
+        }
+        cluster.store.put("op/config", &configuration(version));
+        thread::sleep(Duration::from_millis(100));
+        cluster.instances[0].signal("CONT");
+        let responses: Vec<_> = callers.iter_mut().map(Caller::receive).collect();
+        assert!(responses.iter().all(Result::is_ok));
+        thread::sleep(Duration::from_millis(300));
+    }
+    let runs = cluster.journal.runs();
+    assert!(runs.iter().all(|run| run.body == b"order"), "a request ran without its body");
+}
