--- a/bins/edge/tests/clients/bodies.rs
+++ b/bins/edge/tests/clients/bodies.rs
@@ -1,5 +1,6 @@
 //! Request bodies: many at once, without an end, and far over the limit.
 
+use std::io::Read;
 use std::time::Duration;
 
 use caraway_production::caller::Caller;
@@ -122,3 +123,29 @@
     });
     watched.check();
 }
+
+/// Guards against stalled bodies that keep the memory until their deadlines: a complete body of the same size gets
+/// its memory, and the stalled ones are answered as not run.
+#[test]
+fn a_stalled_body_makes_room_for_a_complete_one() {
+    let mut watched = Watched::start(MEMORY_MB, MAX_BODY_BYTES as u64);
+    let body = vec![b'b'; MAX_BODY_BYTES - MISSING];
+    let head = declared("POST", "/upload/x", MAX_BODY_BYTES);
+    let mut crowd = crowd::send(watched.callers(), 1, &head, &body, 1 << 20);
+    let complete = "c".repeat(MAX_BODY_BYTES);
+    let address = watched.callers();
+    crate::cluster::wait(Duration::from_secs(20), "the complete body served", || {
+        let headers = [("carawayscale-deadline-ms", "10000")];
+        let response = Caller::open(address).and_then(|mut caller| {
+            caller.send("POST", "/upload/x", "complete", &headers, &complete)?;
+            caller.receive()
+        });
+        response.is_ok_and(|response| response.status == 200)
+    });
+    let mut answer = [0; 12];
+    crowd[0].set_nonblocking(false).unwrap();
+    crowd[0].read_exact(&mut answer).unwrap();
+    assert_eq!(&answer, b"HTTP/1.1 503");
+    assert_eq!(watched.cluster.runs("crowd"), 0);
+    watched.check();
+}
