--- a/bins/edge/src/process.rs
+++ b/bins/edge/src/process.rs
@@ -31,6 +31,7 @@
 use caraway_telemetry::event::emit;
 use caraway_telemetry::logger;
 
+use crate::capacity::Monitor;
 use crate::ingress;
 use crate::leader;
 use crate::peers;
@@ -130,10 +131,20 @@
         let _ = coordinate.await;
         let _ = serving.await;
     });
-    tokio::select! {
-        () = stop => {}
-        _ = terminate.recv() => emit(Event::StopForced { signal: name.to_owned() }),
-        _ = interrupt.recv() => emit(Event::StopForced { signal: name.to_owned() }),
+    let mut stop = std::pin::pin!(stop);
+    loop {
+        tokio::select! {
+            () = stop.as_mut() => break,
+            // The platform may repeat its signal; requests in flight still have the rest of the grace period.
+            _ = terminate.recv() => {
+                emit(Event::StopRepeated { stop_ms: millis(began.elapsed()) });
+            }
+            // Only a person at a terminal sends this one.
+            _ = interrupt.recv() => {
+                emit(Event::StopForced { signal: "SIGINT".to_owned() });
+                break;
+            }
+        }
     }
     let stop_ms = millis(began.elapsed());
     emit(Event::ProcessStopped { stop_ms });
@@ -231,6 +242,7 @@
 async fn housekeeping(state: Rc<State>, dropped: Dropped) {
     let mut logged_drops = 0;
     let mut last = Clock.now();
+    let mut capacity = Monitor::default();
     loop {
         sleep(Duration::from_secs(1)).await;
         let now = Clock.now();
@@ -241,6 +253,7 @@
         }
         last = now;
         while state.crash_probes.borrow_mut().try_join_next().is_some() {}
+        capacity.update(&state, now);
         event::flush();
         let metrics = &state.metrics;
         let count = dropped.count();
