Expect responses within at least a second; use the times of other targets before the first measurement

Cause: with a lower bound of 250 ms, a pause of a fast target made it count as silent, and requests without another target were refused although it would have answered. At a target without measurements no silence was found at all, and in a large fleet an instance meets most owners of keys for the first time when they may be overloaded already.

Change: a target is silent after 1 s at the earliest. The mean usual time of the other targets of the service, updated once a second, stands in for the first measurement.

--- a/bins/edge/src/capacity.rs
+++ b/bins/edge/src/capacity.rs
@@ -59,6 +59,26 @@
     slow: i64,
 }
 
+impl Load {
+    /// Returns the mean usual service time of the measured targets in seconds.
+    fn mean_time(&self) -> Option<f64> {
+        let (count, sum) = self.measured;
+        (count > 0).then(|| sum / f64::from(count))
+    }
+}
+
+/// Sets the times that stand in for the first measurement of a target. In a large fleet an instance
+/// meets most owners of keys for the first time when they may be overloaded already.
+fn assume_times(state: &State, loads: &BTreeMap<Arc<str>, Load>) {
+    let (registry, mut estimates) = (state.registry.borrow(), state.estimates.borrow_mut());
+    for member in registry.members() {
+        let (id, service) = (&member.target.incarnation.id, &member.target.service);
+        if let Some(mean) = loads.get(service).and_then(Load::mean_time) {
+            estimates.entry(id.clone()).or_default().assumed_time = mean;
+        }
+    }
+}
+
 /// Updates the metrics of capacity and speed, and logs changes of them.
 #[derive(Debug, Default)]
 pub struct Monitor {
@@ -94,6 +114,7 @@
                 }
             }
         }
+        assume_times(state, &loads);
         self.log_silence(silent);
         for (service, load) in loads {
             self.record(state, &service, &load, now);
@@ -118,9 +139,8 @@
     fn record(&mut self, state: &State, service: &Arc<str>, load: &Load, now: Stamp) {
         let labels = [("service", service.to_string())];
         let metrics = &state.metrics;
-        if load.measured.0 > 0 {
-            let mean = load.measured.1 * 1000.0 / f64::from(load.measured.0);
-            metrics.service_ms.get_or_create(&labels).set(mean.round() as i64);
+        if let Some(mean) = load.mean_time() {
+            metrics.service_ms.get_or_create(&labels).set((mean * 1000.0).round() as i64);
         }
         metrics.slow_targets.get_or_create(&labels).set(load.slow);
         let refused = metrics.refused_for_room.get_or_create(&labels).get();
--- a/crates/fleet/src/load.rs
+++ b/crates/fleet/src/load.rs
@@ -74,6 +74,9 @@
     /// Usual service time in seconds, without queueing and without the present slowdown; zero
     /// before the first sample.
     pub service_time: f64,
+    /// Mean of the usual service times of the other targets of its service in seconds, or zero. It
+    /// stands in for the first sample where the time until a response is overdue matters.
+    pub assumed_time: f64,
     /// Slowdown that the target states in its responses.
     slowdown: Slowdown,
     /// Requests of this instance without a response.
@@ -108,6 +111,7 @@
             others_in_flight: 0.0,
             report: None,
             service_time: 0.0,
+            assumed_time: 0.0,
             slowdown: Slowdown::default(),
             silence: Silence::default(),
             unreported: (0, 0.0),
@@ -156,8 +160,8 @@
     /// time: the factor by queueing, at least one, times the present slowdown.
     pub fn begin(&mut self, slots: u32, now: Stamp) -> f64 {
         let factor = self.queueing(slots, now) * self.slowdown.at(now);
-        let known = self.service_time > 0.0;
-        self.silence.begin(known.then_some(self.service_time * factor), now);
+        let time = self.usual_time(self.assumed_time);
+        self.silence.begin((time > 0.0).then_some(time * factor), now);
         self.in_flight += 1;
         factor
     }
--- a/crates/fleet/src/speed.rs
+++ b/crates/fleet/src/speed.rs
@@ -81,9 +81,10 @@
 
 /// Multiple of the expected time after which a target without any response counts as silent, and
 /// the lower bound of that time. Service times vary by half, and a slowdown that began after the
-/// request was sent may triple them.
+/// request was sent may triple them. A pause of a target or an instance for a part of a second must
+/// not make a target unusable that would have answered.
 const SILENCE_FACTOR: f64 = 4.5;
-const MIN_SILENCE: Duration = Duration::from_millis(250);
+const MIN_SILENCE: Duration = Duration::from_secs(1);
 
 /// Time from the start of a silence to the first probe, and the longest time between two probes.
 /// The time doubles with each probe that is not answered.
