Test that a silent target gets no orders

Cause: the silence of targets was tested only without processes.

Change: the stand-in of a target answers no request whose path contains `hang-at-` and its id. A process test finds a silent target with reads and then sends ten orders at the same time, which all go to the other target.

--- a/bins/edge/tests/process/capacity.rs
+++ b/bins/edge/tests/process/capacity.rs
@@ -8,6 +8,7 @@
 use serde_json::json;
 
 use crate::cluster::Cluster;
+use crate::cluster::wait;
 
 /// Registered instances without a process. With the real ones there are more than seven for each
 /// of the four slots of a target, so the targets are divided.
@@ -86,3 +87,42 @@
         assert!(third.is_none(), "{target}: {starts:?}");
     }
 }
+
+/// A target takes requests and answers none. Guards against orders that are sent to it, which cannot
+/// be sent again, and against callers that all wait until their deadline.
+#[test]
+fn a_silent_target_gets_no_orders() {
+    let cluster = Cluster::start(2, 1, 1);
+    for request in 0..20 {
+        assert_eq!(cluster.get(0, "/read/x", &format!("first-{request}")).status, 200);
+    }
+    // The time of the first measurements is used from the next second on.
+    thread::sleep(Duration::from_millis(1100));
+    thread::scope(|scope| {
+        let mut request = 0;
+        wait(Duration::from_secs(5), "a request is at the target", || {
+            let attempt = format!("found-{request}");
+            request += 1;
+            let cluster = &cluster;
+            scope.spawn(move || cluster.get(0, "/read/wait-300-hang-at-p0", &attempt));
+            used(cluster, "found-").contains("p0")
+        });
+        // Its response is overdue after a second, or 4.5 times what the other target takes.
+        thread::sleep(Duration::from_millis(1700));
+        // Together they would be too many for one of two usable targets.
+        let order = |request| {
+            let cluster = &cluster;
+            scope.spawn(move || {
+                let headers = [("carawayscale-deadline-ms", "2000")];
+                let attempt = format!("order-{request}");
+                let path = "/order/wait-200-hang-at-p0";
+                cluster.caller(0).call("POST", path, &attempt, &headers).unwrap()
+            })
+        };
+        let orders: Vec<_> = (0..10).map(order).collect();
+        for response in orders.into_iter().map(|order| order.join().unwrap()) {
+            assert_eq!(response.status, 200, "{}", response.body);
+        }
+    });
+    assert_eq!(used(&cluster, "order-"), BTreeSet::from(["p1".to_owned()]));
+}
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -444,6 +444,11 @@
             known.heard = !gone;
         }
     }
+    if request.path.split("hang-at-").nth(1).is_some_and(|id| id.starts_with(&shared.id)) {
+        // Longer than the deadline of any caller of the tests that use it.
+        thread::sleep(Duration::from_secs(8));
+        return Ok(false);
+    }
     let body = format!("{}:{attempt}", shared.id);
     let mut headers = vec![
         ("carawayscale-attempt-id", attempt.as_str()),
