Let the store's stand-in restore a copy under a higher era

Cause: the platform's store may come back from a copy that is some seconds old; its responses state an era in the header Store-Era. Nothing in the repository could show what the router does then.

Change: all responses of the stand-in have the header, with the era under which the call was executed. A copy can be taken and restored: the era rises by one, leases and revisions go back, and a watch from a revision that the store does not have gets 410.

--- a/standins/production/src/store.rs
+++ b/standins/production/src/store.rs
@@ -66,6 +66,18 @@
     leases: BTreeMap<u64, (Duration, Instant)>,
     calls: u64,
     range_calls: u64,
+    /// Era, which each restoration of a copy raises by one.
+    era: u64,
+}
+
+/// Copy of the contents of a store.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+    history: Vec<(u64, Value)>,
+    compacted_revision: u64,
+    leases: BTreeMap<u64, (Duration, Instant)>,
 }
 
 #[derive(Debug, Default)]
@@ -170,6 +182,39 @@
         self.shared.changed.notify_all();
     }
 
+    /// Returns a copy of the contents.
+    pub fn copy(&self) -> Copy {
+        let data = self.shared.lock();
+        Copy {
+            revision: data.revision,
+            items: data.items.clone(),
+            history: data.history.clone(),
+            compacted_revision: data.compacted_revision,
+            leases: data.leases.clone(),
+        }
+    }
+
+    /// Restores a copy and raises the era by one. What was written since is lost, including leases
+    /// and their renewals, and revisions go back and are assigned again. A lease that has expired
+    /// since the copy ends at once.
+    pub fn restore(&self, copy: &Copy) {
+        let mut data = self.shared.lock();
+        let copy = copy.clone();
+        data.revision = copy.revision;
+        data.items = copy.items;
+        data.history = copy.history;
+        data.compacted_revision = copy.compacted_revision;
+        data.leases = copy.leases;
+        data.era += 1;
+        data.expire_leases();
+        self.shared.changed.notify_all();
+    }
+
+    /// Returns the era.
+    pub fn era(&self) -> u64 {
+        self.shared.lock().era
+    }
+
     /// Returns the number of calls since the start.
     pub fn calls(&self) -> u64 {
         self.shared.lock().calls
@@ -337,8 +382,9 @@
             data.range_calls += u64::from(request.path.starts_with("/v1/kv-range"));
             data.mode
         };
-        let (status, body) = match mode {
-            Mode::Busy => (503, json!({})),
+        // The era under which the call is executed, even if a copy is restored before the response.
+        let (status, body, era) = match mode {
+            Mode::Busy => (503, json!({}), shared.lock().era),
             Mode::Silent => continue,
             Mode::Lossy if request.method != "GET" => {
                 shared.lock().call(&request);
@@ -349,13 +395,17 @@
                 watch(shared, &request, mode == Mode::Deaf)
             }
             Mode::Up | Mode::Lossy | Mode::Deaf => {
-                let response = shared.lock().call(&request);
+                let mut data = shared.lock();
+                let (status, body) = data.call(&request);
+                let era = data.era;
+                drop(data);
                 shared.changed.notify_all();
-                response
+                (status, body, era)
             }
         };
-        let json = [("content-type", "application/json")];
-        output.write_all(&http::response(status, &json, body.to_string().as_bytes()))?;
+        let era = era.to_string();
+        let headers = [("content-type", "application/json"), ("store-era", era.as_str())];
+        output.write_all(&http::response(status, &headers, body.to_string().as_bytes()))?;
     }
     Ok(())
 }
@@ -373,7 +423,7 @@
     (page, false)
 }
 
-fn watch(shared: &Shared, request: &Request, deaf: bool) -> (u16, Value) {
+fn watch(shared: &Shared, request: &Request, deaf: bool) -> (u16, Value, u64) {
     let number = |name| request.parameter(name).and_then(|text| text.parse().ok());
     let (after, wait): (u64, u64) = (number("after").unwrap_or(0), number("wait_ms").unwrap_or(0));
     let prefix = request.parameter("prefix").unwrap_or_default();
@@ -381,10 +431,11 @@
     let mut data = shared.lock();
     loop {
         if matches!(data.mode, Mode::Busy | Mode::Silent) {
-            return (503, json!({}));
+            return (503, json!({}), data.era);
         }
-        if after < data.compacted_revision {
-            return (410, json!({}));
+        // Revisions beyond the latest one are those of a time that a restoration has lost.
+        if after < data.compacted_revision || after > data.revision {
+            return (410, json!({}), data.era);
         }
         let events = data.history.iter().filter(|(revision, event)| {
             *revision > after
@@ -399,7 +450,7 @@
         let current = last.filter(|_| more).unwrap_or(data.revision);
         let left = end.saturating_duration_since(Instant::now());
         if !events.is_empty() && !deaf || left.is_zero() {
-            return (200, json!({ "events": events, "current_rev": current }));
+            return (200, json!({ "events": events, "current_rev": current }), data.era);
         }
         let waited = shared.changed.wait_timeout(data, left);
         data = waited.unwrap_or_else(PoisonError::into_inner).0;
