--- a/bins/edge/src/evacuation.rs
+++ b/bins/edge/src/evacuation.rs
@@ -2,6 +2,7 @@
 
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
+use caraway_fleet::era::Revision;
 use caraway_fleet::evacuation::Change;
 use caraway_fleet::evacuation::Notice;
 use caraway_fleet::membership::Member;
@@ -15,11 +16,11 @@
 
 impl State {
     /// Applies an entry of the store: the evacuation of a domain, or the end of one.
-    pub fn apply_evacuation(&self, domain: &str, evacuated: bool, revision: u64) {
+    pub fn apply_evacuation(&self, domain: &str, evacuated: bool, revision: Revision) {
         let now = Clock.now();
         // In a complete read, the entry may have been there for long.
         let seen = self.synchronized.get();
-        let revision = (0, revision);
+        let revision = revision.into();
         let mut evacuations = self.evacuations.borrow_mut();
         let change = if evacuated {
             evacuations.begin(domain, revision, now, seen)
@@ -31,8 +32,8 @@
     }
 
     /// Ends the evacuations whose entries are missing in a complete read.
-    pub fn retain_evacuations(&self, listed: &dyn Fn(&str) -> bool, revision: u64) {
-        let changes = self.evacuations.borrow_mut().retain(listed, (0, revision), Clock.now());
+    pub fn retain_evacuations(&self, listed: &dyn Fn(&str) -> bool, revision: Revision) {
+        let changes = self.evacuations.borrow_mut().retain(listed, revision.into(), Clock.now());
         for change in changes {
             self.report_evacuation(Some(change), "store");
         }
--- a/bins/edge/src/forward/outcome.rs
+++ b/bins/edge/src/forward/outcome.rs
@@ -132,5 +132,5 @@
 /// Returns the version of the owners as text.
 fn owners_version(state: &State) -> String {
     let version = state.view.borrow().version;
-    format!("{}.{}", version.term, version.change)
+    format!("{}.{}", version.term.number, version.change)
 }
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -1,5 +1,6 @@
 //! Leader election for the coordinator of keyed services, and execution of its decisions.
 
+mod era;
 mod plan;
 
 use std::cell::RefCell;
@@ -27,23 +28,24 @@
 use caraway_fleet::coordinator::Request;
 use caraway_fleet::coordinator::Tables;
 use caraway_fleet::election;
+use caraway_fleet::era::Revision;
 use caraway_fleet::evacuation::Batches;
 use caraway_fleet::reports::Reports;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
+use self::era::read_tables;
+use self::era::takeover;
 use crate::grant::Channel;
 use crate::grant::send_grant;
 use crate::grant::send_release;
 use crate::metrics::Metrics;
-use crate::peers;
 use crate::peers::Announcer;
 use crate::pool::Failure;
 use crate::state::State;
 use crate::store::send;
 use crate::sync::COORDINATOR_KEY;
 use crate::sync::INSTANCE_PREFIX;
-use crate::sync::OWNERS_KEY;
 
 /// Interval between renewals of the leader lease.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(400);
@@ -71,13 +73,17 @@
     /// Id of the lease of the coordinator's record.
     lease: u64,
     /// Number of the term: the store revision at which this instance was elected.
-    number: u64,
+    number: Revision,
     /// Number of the latest published change of the owners.
     change: u64,
     /// Revision of the tables in the store.
-    tables_revision: u64,
+    tables_revision: Revision,
     /// Revision of the tables at the start of the term.
-    initial_revision: u64,
+    initial_revision: Revision,
+    /// Whether the stored tables are those of this era.
+    settled: bool,
+    /// Whether the owners were published.
+    published: bool,
     /// Whether the retirement of the previous coordinator has been applied.
     retirement_applied: bool,
     /// The tables in the store.
@@ -135,7 +141,8 @@
             instances.values().map(|instance| instance.cpu_share).fold(0.0, f64::max)
         };
         let own_share = state.settings.cpu_share;
-        let delay = election::delay(&name, state.leader_revision.get(), own_share, largest_share);
+        let delay =
+            election::delay(&name, state.leader_revision.get().number, own_share, largest_share);
         sleep(delay).await;
         state.wait_for_store().await;
         if state.leader.borrow().is_some() || state.stopping.get() {
@@ -144,11 +151,11 @@
         match campaign(&state, &reports).await {
             Ok(Some((term, outcomes))) => {
                 let (term_number, holdings) = (term.number, term.holdings());
-                emit(Event::CoordinatorElected { term: term_number, holdings });
+                emit(Event::CoordinatorElected { term: term_number.number, holdings });
                 state.begin_term();
                 let (term, reason) = lead(term, outcomes).await;
                 state.end_term();
-                emit(Event::CoordinatorEnded { term: term_number, reason });
+                emit(Event::CoordinatorEnded { term: term_number.number, reason });
                 term.end().await;
             }
             Ok(None) => sleep(REPAIR_INTERVAL).await,
@@ -166,6 +173,7 @@
     reports: &Rc<RefCell<Reports>>,
 ) -> Result<Option<(Term, UnboundedReceiver<Outcome>)>, String> {
     let describe = |error: Failure| error.to_string();
+    let era = state.era();
     let no_wait = Duration::ZERO;
     let (status, body) = send(state, &store::start_lease(coordinator::LEASE_TTL), "lease", no_wait)
         .await
@@ -184,7 +192,14 @@
         let _ = send(state, &store::end_lease(lease), "end", no_wait).await;
         return Ok(None);
     };
-    let (tables, tables_revision) = read_tables(state).await?;
+    let (record, tables_revision) = read_tables(state).await?;
+    if state.era() != era {
+        // The lease and the term are those of an earlier era.
+        return Ok(None);
+    }
+    let settled = record.era >= era;
+    let tables = record.tables.clone();
+    let takeover = takeover(state, record);
     let now = Clock.now();
     let options = coordinator::Options::new(state.settings.max_grant_duration);
     let (outcome_sender, outcomes) = mpsc::unbounded_channel();
@@ -192,14 +207,16 @@
         state: state.clone(),
         reports: reports.clone(),
         lease,
-        number: term,
+        number: Revision::new(era, term),
         change: 0,
         tables_revision,
         initial_revision: tables_revision,
+        settled,
+        published: false,
         retirement_applied: false,
-        stored_tables: tables.clone(),
+        stored_tables: tables,
         tables_written: now,
-        coordinator: Coordinator::new(options, tables, sent, now),
+        coordinator: Coordinator::take_over(options, takeover, sent, now),
         started: now,
         next_renewal: sent + RENEWAL_INTERVAL,
         next_repair: now,
@@ -219,28 +236,9 @@
     Ok(Some((term, outcomes)))
 }
 
-/// Reads the ownership tables and their revision.
-async fn read_tables(state: &Rc<State>) -> Result<(Tables, u64), String> {
-    let call = store::read_key(OWNERS_KEY);
-    let (status, body) =
-        send(state, &call, "key", Duration::ZERO).await.map_err(|error| error.to_string())?;
-    let item = store::parse_key(status, &body).map_err(|error| error.to_string())?;
-    let Some(item) = item else { return Ok((Tables::new(), 0)) };
-    let tables = serde_json::from_slice(item.value.as_deref().unwrap_or_default());
-    match tables {
-        Ok(tables) => Ok((tables, item.revision)),
-        Err(error) => {
-            let (key, error) = (OWNERS_KEY.to_owned(), error.to_string());
-            emit(Event::RecordInvalid { key, error: error.clone() });
-            Err(error)
-        }
-    }
-}
-
 /// Coordinates until the term ends; returns the term and the reason for its end.
 async fn lead(mut term: Term, mut outcomes: UnboundedReceiver<Outcome>) -> (Term, String) {
-    term.publish();
-    term.log_inherited("the maximum grant duration");
+    term.log_start();
     loop {
         let first = timeout(POLL_INTERVAL, outcomes.recv()).await;
         let mut ended = first.ok().flatten().and_then(|outcome| term.handle_outcome(outcome));
@@ -248,14 +246,18 @@
             ended = ended.or(term.handle_outcome(outcome));
         }
         while term.tasks.try_join_next().is_some() {}
-        if let Some(reason) = ended.or_else(|| term.superseded()) {
+        if let Some(reason) = ended.or_else(|| term.invalidated()) {
             return (term, reason);
         }
         if term.state.stopping.get() {
             return (term, "the process is stopping".to_owned());
         }
         term.apply_retirement();
+        term.start_anew();
         let now = Clock.now();
+        if !term.published && !term.coordinator.is_recovering() {
+            term.publish();
+        }
         if term.publish_pending && now.since(term.last_published) >= PUBLISH_INTERVAL {
             term.publish_pending = false;
             term.publish();
@@ -281,8 +283,11 @@
         u64::try_from(count).unwrap_or(u64::MAX)
     }
 
-    /// Returns the reason for the end of the term if there is a newer coordinator.
-    fn superseded(&self) -> Option<String> {
+    /// Returns the reason for the end of the term if there is a newer coordinator or era.
+    fn invalidated(&self) -> Option<String> {
+        if self.state.era() != self.number.era {
+            return Some(format!("the store continues under era {}", self.state.era()));
+        }
         let leader = self.state.leader.borrow();
         let newer = leader.as_ref().filter(|leader| leader.term > self.number);
         newer.map(|leader| format!("{} took over", leader.name))
@@ -293,7 +298,7 @@
     fn apply_retirement(&mut self) {
         let retirement = self.state.retirement.borrow();
         if self.retirement_applied
-            || self.initial_revision == 0
+            || self.initial_revision.number == 0
             || retirement.tables_revision != self.initial_revision
         {
             return;
@@ -309,7 +314,7 @@
         let (targets, longest) = self.coordinator.inherited_grants(Clock.now());
         if targets > 0 {
             emit(Event::GrantsInherited {
-                term: self.number,
+                term: self.number.number,
                 targets: u64::try_from(targets).unwrap_or(u64::MAX),
                 longest_ms: millis(longest),
                 source: source.to_owned(),
@@ -342,8 +347,7 @@
     /// and then releases the lease if the process is stopping.
     async fn end(mut self) {
         self.tasks.shutdown().await;
-        let grants = self.coordinator.outstanding_grants(Clock.now());
-        peers::retire(&self.state, self.tables_revision, grants).await;
+        self.announce().await;
         if self.state.stopping.get() {
             let call = store::end_lease(self.lease);
             // If this fails, the lease expires.
@@ -422,6 +426,11 @@
 
     /// Sends the calls to targets that are due, each in its own task.
     fn send_due_calls(&mut self, now: Stamp) {
+        // Grants of an ended era are not sent. Releases of all targets need a complete list of them.
+        let incomplete = self.coordinator.is_recovering() && !self.state.synchronized.get();
+        if self.invalidated().is_some() || incomplete {
+            return;
+        }
         let calls = self.coordinator.due_calls(&self.state.registry.borrow(), now);
         for call in calls {
             let address = {
--- a/bins/edge/src/leader/plan.rs
+++ b/bins/edge/src/leader/plan.rs
@@ -15,6 +15,7 @@
 use caraway_fleet::coordinator::Coordinator;
 use caraway_fleet::coordinator::Tables;
 use caraway_fleet::demand;
+use caraway_fleet::era::Revision;
 use caraway_fleet::evacuation;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::membership::Registry;
@@ -31,12 +32,12 @@
 
 use crate::leader::BALANCE_INTERVAL;
 use crate::leader::Term;
-use crate::leader::read_tables;
+use crate::leader::era::owners_key;
+use crate::leader::era::read_current;
 use crate::peers;
 use crate::pool::Failure;
 use crate::store::send;
 use crate::sync::COORDINATOR_KEY;
-use crate::sync::OWNERS_KEY;
 
 /// Delay after a change of ownership before the tables are written without earlier owners. Most
 /// have released their keys by then, so that one write covers all.
@@ -56,6 +57,10 @@
         let in_use = self.coordinator.grant_connections();
         // A channel in use by a call has a second reference.
         self.channels.retain(|id, channel| in_use.contains(id) || Rc::strong_count(channel) > 1);
+        // Tables of this era would be taken for complete.
+        if self.coordinator.is_recovering() {
+            return;
+        }
         if !self.fences_renewed {
             let tables = self.coordinator.with_renewed_fences();
             self.fences_renewed = tables.is_empty() || self.write(tables).await.is_some();
@@ -90,16 +95,20 @@
 
     /// Writes and adopts tables; returns their revision, or `None` if the write failed.
     async fn write(&mut self, tables: Tables) -> Option<u64> {
+        let owners_key = owners_key(self.number.era);
         let value = match serde_json::to_vec(&tables) {
             Ok(value) => value,
             Err(error) => {
-                let (key, error) = (OWNERS_KEY.to_owned(), error.to_string());
+                let (key, error) = (owners_key, error.to_string());
                 emit(Event::RecordInvalid { key, error });
                 return None;
             }
         };
-        let conditions = vec![(COORDINATOR_KEY, self.number), (OWNERS_KEY, self.tables_revision)];
-        let puts = vec![(OWNERS_KEY, value.as_slice(), 0)];
+        let conditions = vec![
+            (COORDINATOR_KEY, self.number.number),
+            (owners_key.as_str(), self.tables_revision.number),
+        ];
+        let puts = vec![(owners_key.as_str(), value.as_slice(), 0)];
         let transaction = Transaction { conditions, puts, removals: vec![] };
         let call = store::change(&transaction);
         let response = send(&self.state, &call, "change", Duration::ZERO).await;
@@ -109,14 +118,18 @@
             }
             Err(Failure::Unsent(error)) => Err(error.to_string()),
             Err(Failure::Sent(_)) => {
-                let (key, write_id) = (OWNERS_KEY.to_owned(), self.tables_revision.to_string());
+                let (key, write_id) = (owners_key, self.tables_revision.number.to_string());
                 emit(Event::WriteAmbiguous { key, write_id });
                 return None;
             }
         };
         match change {
             Ok(store::Change::Applied(revision)) => {
-                self.tables_revision = revision;
+                if self.state.era() != self.number.era {
+                    return None;
+                }
+                self.tables_revision = Revision::new(self.number.era, revision);
+                self.settled = true;
                 self.stored_tables.clone_from(&tables);
                 self.tables_written = Clock.now();
                 self.coordinator.adopt(tables);
@@ -132,8 +145,9 @@
 
     /// Reads the tables and adopts them if they have changed.
     async fn reload_tables(&mut self) {
-        match read_tables(&self.state).await {
-            Ok((tables, revision)) if revision != self.tables_revision => {
+        match read_current(&self.state).await {
+            Ok(Some((tables, revision))) if revision != self.tables_revision => {
+                self.settled = true;
                 self.tables_revision = revision;
                 self.stored_tables.clone_from(&tables);
                 self.coordinator.adopt(tables);
@@ -249,13 +263,18 @@
         let owners = |(service, holdings): (Arc<str>, Vec<_>)| (service, Owners::new(&holdings));
         let services: BTreeMap<_, _> =
             self.coordinator.served_holdings().into_iter().map(owners).collect();
-        if self.change > 0 && services == self.state.view.borrow().services {
+        self.published = true;
+        let fences = self.coordinator.fences();
+        let view = self.state.view.borrow();
+        let unchanged = services == view.services && fences == view.fences;
+        drop(view);
+        if self.change > 0 && unchanged {
             return;
         }
         self.change += 1;
         let version = Version { term: self.number, change: self.change };
         let coordinator = self.state.settings.name.clone();
-        let view = View { version, coordinator, services };
+        let view = View { version, coordinator, services, fences };
         self.last_published = Clock.now();
         let change = view.changes_since(&self.state.view.borrow());
         peers::push_owners(&self.state, &change, &mut self.tasks);
--- a/bins/edge/src/metrics.rs
+++ b/bins/edge/src/metrics.rs
@@ -48,6 +48,8 @@
     pub holdings_moved: Counter,
     /// Configuration version in force.
     pub config_version: Gauge,
+    /// Latest era of the store that was seen.
+    pub store_era: Gauge,
     /// Time since the store last responded, in milliseconds.
     pub store_silence_ms: Gauge,
     /// Time since the store, or an instance that is up to date with it, was last heard from, in
@@ -84,6 +86,7 @@
             ignored_entries: Counter::default(),
             holdings_moved: Counter::default(),
             config_version: Gauge::default(),
+            store_era: Gauge::default(),
             store_silence_ms: Gauge::default(),
             view_age_ms: Gauge::default(),
             in_flight: Gauge::default(),
@@ -110,6 +113,7 @@
         let evacuated = m.evacuated_domains.clone();
         registry.register("evacuated_domains", "Evacuated failure domains", evacuated);
         registry.register("config_version", "Configuration in force", m.config_version.clone());
+        registry.register("store_era", "Era of the store", m.store_era.clone());
         registry.register(
             "store_silence_ms",
             "Time since the store answered",
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -26,9 +26,8 @@
 
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
-use caraway_core::time::millis;
+use caraway_fleet::era::Revision;
 use caraway_fleet::following::News;
-use caraway_fleet::membership::Incarnation;
 use caraway_fleet::reports::Reports;
 use caraway_fleet::view::Change;
 use caraway_telemetry::event::Event;
@@ -89,9 +88,7 @@
 
 /// Announces the outstanding grants of this coordinator to all other instances; returns when they
 /// have responded or after a timeout.
-pub async fn retire(state: &Rc<State>, tables_revision: u64, grants: Vec<(Incarnation, Duration)>) {
-    let ends = grants.into_iter().map(|(incarnation, left)| (incarnation, millis(left))).collect();
-    let notice = RetirementNotice { written: tables_revision, ends };
+pub async fn retire(state: &Rc<State>, notice: RetirementNotice) {
     let mut tasks = JoinSet::new();
     broadcast(state, RETIRED_PATH, &notice, &mut tasks);
     state.record_retirement(notice.received(Clock.now()));
@@ -175,12 +172,14 @@
                 sent,
                 age: Duration::from_millis(update.age_ms),
             };
-            let fresh = update.fresh;
+            check_lag(state, update.revision);
+            // What an instance knows of an earlier era is not followed.
+            let fresh = update.fresh && update.revision.era == state.era();
+            let news = News { fresh, ..news };
             if fresh && state.store_failing.get() && state.is_deputy() {
                 // The store responds to others, and this instance is the source of some.
                 state.store_recovered.notify_waiters();
             }
-            check_lag(state, update.revision);
             apply_update(state, update, peer);
             Some(state.follow(|following, deputy, now| {
                 if !fresh {
@@ -198,13 +197,17 @@
 }
 
 /// Restarts the watch if another instance has known a newer revision for [`MAX_WATCH_LAG`].
-fn check_lag(state: &State, peer_revision: u64) {
+fn check_lag(state: &State, peer_revision: Revision) {
+    if peer_revision.era > state.era() {
+        state.observe_era(peer_revision.era, "another instance");
+    }
     let (revision, now) = (state.revision.get(), Clock.now());
     match state.peer_ahead.get() {
         _ if peer_revision <= revision => {}
         // The own revision has not changed since, so the watch may be stuck.
         Some((known, since)) if known == revision => {
             if now.since(since) > MAX_WATCH_LAG && !state.store_failing.get() {
+                let (revision, peer_revision) = (revision.number, peer_revision.number);
                 emit(Event::WatchBehind { revision, peer_revision });
                 state.peer_ahead.set(None);
                 state.synchronized.set(false);
--- a/bins/edge/src/peers/message.rs
+++ b/bins/edge/src/peers/message.rs
@@ -9,6 +9,10 @@
 use serde::Serialize;
 
 use caraway_core::time::Stamp;
+use caraway_core::time::millis;
+use caraway_fleet::coordinator::Tables;
+use caraway_fleet::era::Retirement;
+use caraway_fleet::era::Revision;
 use caraway_fleet::evacuation::Notice;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::membership::Target;
@@ -17,7 +21,6 @@
 use caraway_fleet::view::View;
 
 use crate::state::Instance;
-use crate::state::Retirement;
 
 /// Path of a report.
 pub const REPORT_PATH: &str = "/report";
@@ -36,7 +39,7 @@
 pub struct Report {
     pub(super) name: Arc<str>,
     pub(super) config: u64,
-    pub(super) revision: u64,
+    pub(super) revision: Revision,
     pub(super) owners: Version,
     pub(super) demand: BTreeMap<Arc<str>, Vec<(u16, u32)>>,
     /// For each target: in-flight requests, completed requests and their total service time in
@@ -74,7 +77,7 @@
 /// Response to a report: what the reporting instance does not know yet.
 #[derive(Debug, Default, Deserialize, Serialize)]
 pub struct Update {
-    pub(super) revision: u64,
+    pub(super) revision: Revision,
     pub(super) config: Option<String>,
     /// All owners, if the reporter's version is unknown here.
     pub(super) owners: Option<View>,
@@ -106,7 +109,7 @@
     /// All registered instances, if one has changed since the reporter's revision.
     pub(super) instances: Option<BTreeMap<Arc<str>, Instance>>,
     /// Name of the coordinator, if there is one, and the revision of this information.
-    pub(super) leader: (Option<Arc<str>>, u64),
+    pub(super) leader: (Option<Arc<str>>, Revision),
 }
 
 /// Targets that have changed since the revision of a report, or all targets.
@@ -116,7 +119,7 @@
     pub(super) listed: Vec<Target>,
     /// Revisions of the entries of the listed targets, in the same order.
     #[serde(default)]
-    pub(super) revisions: Vec<u64>,
+    pub(super) revisions: Vec<Revision>,
     pub(super) gone: Vec<Arc<str>>,
     /// Draining targets among the listed ones, with the milliseconds since they were first seen draining.
     pub(super) leaving: Vec<(Arc<str>, u64)>,
@@ -130,17 +133,37 @@
 #[derive(Debug, Deserialize, Serialize)]
 pub struct RetirementNotice {
     /// Revision of the tables that the coordinator wrote last.
-    pub(super) written: u64,
+    pub(super) written: Revision,
     /// Targets, and the milliseconds for which they may still hold keys.
     pub(super) ends: Vec<(Incarnation, u64)>,
+    /// Era whose beginning ended the term of the last coordinator of the era before.
+    #[serde(default)]
+    pub(super) next_era: Option<u64>,
+    /// The latest tables, if `next_era` is set.
+    #[serde(default, skip_serializing_if = "Tables::is_empty")]
+    pub(super) tables: Tables,
 }
 
 impl RetirementNotice {
+    /// Creates the announcement of a coordinator with the revision of the tables that it wrote last
+    /// and the remaining times of its grants.
+    pub fn new(
+        written: Revision,
+        grants: Vec<(Incarnation, Duration)>,
+        next_era: Option<u64>,
+        tables: Tables,
+    ) -> Self {
+        let ends = grants.into_iter().map(|(incarnation, left)| (incarnation, millis(left)));
+        Self { written, ends: ends.collect(), next_era, tables }
+    }
+
     /// Converts the announcement to the clock of this instance.
     pub fn received(self, now: Stamp) -> Retirement {
         let expiry = |(incarnation, left)| (incarnation, now + Duration::from_millis(left));
         Retirement {
             tables_revision: self.written,
+            next_era: self.next_era,
+            tables: self.tables,
             grant_expiries: self.ends.into_iter().map(expiry).collect(),
         }
     }
--- a/bins/edge/src/peers/report.rs
+++ b/bins/edge/src/peers/report.rs
@@ -7,6 +7,7 @@
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
 use caraway_core::time::millis;
+use caraway_fleet::era::Revision;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::membership::Member;
 use caraway_fleet::reports::Reports;
@@ -153,7 +154,7 @@
 
 /// Returns the targets that have changed after a revision, or all targets if the history does not
 /// reach back to it.
-fn targets_since(state: &State, revision: u64) -> Targets {
+fn targets_since(state: &State, revision: Revision) -> Targets {
     let registry = state.registry.borrow();
     let mut targets = Targets::default();
     let now = Clock.now();
--- a/bins/edge/src/peers/update.rs
+++ b/bins/edge/src/peers/update.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use caraway_core::time::Clock;
+use caraway_fleet::era::Revision;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
@@ -19,11 +20,12 @@
 pub(super) fn apply_update(state: &State, update: Update, peer: &Arc<str>) {
     let revision = update.revision;
     let log_update = |what: &str| {
-        emit(Event::PeerFollowed { peer: peer.to_string(), what: what.to_owned(), revision });
+        let (peer, what) = (peer.to_string(), what.to_owned());
+        emit(Event::PeerFollowed { peer, what, revision: revision.number });
     };
     if let Some(text) = update.config {
         log_update("the configuration");
-        state.configure(text.as_bytes(), revision, peer);
+        state.configure(text.as_bytes(), revision.number, peer);
     }
     merge_crashes(state, update.crashes, peer);
     merge_departures(state, update.departures, peer);
@@ -58,9 +60,10 @@
             }
         }
     }
-    if update.fresh && revision > 0 && revision == state.revision.get() {
+    if update.fresh && revision > Revision::default() && revision == state.revision.get() {
         // The state was complete as of this revision.
         state.synchronized.set(true);
+        state.complete_era.set(revision.era);
     }
     if revision <= state.revision.get() {
         return;
@@ -90,6 +93,7 @@
         state.replace_instances(instances, revision);
     }
     if update.fresh {
+        state.complete_era.set(revision.era);
         state.synchronized.set(true);
     }
     let (name, term) = update.leader;
--- a/bins/edge/src/process.rs
+++ b/bins/edge/src/process.rs
@@ -23,6 +23,7 @@
 use caraway_adapter::store::Transaction;
 use caraway_core::time::Clock;
 use caraway_core::time::millis;
+use caraway_fleet::era::Revision;
 use caraway_fleet::reports::Reports;
 use caraway_telemetry::background::Dropped;
 use caraway_telemetry::background::Writer;
@@ -200,8 +201,15 @@
         cpu_share: state.settings.cpu_share,
     };
     let value = serde_json::to_vec(&instance).unwrap_or_default();
+    // Era in which the registration was written.
+    let mut era = None;
     loop {
-        let registered = state.instances.borrow().get(&state.settings.name) == Some(&instance);
+        let listed = state.instances.borrow().get(&state.settings.name) == Some(&instance);
+        if listed && era.is_none() {
+            era = Some(state.era());
+        }
+        // A restored registration may be lost by another restoration soon, so it is written again.
+        let registered = listed && era == Some(state.era());
         if !registered && state.last_store_response.get().is_some() {
             state.wait_for_store().await;
             let puts = vec![(key.as_str(), value.as_slice(), 0)];
@@ -209,11 +217,14 @@
             let error = match send(&state, &call, "register", Duration::ZERO).await {
                 Ok((200, body)) => {
                     let revision = match store::parse_change(200, &body) {
-                        Ok(store::Change::Applied(revision)) => revision,
+                        Ok(store::Change::Applied(revision)) => {
+                            Revision::new(state.era(), revision)
+                        }
                         _ => state.revision.get(),
                     };
                     let registration = Some(instance.clone());
                     state.record_instance(&state.settings.name, registration, revision);
+                    era = Some(revision.era);
                     None
                 }
                 Ok((status, _)) => Some(format!("the store responded with status {status}")),
@@ -251,6 +262,7 @@
         let number = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
         metrics.dropped_lines.set(number(count));
         metrics.config_version.set(number(state.version()));
+        metrics.store_era.set(number(state.era()));
         metrics.coordinator.set(i64::from(state.leading.get()));
         let silence = state.last_store_response.get().map_or(Duration::ZERO, |at| now.since(at));
         metrics.view_age_ms.set(number(millis(state.view_age())));
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -1,6 +1,7 @@
 //! State shared by the tasks of the process, all of which run on one thread.
 
 mod entries;
+mod generation;
 mod source;
 
 use std::cell::Cell;
@@ -33,6 +34,9 @@
 use caraway_fleet::backoff::Backoff;
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Splitter;
+use caraway_fleet::era;
+use caraway_fleet::era::Retirement;
+use caraway_fleet::era::Revision;
 use caraway_fleet::evacuation::Evacuations;
 use caraway_fleet::following::Following;
 use caraway_fleet::load::Estimate;
@@ -112,16 +116,7 @@
     /// Name of the instance.
     pub name: Arc<str>,
     /// Term of the coordinator: the store revision at which it was elected.
-    pub term: u64,
-}
-
-/// Outstanding grants of a coordinator at the end of its term, including those of its predecessors.
-#[derive(Clone, Debug, Default)]
-pub struct Retirement {
-    /// Store revision of the tables that the coordinator wrote last.
-    pub tables_revision: u64,
-    /// Expiry of the grants by target; other targets hold no keys.
-    pub grant_expiries: HashMap<Incarnation, Stamp>,
+    pub term: Revision,
 }
 
 /// State of the process.
@@ -138,13 +133,13 @@
     /// Targets listed in the store.
     pub registry: RefCell<Registry>,
     /// Store revision as of which configuration, targets and instances are known.
-    pub revision: Cell<u64>,
+    pub revision: Cell<Revision>,
     /// Whether the state as of that revision is complete, so that no full read is needed before watching.
     pub synchronized: Cell<bool>,
     /// Time of the latest successful response of the store.
     pub last_store_response: Cell<Option<Stamp>>,
     /// Own revision at the time when another instance was first seen to know a newer one, and that time.
-    pub peer_ahead: Cell<Option<(u64, Stamp)>>,
+    pub peer_ahead: Cell<Option<(Revision, Stamp)>>,
     /// From whom this instance learns the contents of the store.
     following: RefCell<Following>,
     /// Delay between calls to the store that fail.
@@ -206,15 +201,21 @@
     /// Registered instances by name.
     pub instances: RefCell<BTreeMap<Arc<str>, Instance>>,
     /// Revisions of the latest known changes of the registrations, including removals.
-    instance_revisions: RefCell<BTreeMap<Arc<str>, u64>>,
+    instance_revisions: RefCell<BTreeMap<Arc<str>, Revision>>,
     /// Revision as of which a registration of an instance last changed.
-    pub instances_revision: Cell<u64>,
+    pub instances_revision: Cell<Revision>,
     /// The coordinator, if there is one.
     pub leader: RefCell<Option<Leader>>,
-    /// Outstanding grants announced by the latest coordinator that retired.
+    /// Latest era of the store that this process has seen.
+    pub latest_era: Cell<era::Latest>,
+    /// Era of the latest complete state.
+    pub complete_era: Cell<u64>,
+    /// Highest fencing token of each service that this instance has seen.
+    pub fences: RefCell<BTreeMap<Arc<str>, u64>>,
+    /// Announcement of the latest coordinator that retired.
     pub retirement: RefCell<Retirement>,
     /// Revision of the latest change of the coordinator's record, including its removal.
-    pub leader_revision: Cell<u64>,
+    pub leader_revision: Cell<Revision>,
     /// Whether the process is stopping.
     pub stopping: Cell<bool>,
     /// Whether the process is about to exit and requests no longer wait for their targets.
@@ -237,7 +238,7 @@
             metrics: Metrics::new(),
             active_configuration: RefCell::default(),
             registry: RefCell::default(),
-            revision: Cell::new(0),
+            revision: Cell::default(),
             synchronized: Cell::new(false),
             last_store_response: Cell::new(None),
             peer_ahead: Cell::new(None),
@@ -270,10 +271,13 @@
             response_sizes: RefCell::default(),
             instances: RefCell::default(),
             instance_revisions: RefCell::default(),
-            instances_revision: Cell::new(0),
+            instances_revision: Cell::default(),
             leader: RefCell::default(),
+            latest_era: Cell::default(),
+            complete_era: Cell::new(0),
+            fences: RefCell::default(),
             retirement: RefCell::default(),
-            leader_revision: Cell::new(0),
+            leader_revision: Cell::default(),
             stopping: Cell::new(false),
             exiting: Cell::new(false),
             exit_notice: Notify::new(),
@@ -342,14 +346,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Records the retirement of a coordinator, unless a newer one is known.
-    pub fn record_retirement(&self, retirement: Retirement) {
-        let mut latest = self.retirement.borrow_mut();
-        if retirement.tables_revision > latest.tables_revision {
-            *latest = retirement;
-        }
-    }
-
     /// Applies a view of the owners if it is newer.
     pub fn apply_view(&self, view: View) {
         let mut current = self.view.borrow_mut();
@@ -357,11 +353,12 @@
             return;
         }
         let (term, change) = (view.version.term, view.version.change);
+        self.record_fences(&view);
         // The message of a new coordinator may arrive before the change of its record in the store.
         self.set_leader(Some(&view.coordinator), term);
         *current = view;
         drop(current);
-        emit(Event::OwnersApplied { term, change });
+        emit(Event::OwnersApplied { term: term.number, change });
         self.changed.notify_waiters();
     }
 
--- a/bins/edge/src/state/entries.rs
+++ b/bins/edge/src/state/entries.rs
@@ -10,6 +10,7 @@
 
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
+use caraway_fleet::era::Revision;
 use caraway_fleet::membership::Change;
 use caraway_fleet::membership::Target;
 use caraway_telemetry::event::Event;
@@ -27,13 +28,13 @@
 /// History of changes of the listed targets.
 #[derive(Debug, Default)]
 pub struct History {
-    changes: VecDeque<(u64, Arc<str>)>,
+    changes: VecDeque<(Revision, Arc<str>)>,
     /// Revision up to which changes have been dropped.
-    dropped_revision: u64,
+    dropped_revision: Revision,
 }
 
 impl History {
-    fn add(&mut self, revision: u64, id: &Arc<str>) {
+    fn add(&mut self, revision: Revision, id: &Arc<str>) {
         if self.changes.len() >= MAX_HISTORY
             && let Some((dropped, _)) = self.changes.pop_front()
         {
@@ -43,14 +44,14 @@
     }
 
     /// Clears the history after the targets were read as of a revision.
-    pub fn restart(&mut self, revision: u64) {
+    pub fn restart(&mut self, revision: Revision) {
         self.changes.clear();
         self.dropped_revision = revision;
     }
 
     /// Returns the ids of the targets that changed after a revision, or `None` if the history does
     /// not reach back to it.
-    pub fn after(&self, revision: u64) -> Option<BTreeSet<Arc<str>>> {
+    pub fn after(&self, revision: Revision) -> Option<BTreeSet<Arc<str>>> {
         let later = self.changes.iter().filter(|(at, _)| *at > revision);
         (revision >= self.dropped_revision).then(|| later.map(|(_, id)| id.clone()).collect())
     }
@@ -73,9 +74,13 @@
     }
 
     /// Records the registration of a target as of a revision, unless a newer one is known.
-    pub fn record_target(&self, target: Target, revision: u64) {
+    pub fn record_target(&self, target: Target, revision: Revision) {
         let now = Clock.now();
         let id = target.incarnation.id.clone();
+        if self.is_outlived(&target, revision) {
+            // The running incarnation writes its entry again, or is removed after the grace period.
+            return self.record_missing(&id, now);
+        }
         if !self.registry.borrow_mut().accept(&id, revision, now) {
             return;
         }
@@ -84,9 +89,20 @@
         self.report_change(change);
     }
 
+    /// Returns whether an entry that came back with a new era is that of an earlier incarnation than
+    /// the known one.
+    fn is_outlived(&self, target: &Target, revision: Revision) -> bool {
+        let registry = self.registry.borrow();
+        let id = &target.incarnation.id;
+        registry.entry_revision(id).era < revision.era
+            && registry
+                .get(id)
+                .is_some_and(|known| known.target.incarnation.born > target.incarnation.born)
+    }
+
     /// Records that the entry of a target was removed as of a revision, unless a newer entry is
     /// known.
-    pub fn remove_target(&self, id: &str, revision: u64) {
+    pub fn remove_target(&self, id: &str, revision: Revision) {
         let now = Clock.now();
         if self.registry.borrow_mut().accept(&id.into(), revision, now) {
             let change = self.registry.borrow_mut().remove(id, now);
@@ -96,7 +112,7 @@
 
     /// Removes the targets that are missing in a complete list as of a revision, except those whose
     /// entries are newer than the list.
-    pub fn reconcile_targets(&self, listed: &HashSet<Arc<str>>, outage: bool, revision: u64) {
+    pub fn reconcile_targets(&self, listed: &HashSet<Arc<str>>, outage: bool, revision: Revision) {
         let mut registry = self.registry.borrow_mut();
         let newer: HashSet<Arc<str>> = registry
             .members()
@@ -117,7 +133,7 @@
 
     /// Records the registration of an instance, or its removal, as of a revision, unless a newer
     /// one is known.
-    pub fn record_instance(&self, name: &str, instance: Option<Instance>, revision: u64) {
+    pub fn record_instance(&self, name: &str, instance: Option<Instance>, revision: Revision) {
         let mut revisions = self.instance_revisions.borrow_mut();
         let known = revisions.entry(name.into()).or_default();
         if *known > revision {
@@ -136,7 +152,7 @@
 
     /// Replaces the registered instances by a complete list as of a revision, except those whose
     /// registrations are newer than the list.
-    pub fn replace_instances(&self, listed: BTreeMap<Arc<str>, Instance>, revision: u64) {
+    pub fn replace_instances(&self, listed: BTreeMap<Arc<str>, Instance>, revision: Revision) {
         self.retain_instances(&|name| listed.contains_key(name), revision);
         for (name, instance) in listed {
             self.record_instance(&name, Some(instance), revision);
@@ -145,7 +161,7 @@
 
     /// Removes the instances that are missing in a complete list as of a revision, except those
     /// whose registrations are newer than the list.
-    pub fn retain_instances(&self, listed: &dyn Fn(&str) -> bool, revision: u64) {
+    pub fn retain_instances(&self, listed: &dyn Fn(&str) -> bool, revision: Revision) {
         let names: Vec<Arc<str>> = self.instances.borrow().keys().cloned().collect();
         for name in names.iter().filter(|name| !listed(name)) {
             self.record_instance(name, None, revision);
@@ -153,7 +169,7 @@
     }
 
     /// Records changes of targets, such as removals, as of a revision.
-    pub fn record_removals(&self, changes: Vec<Change>, revision: u64) {
+    pub fn record_removals(&self, changes: Vec<Change>, revision: Revision) {
         for change in changes {
             if let Change::Gone(target) = &change {
                 self.history.borrow_mut().add(revision, &target.incarnation.id);
@@ -164,7 +180,7 @@
 
     /// Logs a change of the listed targets and updates the state that depends on it.
     fn report_change(&self, change: Option<Change>) {
-        let revision = self.revision.get();
+        let revision = self.revision.get().number;
         let id_and_service =
             |target: &Target| (target.incarnation.id.to_string(), target.service.to_string());
         if matches!(change, Some(Change::Draining(_) | Change::Gone(_))) {
--- a/bins/edge/src/state/source.rs
+++ b/bins/edge/src/state/source.rs
@@ -6,6 +6,7 @@
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
 use caraway_fleet::backoff;
+use caraway_fleet::era::Revision;
 use caraway_fleet::following::Fleet;
 use caraway_fleet::following::Following;
 use caraway_fleet::following::Mode;
@@ -22,7 +23,7 @@
 
 impl State {
     /// Sets the coordinator as of a revision, unless a newer one is known.
-    pub fn set_leader(&self, name: Option<&str>, revision: u64) {
+    pub fn set_leader(&self, name: Option<&str>, revision: Revision) {
         if revision <= self.leader_revision.get() {
             return;
         }
--- a/bins/edge/src/store.rs
+++ b/bins/edge/src/store.rs
@@ -1,12 +1,17 @@
 //! Calls to the platform's store.
 
+use std::io;
 use std::time::Duration;
 
 use bytes::BytesMut;
 
+use caraway_adapter::header;
 use caraway_adapter::store::Call;
+use caraway_fleet::era::Latest;
+use caraway_fleet::era::Observation;
 
 use crate::http;
+use crate::http::Head;
 use crate::metrics::Metrics;
 use crate::pool::Bounds;
 use crate::pool::Failure;
@@ -51,7 +56,14 @@
         _ => (Duration::ZERO, MAX_RESULT_BYTES),
     };
     let bounds = Bounds::store(limit, extension, body_bytes);
+    let sent_in = state.latest_era.get();
     let response = state.pool.exchange(address, &request, &bounds).await;
+    if let Ok((head, _)) = &response
+        && let Err(error) = check_era(state, sent_in, head)
+    {
+        Metrics::count(&state.metrics.store_calls, "call", &format!("{kind}_era"));
+        return Err(error);
+    }
     if response.is_err() && kind != "watch" {
         // The pending watch may be waiting on a dead connection as well; it is restarted on a new one.
         state.watch_restart.notify_waiters();
@@ -73,3 +85,21 @@
     Metrics::count(&state.metrics.store_calls, "call", &format!("{kind}_{result}"));
     response.map(|(head, body)| (head.status, body))
 }
+
+/// Checks the era of a response. The call of an earlier era counts as unanswered: its conditions and
+/// leases, or its result, refer to revisions that were assigned again.
+fn check_era(state: &State, sent_in: Latest, head: &Head) -> Result<(), Failure> {
+    let failure = |error: &str| Failure::Sent(io::Error::other(error.to_owned()));
+    let value = head.headers.get(header::STORE_ERA).map(|value| value.to_str().unwrap_or(""));
+    let Some(era) = header::parse_store_era(value) else {
+        return Err(failure("the store stated an invalid era"));
+    };
+    match state.observe_era(era, "store") {
+        Observation::Outdated => Err(failure("the response is of an earlier era of the store")),
+        Observation::Risen => Err(failure("the store was restored under a new era")),
+        Observation::Current if sent_in.is_known() && sent_in.era() != era => {
+            Err(failure("the store was restored during the call"))
+        }
+        Observation::Current => Ok(()),
+    }
+}
--- a/bins/edge/src/sync.rs
+++ b/bins/edge/src/sync.rs
@@ -16,6 +16,7 @@
 use caraway_core::time::Stamp;
 use caraway_core::time::millis;
 use caraway_fleet::coordinator::Tables;
+use caraway_fleet::era::Revision;
 use caraway_fleet::view::View;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
@@ -33,7 +34,7 @@
 /// Key of the coordinator's record.
 pub const COORDINATOR_KEY: &str = "caraway/coordinator";
 
-/// Key of the ownership tables of all keyed services.
+/// Key of the ownership tables of all keyed services in era 0; the keys of other eras begin with it.
 pub const OWNERS_KEY: &str = "caraway/owners";
 
 /// Longest time for which a watch waits; it returns sooner if there are changes. The store may keep
@@ -108,13 +109,16 @@
             if wait_for_source(state).await? {
                 return Ok(());
             }
-            let revision = read_snapshot(state, outage_start.is_some()).await?;
+            // After a restoration, entries may be missing until their writers write them again.
+            let outage = outage_start.is_some() || state.complete_era.get() != state.era();
+            let revision = read_snapshot(state, outage).await?;
+            state.complete_era.set(revision.era);
             state.revision.set(state.revision.get().max(revision));
             state.synchronized.set(true);
             end_outage(state, outage_start);
         }
         let after = state.revision.get();
-        let call = store::watch("", after, wait);
+        let call = store::watch("", after.number, wait);
         let response = tokio::select! {
             response = send(state, &call, "watch", wait) => response,
             () = state.watch_restart.notified() => return Ok(()),
@@ -135,7 +139,8 @@
         };
         end_outage(state, outage_start);
         apply(state, &page);
-        state.revision.set(state.revision.get().max(page.revision));
+        let revision = Revision::new(state.era(), page.revision);
+        state.revision.set(state.revision.get().max(revision));
         // After a large response, more changes are probably waiting.
         if !page.items.is_empty() && size < LARGE_RESPONSE_BYTES {
             sleep(BATCH_DELAY).await;
@@ -147,7 +152,7 @@
 /// Waits until another instance that is up to date has sent everything, which saves a full read of
 /// the store. Returns whether one has.
 async fn wait_for_source(state: &Rc<State>) -> Result<bool, String> {
-    let started = state.revision.get() == 0;
+    let started = state.revision.get() == Revision::default();
     let relied_on = || state.leading.get() || state.is_deputy();
     if started {
         discover(state).await?;
@@ -190,7 +195,7 @@
 }
 
 /// Reads all keys and returns the revision of the first page.
-async fn read_snapshot(state: &Rc<State>, outage: bool) -> Result<u64, String> {
+async fn read_snapshot(state: &Rc<State>, outage: bool) -> Result<Revision, String> {
     // Includes unreadable entries: they replace no earlier ones.
     let mut seen: HashSet<String> = HashSet::new();
     let mut last: Option<String> = None;
@@ -201,7 +206,7 @@
             send(state, &call, "range", Duration::ZERO).await.map_err(|error| error.to_string())?;
         let page = store::parse_page(status, &body).map_err(|error| error.to_string())?;
         // The watch starts at the revision of the first page, so that no change between pages is missed.
-        let revision = *first.get_or_insert(page.revision);
+        let revision = *first.get_or_insert(Revision::new(state.era(), page.revision));
         if last.is_none() {
             state.history.borrow_mut().restart(revision);
         }
@@ -221,11 +226,14 @@
 }
 
 /// Removes targets, instances and the coordinator that are missing in a complete read.
-fn remove_unlisted(state: &State, seen: &HashSet<String>, outage: bool, revision: u64) {
+fn remove_unlisted(state: &State, seen: &HashSet<String>, outage: bool, revision: Revision) {
     let listed = seen.iter().filter_map(|key| key.strip_prefix(target::PREFIX)).map(Into::into);
     state.reconcile_targets(&listed.collect(), outage, revision);
     let evacuated = |domain: &str| seen.contains(&format!("{}{domain}", evacuation::PREFIX));
-    state.retain_evacuations(&evacuated, revision);
+    // An evacuation that a restoration has lost stays in force until the operator writes it again.
+    if state.complete_era.get() == revision.era {
+        state.retain_evacuations(&evacuated, revision);
+    }
     let registered = |name: &str| seen.contains(&format!("{INSTANCE_PREFIX}{name}"));
     state.retain_instances(&registered, revision);
     if !seen.contains(COORDINATOR_KEY) {
@@ -244,6 +252,8 @@
 }
 
 fn apply_item(state: &State, item: &Item) {
+    // A response of another era is not applied.
+    let revision = Revision::new(state.era(), item.revision);
     if item.key == configuration::KEY {
         if let Some(value) = &item.value {
             state.configure(value, item.revision, "store");
@@ -252,32 +262,32 @@
         match &item.value {
             None => {
                 state.accept_entry(&item.key);
-                state.remove_target(id, item.revision);
+                state.remove_target(id, revision);
             }
             Some(value) => match target::read(id, value) {
                 Ok(target) => {
                     state.accept_entry(&item.key);
-                    state.record_target(target, item.revision);
+                    state.record_target(target, revision);
                 }
                 Err(error) => state.ignore_entry(&item.key, &error.to_string()),
             },
         }
     } else if let Some(domain) = item.key.strip_prefix(evacuation::PREFIX) {
-        state.apply_evacuation(domain, item.value.is_some(), item.revision);
+        state.apply_evacuation(domain, item.value.is_some(), revision);
     } else if let Some(name) = item.key.strip_prefix(INSTANCE_PREFIX) {
         let instance = item.value.as_deref().map(serde_json::from_slice);
         match instance.transpose() {
-            Ok(instance) => state.record_instance(name, instance, item.revision),
+            Ok(instance) => state.record_instance(name, instance, revision),
             Err(error) => state.ignore_entry(&item.key, &error.to_string()),
         }
-    } else if item.key == OWNERS_KEY {
+    } else if item.key.starts_with(OWNERS_KEY) {
         // The coordinator's messages are newer and more detailed; the tables are used until its first one.
-        if state.view.borrow().version.term > 0 {
+        if state.view.borrow().version.term > Revision::default() {
             return;
         }
         let tables = item.value.as_deref().map(serde_json::from_slice::<Tables>);
         match tables {
-            Some(Ok(tables)) => state.apply_view(View::from_tables(&tables, item.revision)),
+            Some(Ok(tables)) => state.apply_view(View::from_tables(&tables, revision)),
             Some(Err(error)) => {
                 let (key, error) = (item.key.clone(), error.to_string());
                 emit(Event::RecordInvalid { key, error });
@@ -286,6 +296,6 @@
         }
     } else if item.key == COORDINATOR_KEY {
         let name = item.value.as_deref().and_then(|value| std::str::from_utf8(value).ok());
-        state.set_leader(name, item.revision);
+        state.set_leader(name, revision);
     }
 }
--- a/bins/edge/tests/process/main.rs
+++ b/bins/edge/tests/process/main.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod configuration;
 mod control;
+mod era;
 mod evacuation;
 mod following;
 mod lifecycle;
--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -10,6 +10,7 @@
 
 mod call;
 mod limits;
+mod recovery;
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -26,6 +27,9 @@
 use crate::coordinator::limits::InFlight;
 pub use crate::coordinator::limits::MAX_GRANTS_IN_FLIGHT;
 pub use crate::coordinator::limits::MAX_RELEASES_IN_FLIGHT;
+use crate::coordinator::recovery::Floors;
+use crate::coordinator::recovery::Recovery;
+pub use crate::coordinator::recovery::Takeover;
 use crate::holds::Holds;
 use crate::membership::Incarnation;
 use crate::membership::Registry;
@@ -147,6 +151,10 @@
     holds: Holds,
     /// Highest token of each service at the takeover.
     takeover_fences: BTreeMap<Arc<str>, u64>,
+    /// Tokens above which those of this term start.
+    floors: Floors,
+    /// Releases of unknown grants, while targets may hold keys under some.
+    recovery: Option<Recovery>,
     /// Calls in flight.
     in_flight: InFlight,
 }
@@ -178,46 +186,31 @@
         let services = tables.into_iter().map(|(service, table)| (service, state(table)));
         let services = services.collect();
         let (recipients, in_flight) = (HashMap::new(), InFlight::default());
-        Self { options, confirmed_at, services, recipients, holds, takeover_fences, in_flight }
+        let (floors, recovery) = (Floors::default(), None);
+        Self {
+            options,
+            confirmed_at,
+            services,
+            recipients,
+            holds,
+            takeover_fences,
+            floors,
+            recovery,
+            in_flight,
+        }
     }
 
     /// Returns the tables with the same owners under new tokens, to be written at the start of a
     /// term. Adjacent holdings of one owner are merged.
     pub fn with_renewed_fences(&self) -> Tables {
         let mut tables = self.tables();
-        for table in tables.values_mut() {
+        for (service, table) in &mut tables {
+            table.fence = table.fence.max(self.floors.of(service));
             table.renew_fences();
         }
         tables
     }
 
-    /// Returns the incarnations that may hold keys under grants of this or earlier coordinators,
-    /// with the remaining time. The result is valid only if no further grants are sent.
-    pub fn outstanding_grants(&self, now: Stamp) -> Vec<(Incarnation, Duration)> {
-        let mut holds = self.holds.clone();
-        for (incarnation, recipient) in &self.recipients {
-            if recipient.calls_in_flight > 0 {
-                let longest = worst_case_duration(recipient.longest_in_flight);
-                holds.raise(incarnation, now + CALL_TIMEOUT + longest);
-            }
-        }
-        let unexpired = holds.ends().into_iter().filter(|(_, end)| *end > now);
-        unexpired.map(|(incarnation, end)| (incarnation, end.since(now))).collect()
-    }
-
-    /// Replaces the worst-case expiry of inherited grants by the result of
-    /// [`Coordinator::outstanding_grants`] on the only coordinator that has sent grants since the
-    /// tables were last written.
-    pub fn limit_inherited_grants(&mut self, expiries: &HashMap<Incarnation, Stamp>) {
-        self.holds.limit(expiries);
-    }
-
-    /// Returns how many targets may hold keys under grants of earlier coordinators, and the longest
-    /// remaining time.
-    pub fn inherited_grants(&self, now: Stamp) -> (usize, Duration) {
-        self.holds.remaining_inherited(now)
-    }
-
     /// Records a successful confirmation of the leadership that was sent at `sent_at`.
     pub fn confirm_leadership(&mut self, sent_at: Stamp) {
         self.confirmed_at = self.confirmed_at.max(sent_at);
@@ -233,7 +226,9 @@
     pub fn propose(&self, moves: &[(Arc<str>, Move)]) -> Tables {
         let mut tables = self.tables();
         for (service, key_move) in moves {
-            tables.entry(service.clone()).or_default().apply(key_move);
+            let table = tables.entry(service.clone()).or_default();
+            table.fence = table.fence.max(self.floors.of(service));
+            table.apply(key_move);
         }
         for table in tables.values_mut() {
             table.merge_adjacent();
@@ -355,6 +350,9 @@
     /// Returns the calls that are due. The outcome of each must be passed to
     /// [`Coordinator::record_reply`].
     pub fn due_calls(&mut self, registry: &Registry, now: Stamp) -> Vec<Call> {
+        if self.recovery.is_some() {
+            return self.due_recovery_calls(registry, now);
+        }
         self.holds.remove_expired(now);
         let mut due = Vec::new();
         let services: Vec<Arc<str>> = self.services.keys().cloned().collect();
@@ -505,7 +503,10 @@
                 self.record_grant_reply(call, *duration, reply, connection, now)
             }
             Request::Release => {
-                self.record_release_reply(call, reply);
+                let recovers = self.recovery.as_mut().is_some_and(|r| r.record_reply(call, reply));
+                if !recovers {
+                    self.record_release_reply(call, reply);
+                }
                 false
             }
         }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod coordinator;
 pub mod demand;
 pub mod election;
+pub mod era;
 pub mod evacuation;
 pub mod following;
 pub mod holds;
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -7,6 +7,8 @@
 
 use caraway_core::time::Stamp;
 
+use crate::era::Revision;
+
 /// Time for which an entry that is missing after an outage of the store is still used. A running
 /// target registers again within two seconds of the store's recovery.
 pub const REREGISTRATION_GRACE: Duration = Duration::from_millis(2200);
@@ -104,7 +106,7 @@
     departures: HashMap<Incarnation, Stamp>,
     /// Revision of the latest known change of each entry, including removals, and when this
     /// process learned of it.
-    revisions: HashMap<Arc<str>, (u64, Stamp)>,
+    revisions: HashMap<Arc<str>, (Revision, Stamp)>,
 }
 
 /// Returns the earlier of two times of which either may be unknown.
@@ -132,14 +134,14 @@
     }
 
     /// Returns the revision of the latest known change of an entry, or zero.
-    pub fn entry_revision(&self, id: &str) -> u64 {
-        self.revisions.get(id).map_or(0, |(revision, _)| *revision)
+    pub fn entry_revision(&self, id: &str) -> Revision {
+        self.revisions.get(id).map(|(revision, _)| *revision).unwrap_or_default()
     }
 
     /// Records the revision of a change of an entry. Returns whether to apply the change: a change
     /// that is older than what is known must not replace it. The revision of a removed entry is
     /// retained for [`FORMER_RETENTION`], longer than any response is under way.
-    pub fn accept(&mut self, id: &Arc<str>, revision: u64, now: Stamp) -> bool {
+    pub fn accept(&mut self, id: &Arc<str>, revision: Revision, now: Stamp) -> bool {
         let (known, at) = self.revisions.entry(id.clone()).or_insert((revision, now));
         if *known > revision {
             return false;
@@ -206,6 +208,16 @@
         (latest.target.incarnation != *incarnation).then(|| latest.target.incarnation.clone())
     }
 
+    /// Returns the incarnations of a service that are listed or were until recently, except those
+    /// that are known to have ended.
+    pub fn recent_incarnations(&self, service: &str) -> Vec<Incarnation> {
+        let listed = self.members.values().map(|member| &member.target);
+        let former = self.former.values().map(|former| &former.target);
+        let of_service = listed.chain(former).filter(|target| *target.service == *service);
+        let incarnations = of_service.map(|target| target.incarnation.clone());
+        incarnations.filter(|incarnation| !self.is_known_ended(incarnation)).collect()
+    }
+
     /// Returns the address of a target that is no longer listed, unless another target uses it now.
     pub fn last_address(&self, incarnation: &Incarnation) -> Option<SocketAddr> {
         let address = self.former.get(incarnation)?.target.address;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -10,6 +10,7 @@
 
 use crate::coordinator::Served;
 use crate::coordinator::Tables;
+use crate::era::Revision;
 use crate::membership::Incarnation;
 use crate::ownership::Holding;
 use crate::ownership::Table;
@@ -56,7 +57,7 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Version {
     /// Revision of the store at which the coordinator took over.
-    pub term: u64,
+    pub term: Revision,
     /// Number of the change within this term.
     pub change: u64,
 }
@@ -70,6 +71,9 @@
     pub coordinator: Arc<str>,
     /// Owners by service.
     pub services: BTreeMap<Arc<str>, Owners>,
+    /// Highest fencing token of each service that was ever assigned.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub fences: BTreeMap<Arc<str>, u64>,
 }
 
 /// Difference between two versions of a view.
@@ -83,6 +87,9 @@
     pub coordinator: Arc<str>,
     /// Changed ranges by service. They replace all earlier ranges of their keys.
     pub services: BTreeMap<Arc<str>, Owners>,
+    /// Highest fencing token of each service that was ever assigned.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub fences: BTreeMap<Arc<str>, u64>,
 }
 
 impl View {
@@ -99,7 +106,8 @@
             }
         }
         let coordinator = self.coordinator.clone();
-        Change { from: other.version, to: self.version, coordinator, services }
+        let fences = self.fences.clone();
+        Change { from: other.version, to: self.version, coordinator, services, fences }
     }
 
     /// Returns the view after a change, or `None` if the change applies to another version.
@@ -112,19 +120,22 @@
             services.entry(service.clone()).or_default().replace(owners);
         }
         let coordinator = change.coordinator.clone();
-        Some(Self { version: change.to, coordinator, services })
+        let fences = change.fences.clone();
+        Some(Self { version: change.to, coordinator, services, fences })
     }
 
     /// Creates a view from stored tables, which is used until the first message of the coordinator.
     /// Its version is lower than that of any coordinator.
-    pub fn from_tables(tables: &Tables, revision: u64) -> Self {
+    pub fn from_tables(tables: &Tables, revision: Revision) -> Self {
         let owners = |table: &Table| {
             let settled = |holding: &Holding| (holding.clone(), holding.earlier.is_empty());
             Owners::new(&table.holdings.iter().map(settled).collect::<Vec<_>>())
         };
         let services = tables.iter().map(|(service, table)| (service.clone(), owners(table)));
-        let version = Version { term: 0, change: revision };
-        Self { version, coordinator: "".into(), services: services.collect() }
+        // The first field of a term is its era, so an era of its own would be above a coordinator's.
+        let version = Version { term: Revision::default(), change: revision.number };
+        let fences = tables.iter().map(|(service, table)| (service.clone(), table.fence)).collect();
+        Self { version, coordinator: "".into(), services: services.collect(), fences }
     }
 }
 
@@ -173,6 +184,7 @@
         for change in changes {
             sum.to = change.to;
             sum.coordinator = change.coordinator.clone();
+            sum.fences = change.fences.clone();
             for (service, owners) in &change.services {
                 sum.services.entry(service.clone()).or_default().replace(owners);
             }
--- a/crates/fleet/tests/history.rs
+++ b/crates/fleet/tests/history.rs
@@ -1,11 +1,12 @@
 //! Random histories of a store, two coordinators and some targets, with frozen coordinators, lost
-//! leases, unanswered writes and grants, delayed grants, slow clocks and restarts.
+//! leases, unanswered writes and grants, delayed grants and writes, slow clocks, restarts, and
+//! restorations of the store from a copy that is some seconds old.
 
 // The lint settings allow these in test functions; this extends them to the helpers beside them.
 #![allow(clippy::indexing_slicing, clippy::unwrap_used)]
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,8 +23,15 @@
 use caraway_fleet::coordinator::Reply;
 use caraway_fleet::coordinator::Request;
 use caraway_fleet::coordinator::Tables;
+use caraway_fleet::coordinator::Takeover;
 use caraway_fleet::demand::Demand;
 use caraway_fleet::demand::MOVES_TIME_CONSTANT;
+use caraway_fleet::era;
+use caraway_fleet::era::Basis;
+use caraway_fleet::era::Observation;
+use caraway_fleet::era::Record;
+use caraway_fleet::era::Retirement;
+use caraway_fleet::era::Revision;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::membership::Registry;
 use caraway_fleet::membership::Target;
@@ -37,7 +45,14 @@
 const TARGETS: usize = 4;
 
 /// Number of kinds of faults.
-const KINDS: u64 = 14;
+const KINDS: u64 = 15;
+
+/// Interval between copies of the store, and the number of copies that are kept.
+const COPY_INTERVAL_MS: u64 = 500;
+const COPIES: usize = 16;
+
+/// Time after a restoration in which running targets register again.
+const REGISTRATION_MS: u64 = 2000;
 
 /// Grant at a target, until a simulation time in milliseconds.
 #[derive(Clone, Debug)]
@@ -71,17 +86,34 @@
     call: Call,
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct Store {
-    tables: Tables,
+    era: u64,
+    /// Tables and the revision of their latest write, by era.
+    owners: BTreeMap<u64, (Tables, u64)>,
     revision: u64,
-    written: u64,
     leader: Option<(usize, u64, u64)>,
 }
 
+/// Write that the store executes some time after it was sent.
+struct Write {
+    at: u64,
+    era: u64,
+    term: u64,
+    /// Required revision of the earlier tables.
+    written: u64,
+    tables: Tables,
+}
+
 struct Node {
     coordinator: Option<Coordinator>,
     term: u64,
+    /// Era of the term.
+    era: u64,
+    /// Whether the stored tables are those of this era.
+    settled: bool,
+    /// Latest era of the store that the instance has seen.
+    latest: era::Latest,
     written: u64,
     fences_renewed: bool,
     /// Revision of the tables at the start of the term.
@@ -99,9 +131,13 @@
     store: Store,
     nodes: Vec<Node>,
     processes: Vec<Process>,
-    /// Latest announcement of a coordinator at the end of its term: revision of the tables and
-    /// expiry of grants.
-    last_shutdown: (u64, HashMap<Incarnation, Stamp>),
+    /// Latest announcement of a coordinator at the end of its term.
+    retirement: Retirement,
+    /// Copies of the store with their times.
+    copies: VecDeque<(u64, Store)>,
+    /// Targets that register again after a restoration, with the times.
+    registrations: Vec<(u64, usize)>,
+    writes: Vec<Write>,
     /// End of an outage of the store.
     outage_until: u64,
     delayed: Vec<Delayed>,
@@ -140,6 +176,9 @@
         let node = |_| Node {
             coordinator: None,
             term: 0,
+            era: 0,
+            settled: false,
+            latest: era::Latest::default(),
             written: 0,
             fences_renewed: false,
             initial: 0,
@@ -153,7 +192,10 @@
             store: Store { revision: 1, ..Store::default() },
             nodes: (0..2).map(node).collect(),
             processes: (0..TARGETS).map(|index| Process::new(index, 1)).collect(),
-            last_shutdown: (0, HashMap::new()),
+            retirement: Retirement::default(),
+            copies: VecDeque::new(),
+            registrations: vec![],
+            writes: vec![],
             outage_until: 0,
             delayed: vec![],
             registry: Registry::default(),
@@ -218,6 +260,7 @@
             11 => self.shut_down_coordinator(node),
             // The store is down for up to 8 s.
             12 => self.outage_until = self.now + u64::from(selector) * 32,
+            14 => self.restore(),
             // A domain with half of the targets is cut off from both coordinators.
             13 => {
                 for process in self.processes.iter_mut().skip(index % 2).step_by(2) {
@@ -244,6 +287,7 @@
                 // A new process replaces the instance.
                 self.nodes[node].coordinator = None;
                 self.nodes[node].replies.clear();
+                self.nodes[node].latest = era::Latest::default();
             }
             7 => {
                 let process = &mut self.processes[index];
@@ -270,9 +314,10 @@
         }
         let Some(coordinator) = node.coordinator.take() else { return };
         node.replies.clear();
-        let (term, written) = (node.term, node.written);
-        self.announce_grants(&coordinator, written, now);
+        let term = node.term;
+        self.announce_grants(index, &coordinator, now);
         if self.is_connected(index)
+            && self.nodes[index].era == self.store.era
             && self.store.leader.is_some_and(|(leader, held, _)| (leader, held) == (index, term))
         {
             self.store.leader = None;
@@ -281,11 +326,73 @@
     }
 
     /// Announces the outstanding grants of a coordinator whose term has ended.
-    fn announce_grants(&mut self, coordinator: &Coordinator, written: u64, now: Stamp) {
+    fn announce_grants(&mut self, index: usize, coordinator: &Coordinator, now: Stamp) {
+        let node = &self.nodes[index];
+        if !node.settled {
+            return;
+        }
         let ends = coordinator.outstanding_grants(now);
         let ends = ends.into_iter().map(|(incarnation, left)| (incarnation, now + left)).collect();
-        if written > self.last_shutdown.0 {
-            self.last_shutdown = (written, ends);
+        let latest = &node.latest;
+        let last =
+            latest.era() > node.era && era::is_last(coordinator.confirmed_at(), latest.seen_at());
+        let retirement = Retirement {
+            tables_revision: Revision::new(node.era, node.written),
+            next_era: last.then_some(latest.era()),
+            tables: if last { coordinator.tables() } else { Tables::new() },
+            grant_expiries: ends,
+        };
+        let rank = |retirement: &Retirement| (retirement.tables_revision, retirement.next_era);
+        if rank(&retirement) > rank(&self.retirement) {
+            self.retirement = retirement;
+        }
+    }
+
+    /// Restores a copy of the store. Entries of targets are lost, and also what the instances know
+    /// of them, or only the former.
+    fn restore(&mut self) {
+        let Ok(count) = u64::try_from(self.copies.len()) else { return };
+        if count == 0 {
+            return;
+        }
+        let index = usize::try_from(self.random_below(count)).unwrap();
+        let (_, copy) = self.copies[index].clone();
+        self.store = Store { era: self.store.era + 1, ..copy };
+        self.store.leader = self.store.leader.filter(|(_, _, end)| *end >= self.now);
+        self.copies.clear();
+        if self.random_below(2) == 0 {
+            self.registry = Registry::default();
+        }
+        for index in 0..self.processes.len() {
+            if self.random_below(3) == 0 {
+                self.registry.remove(&self.processes[index].id.clone(), stamp(self.now));
+            }
+            let at = self.now + self.random_below(REGISTRATION_MS);
+            self.registrations.push((at, index));
+        }
+    }
+
+    /// Applies a write if its conditions hold. Returns whether they do.
+    fn apply_write(&mut self, write: Write) -> bool {
+        let written = self.store.owners.get(&write.era).map_or(0, |(_, written)| *written);
+        let leads = self.store.leader.is_some_and(|(_, term, _)| term == write.term);
+        if !leads || written != write.written {
+            return false;
+        }
+        self.store.revision += 1;
+        self.store.owners.insert(write.era, (write.tables, self.store.revision));
+        true
+    }
+
+    fn takeover(&self, index: usize) -> Takeover {
+        let latest = self.nodes[index].latest;
+        let stored = self.store.owners.range(..=self.store.era).next_back();
+        let record = stored.map(|(era, (tables, _))| Record { era: *era, tables: tables.clone() });
+        Takeover {
+            basis: era::basis(latest.era(), record.unwrap_or_default(), &self.retirement),
+            latest,
+            fences: BTreeMap::new(),
+            services: vec![self.service.clone()],
         }
     }
 
@@ -310,6 +417,28 @@
             self.store.leader = None;
             self.store.revision += 1;
         }
+        if now.is_multiple_of(COPY_INTERVAL_MS) {
+            self.copies.push_back((now, self.store.clone()));
+            if self.copies.len() > COPIES {
+                self.copies.pop_front();
+            }
+        }
+        let writes = std::mem::take(&mut self.writes);
+        for write in writes {
+            if write.at > now {
+                self.writes.push(write);
+            } else {
+                self.apply_write(write);
+            }
+        }
+        let registrations = std::mem::take(&mut self.registrations);
+        for (at, index) in registrations {
+            if at > now {
+                self.registrations.push((at, index));
+            } else if self.processes[index].up {
+                self.list_target(index);
+            }
+        }
         let due: Vec<Delayed> =
             self.delayed.iter().filter(|delayed| delayed.at <= now).cloned().collect();
         self.delayed.retain(|delayed| delayed.at > now);
@@ -335,6 +464,15 @@
             }
         }
         let connected = self.is_connected(index);
+        if connected
+            && self.nodes[index].latest.observe(self.store.era, now) == Observation::Risen
+            && let Some(coordinator) = self.nodes[index].coordinator.take()
+        {
+            self.nodes[index].replies.clear();
+            if self.random_below(3) > 0 {
+                self.announce_grants(index, &coordinator, now);
+            }
+        }
         let term = self.nodes[index].term;
         if connected && self.nodes[index].coordinator.is_some() {
             match &mut self.store.leader {
@@ -347,8 +485,7 @@
                     let coordinator = self.nodes[index].coordinator.take().unwrap();
                     self.nodes[index].replies.clear();
                     if self.random_below(4) > 0 {
-                        let written = self.nodes[index].written;
-                        self.announce_grants(&coordinator, written, now);
+                        self.announce_grants(index, &coordinator, now);
                     }
                 }
             }
@@ -358,21 +495,34 @@
             let term = self.store.revision;
             self.store.leader = Some((index, term, self.now + LEASE_MS));
             let options = Options::new(Duration::from_millis(MAX_GRANT_MS));
-            let tables = self.store.tables.clone();
+            let takeover = self.takeover(index);
+            let era = self.store.era;
+            let written = self.store.owners.get(&era).map(|(_, written)| *written);
             let node = &mut self.nodes[index];
-            node.coordinator = Some(Coordinator::new(options, tables, now, now));
+            node.coordinator = Some(Coordinator::take_over(options, takeover, now, now));
             node.replies.clear();
-            (node.term, node.written, node.fences_renewed) = (term, self.store.written, false);
-            (node.initial, node.limited) = (self.store.written, false);
+            (node.era, node.settled) = (era, era == 0 || written.is_some());
+            let written = written.unwrap_or(0);
+            (node.term, node.written, node.fences_renewed) = (term, written, false);
+            (node.initial, node.limited) = (written, false);
+        }
+        if self.nodes[index].coordinator.as_ref().is_some_and(Coordinator::can_start_anew) {
+            let takeover = self.takeover(index);
+            if matches!(takeover.basis, Basis::Announced(..)) {
+                let options = Options::new(Duration::from_millis(MAX_GRANT_MS));
+                let coordinator = self.nodes[index].coordinator.as_mut().unwrap();
+                let confirmed_at = coordinator.confirmed_at();
+                *coordinator = Coordinator::take_over(options, takeover, confirmed_at, now);
+            }
         }
         // The announcement may arrive after the first grants of the term.
         let node = &mut self.nodes[index];
         if let Some(coordinator) = &mut node.coordinator
             && !node.limited
             && node.initial > 0
-            && self.last_shutdown.0 == node.initial
+            && self.retirement.tables_revision == Revision::new(node.era, node.initial)
         {
-            coordinator.limit_inherited_grants(&self.last_shutdown.1);
+            coordinator.limit_inherited_grants(&self.retirement.grant_expiries);
             node.limited = true;
         }
         if connected && self.nodes[index].coordinator.is_some() {
@@ -387,6 +537,9 @@
     fn plan(&mut self, index: usize, moving: u8) {
         let coordinator = self.nodes[index].coordinator.as_ref().unwrap();
         let now = stamp(self.now);
+        if coordinator.is_recovering() {
+            return;
+        }
         let tables = if self.nodes[index].fences_renewed {
             let members = self.registry.members();
             let usable = members.filter(|m| {
@@ -424,28 +577,31 @@
             coordinator.with_renewed_fences()
         };
         let node = &self.nodes[index];
-        let valid =
-            self.store.leader.is_some_and(|(leader, term, _)| leader == index && term == node.term)
-                && self.store.written == node.written;
-        if !valid {
-            if self.store.written != node.written {
-                let (tables, written) = (self.store.tables.clone(), self.store.written);
+        let (era, term, written) = (node.era, node.term, node.written);
+        let write = Write { at: self.now, era, term, written, tables: tables.clone() };
+        // One write in twenty is executed late and not answered.
+        if self.random_below(20) == 0 {
+            let at = self.now + self.random_below(900);
+            self.writes.push(Write { at, ..write });
+            return;
+        }
+        if !self.apply_write(write) {
+            if let Some((tables, written)) = self.store.owners.get(&era).cloned() {
                 let node = &mut self.nodes[index];
-                node.written = written;
-                node.coordinator.as_mut().unwrap().adopt(tables);
+                if written != node.written {
+                    (node.written, node.settled) = (written, true);
+                    node.coordinator.as_mut().unwrap().adopt(tables);
+                }
             }
             return;
         }
-        self.store.revision += 1;
-        self.store.written = self.store.revision;
-        self.store.tables = tables.clone();
         // One write in five is applied but not answered.
         if self.random_below(5) == 0 {
             return;
         }
-        let written = self.store.written;
+        let written = self.store.revision;
         let node = &mut self.nodes[index];
-        (node.written, node.fences_renewed) = (written, true);
+        (node.written, node.settled, node.fences_renewed) = (written, true, true);
         node.coordinator.as_mut().unwrap().adopt(tables);
     }
 
--- a/crates/fleet/tests/tables.rs
+++ b/crates/fleet/tests/tables.rs
@@ -21,6 +21,7 @@
 use caraway_fleet::configuration::Splitter;
 use caraway_fleet::coordinator::Coordinator;
 use caraway_fleet::coordinator::Options;
+use caraway_fleet::era::Revision;
 use caraway_fleet::membership::Change;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::membership::REREGISTRATION_GRACE;
@@ -102,7 +103,7 @@
     assign(&mut table, 0, 99, "a");
     assign(&mut table, 50, 99, "b");
     let tables = [(Arc::from("s"), table)].into_iter().collect();
-    let view = View::from_tables(&tables, 7);
+    let view = View::from_tables(&tables, Revision::new(0, 7));
     let owners = &view.services["s"];
     assert_eq!(owners.find(10), Some((&incarnation("a", 1), true)));
     assert_eq!(owners.find(60), Some((&incarnation("b", 1), false)));
@@ -117,7 +118,12 @@
     }
     let holdings: Vec<_> = table.holdings.iter().map(|h| (h.clone(), h.fence % 4 == 0)).collect();
     let services = [(Arc::from("s"), Owners::new(&holdings))].into_iter().collect();
-    View { version: Version { term: 1, change }, coordinator: "c".into(), services }
+    View {
+        version: Version { term: Revision::new(0, 1), change },
+        coordinator: "c".into(),
+        services,
+        ..View::default()
+    }
 }
 
 proptest! {
@@ -164,7 +170,12 @@
     let view = |table: &Table, change| {
         let served: Vec<_> = table.holdings.iter().map(|h| (h.clone(), true)).collect();
         let services = [(Arc::from("s"), Owners::new(&served))].into_iter().collect();
-        View { version: Version { term: 1, change }, coordinator: "c".into(), services }
+        View {
+            version: Version { term: Revision::new(0, 1), change },
+            coordinator: "c".into(),
+            services,
+            ..View::default()
+        }
     };
     let start = Instant::now();
     let (old, new) = (view(&before, 1), view(&after, 2));
--- a/crates/fleet/tests/view.rs
+++ b/crates/fleet/tests/view.rs
@@ -3,6 +3,7 @@
 // The lint settings allow these in test functions; this extends them to the helpers beside them.
 #![allow(clippy::indexing_slicing, clippy::unwrap_used)]
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use proptest::collection::vec;
@@ -10,6 +11,7 @@
 use proptest::prop_assert_eq;
 use proptest::proptest;
 
+use caraway_fleet::era::Revision;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::ownership::Holding;
 use caraway_fleet::view::Log;
@@ -21,7 +23,7 @@
 const PARTS: u16 = 16;
 
 fn version(change: u64) -> Version {
-    Version { term: 7, change }
+    Version { term: Revision::new(0, 7), change }
 }
 
 /// Returns a view in which adjacent parts with the same owner are one range.
@@ -45,7 +47,7 @@
     }
     let coordinator: Arc<str> = "edge-1".into();
     let services = [(Arc::from("keyed"), Owners::new(&rows))].into();
-    View { version: version(change), coordinator, services }
+    View { version: version(change), coordinator, services, fences: BTreeMap::new() }
 }
 
 fn owner(view: &View, key: u16) -> (Incarnation, bool) {
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -245,6 +245,12 @@
     /// Unresponsive targets keep their keys until the grants of earlier coordinators expire.
     321 Info GrantsInherited "grants-inherited" { term: u64, targets: u64, longest_ms: u64, source: String }
         "{targets} targets may hold keys under grants older than term {term} for up to {longest_ms} ms, according to {source}"
+    /// The last coordinator of an era has announced its tables and the ends of its grants.
+    324 Info TablesAnnounced "tables-announced" { era: u64, longest_ms: u64 }
+        "the last coordinator before era {era} announced its tables; its grants end within {longest_ms} ms"
+    /// Nobody has announced the owners of keys at the end of the era before.
+    325 Warn OwnersUnknown "owners-unknown" { era: u64, longest_ms: u64 }
+        "the owners at the beginning of era {era} are unknown; keys are granted once all targets have released them, or in {longest_ms} ms"
 
     /// A request crashed too many targets and is quarantined for a while.
     401 Error RequestQuarantined "request-quarantined" { request_id: String, route: String }
@@ -312,6 +318,9 @@
     /// The instance follows the store, or another instance, from now on.
     610 Info FollowingChanged "following-changed" { mode: String, age_ms: u64 }
         "changes are learned from {mode}; the view is {age_ms} ms old"
+    /// The store was restored from a copy.
+    613 Warn EraRisen "era-risen" { era: u64, previous: u64, source: String }
+        "the store continues under era {era} after era {previous}, according to {source}; everything is read again"
 
     /// An operator declared that an instance or a target is gone.
     802 Warn DeclaredGone "declared-gone" { what: String, source: String }
