--- a/crates/fleet/src/following.rs
+++ b/crates/fleet/src/following.rs
@@ -42,6 +42,12 @@
     if waited { known.max(now - DELIVERY_TIME) } else { known.min(now) }
 }
 
+/// Returns the time as of which a response of a watch that was sent at `sent` shows all changes. Other
+/// responses of the store, such as that to a renewal, show none.
+pub fn viewed_at(sent: Stamp, now: Stamp) -> Stamp {
+    sent.max(now - DELIVERY_TIME)
+}
+
 /// How an instance learns the contents of the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Mode {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod demand;
 pub mod descriptors;
 pub mod election;
+pub mod era;
 pub mod evacuation;
 pub mod following;
 pub mod holds;
--- a/crates/fleet/tests/following.rs
+++ b/crates/fleet/tests/following.rs
@@ -327,4 +327,7 @@
     assert_eq!(following::changed_since(at(1000), at(1005), at(1900)), at(1800));
     // A view that is newer than the response bounds the time as well.
     assert_eq!(following::changed_since(at(1850), at(1005), at(1900)), at(1850));
+    // A response shows the changes until shortly before it, even if it is read late.
+    assert_eq!(following::viewed_at(at(1005), at(1900)), at(1800));
+    assert_eq!(following::viewed_at(at(1005), at(1010)), at(1005));
 }
