--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -1,6 +1,7 @@
 //! State shared by the tasks of the process, all of which run on one thread.
 
 mod entries;
+mod generation;
 mod source;
 
 use std::cell::Cell;
@@ -35,6 +36,9 @@
 use caraway_fleet::configuration::Configuration;
 use caraway_fleet::configuration::Splitter;
 use caraway_fleet::descriptors;
+use caraway_fleet::era;
+use caraway_fleet::era::Retirement;
+use caraway_fleet::era::Revision;
 use caraway_fleet::evacuation::Evacuations;
 use caraway_fleet::following::Following;
 use caraway_fleet::load::Estimate;
@@ -115,16 +119,7 @@
     /// Name of the instance.
     pub name: Arc<str>,
     /// Term of the coordinator: the store revision at which it was elected.
-    pub term: u64,
-}
-
-/// Outstanding grants of a coordinator at the end of its term, including those of its predecessors.
-#[derive(Clone, Debug, Default)]
-pub struct Retirement {
-    /// Store revision of the tables that the coordinator wrote last.
-    pub tables_revision: u64,
-    /// Expiry of the grants by target; other targets hold no keys.
-    pub grant_expiries: HashMap<Incarnation, Stamp>,
+    pub term: Revision,
 }
 
 /// State of the process.
@@ -145,13 +140,13 @@
     /// Targets listed in the store.
     pub registry: RefCell<Registry>,
     /// Store revision as of which configuration, targets and instances are known.
-    pub revision: Cell<u64>,
+    pub revision: Cell<Revision>,
     /// Whether the state as of that revision is complete, so that no full read is needed before watching.
     pub synchronized: Cell<bool>,
     /// Time of the latest successful response of the store.
     pub last_store_response: Cell<Option<Stamp>>,
     /// Own revision at the time when another instance was first seen to know a newer one, and that time.
-    pub peer_ahead: Cell<Option<(u64, Stamp)>>,
+    pub peer_ahead: Cell<Option<(Revision, Stamp)>>,
     /// From whom this instance learns the contents of the store.
     following: RefCell<Following>,
     /// Delay between calls to the store that fail.
@@ -194,6 +189,8 @@
     pub callers: RefCell<HashMap<Arc<str>, Callers>>,
     /// Load estimates by target id.
     pub estimates: RefCell<HashMap<Arc<str>, Estimate>>,
+    /// Time as of which all changes of the store are known.
+    pub viewed_at: Cell<Stamp>,
     /// When the coordinator last sent the load of other instances.
     pub loads_at: Cell<Stamp>,
     /// Traffic splitters by route name.
@@ -217,15 +214,21 @@
     /// Registered instances by name.
     pub instances: RefCell<BTreeMap<Arc<str>, Instance>>,
     /// Revisions of the latest known changes of the registrations, including removals.
-    instance_revisions: RefCell<BTreeMap<Arc<str>, u64>>,
+    instance_revisions: RefCell<BTreeMap<Arc<str>, Revision>>,
     /// Revision as of which a registration of an instance last changed.
-    pub instances_revision: Cell<u64>,
+    pub instances_revision: Cell<Revision>,
     /// The coordinator, if there is one.
     pub leader: RefCell<Option<Leader>>,
-    /// Outstanding grants announced by the latest coordinator that retired.
+    /// Latest era of the store that this process has seen.
+    pub latest_era: Cell<era::Latest>,
+    /// Era of the latest complete state.
+    pub complete_era: Cell<u64>,
+    /// Highest fencing token of each service that this instance has seen.
+    pub fences: RefCell<BTreeMap<Arc<str>, u64>>,
+    /// Announcement of the latest coordinator that retired.
     pub retirement: RefCell<Retirement>,
     /// Revision of the latest change of the coordinator's record, including its removal.
-    pub leader_revision: Cell<u64>,
+    pub leader_revision: Cell<Revision>,
     /// Whether the process is stopping.
     pub stopping: Cell<bool>,
     /// Whether the process is about to exit and requests no longer wait for their targets.
@@ -260,7 +263,7 @@
             metrics: Metrics::new(),
             active_configuration: RefCell::default(),
             registry: RefCell::default(),
-            revision: Cell::new(0),
+            revision: Cell::default(),
             synchronized: Cell::new(false),
             last_store_response: Cell::new(None),
             peer_ahead: Cell::new(None),
@@ -283,6 +286,7 @@
             classes: RefCell::default(),
             callers: RefCell::default(),
             estimates: RefCell::default(),
+            viewed_at: Cell::new(Clock.now()),
             loads_at: Cell::new(Stamp::default()),
             splitters: RefCell::default(),
             started: Clock.now(),
@@ -295,10 +299,13 @@
             response_sizes: RefCell::default(),
             instances: RefCell::default(),
             instance_revisions: RefCell::default(),
-            instances_revision: Cell::new(0),
+            instances_revision: Cell::default(),
             leader: RefCell::default(),
+            latest_era: Cell::default(),
+            complete_era: Cell::new(0),
+            fences: RefCell::default(),
             retirement: RefCell::default(),
-            leader_revision: Cell::new(0),
+            leader_revision: Cell::default(),
             stopping: Cell::new(false),
             exiting: Cell::new(false),
             exit_notice: Notify::new(),
@@ -367,14 +374,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Records the retirement of a coordinator, unless a newer one is known.
-    pub fn record_retirement(&self, retirement: Retirement) {
-        let mut latest = self.retirement.borrow_mut();
-        if retirement.tables_revision > latest.tables_revision {
-            *latest = retirement;
-        }
-    }
-
     /// Applies a view of the owners if it is newer.
     pub fn apply_view(&self, view: View) {
         let mut current = self.view.borrow_mut();
@@ -382,11 +381,12 @@
             return;
         }
         let (term, change) = (view.version.term, view.version.change);
+        self.record_fences(&view);
         // The message of a new coordinator may arrive before the change of its record in the store.
         self.set_leader(Some(&view.coordinator), term);
         *current = view;
         drop(current);
-        emit(Event::OwnersApplied { term, change });
+        emit(Event::OwnersApplied { term: term.number, change });
         self.changed.notify_waiters();
     }
 
--- a/bins/edge/tests/process/main.rs
+++ b/bins/edge/tests/process/main.rs
@@ -7,6 +7,7 @@
 mod cluster;
 mod configuration;
 mod control;
+mod era;
 mod evacuation;
 mod following;
 mod lifecycle;
