Replace targets by cold ones in the soak

The soak crashes targets and starts incarnations that crash above their rate, and checks that none does. Targets count the arrivals of their own incarnation only.

--- a/bins/soak/src/check.rs
+++ b/bins/soak/src/check.rs
@@ -102,6 +102,8 @@
     pub notices: Vec<Notice>,
     /// Graceful stops of instances.
     pub stops: Vec<Stop>,
+    /// Descriptions of cold targets that crashed because they got too many requests.
+    pub crashes: Vec<String>,
     /// Applied configuration versions, in log order for each instance.
     pub versions: Vec<Version>,
     /// Descriptions of requests that were not served, and instances with an old configuration,
@@ -179,6 +181,9 @@
         }
         *highest = applied.version.max(*highest);
     }
+    for description in &record.crashes {
+        add("a cold target gets no more requests than it tolerates", description);
+    }
     for description in &record.unserved {
         add("everything is served again after the last fault", description);
     }
--- a/bins/soak/src/cluster.rs
+++ b/bins/soak/src/cluster.rs
@@ -30,6 +30,16 @@
 /// Pause that a refusing target asks for, in seconds.
 const PAUSE_SECONDS: &str = "0.7";
 
+/// Time in which a cold target is cold.
+const COLD_TIME: Duration = Duration::from_secs(3);
+
+/// Requests per second that a cold target tolerates.
+const COLD_RATE: f64 = 4.0;
+
+/// Number of requests in any second above which a cold target crashes: 1.5 times the rate and 2 more, as
+/// in the settings of the instances.
+const MAX_COLD_ARRIVALS: usize = 8;
+
 /// Pieces of odd entries, which are repeated.
 const ODD_ENTRIES: [&str; 4] = ["[", "{\"address\":\"127.0.0.1:70000\"}", "\u{0}", "1e999"];
 
@@ -78,14 +88,19 @@
     nodes: Vec<Node>,
     /// Latest version of the configuration.
     version: u64,
+    /// Whether the run has additional faults.
+    extended: bool,
     /// Time at which the latest unplanned fault was injected.
     last_unplanned: Instant,
     /// Observations, except for calls and unserved requests.
     pub record: Record,
 }
 
-/// Returns a configuration with a keyed service and one without keys.
-fn configuration(version: u64) -> Value {
+/// Returns a configuration with a keyed service and one without keys. If it is `extended`, it limits
+/// the requests to their cold targets.
+fn configuration(version: u64, extended: bool) -> Value {
+    let (warmup_time, warmup_rate) =
+        if extended { (COLD_TIME.as_secs_f64(), COLD_RATE) } else { (0.0, 0.0) };
     let route = |name: &str, kind: &str, service: &str| {
         json!({
             "name": name, "prefix": format!("/{name}/"), "route_type": kind, "timeout_ms": 2000,
@@ -95,8 +110,14 @@
     json!({
         "version": version,
         "services": [
-            { "name": "keyed", "max_connections": 200, "sharded": true, "warm_s": 1.0 },
-            { "name": "pooled", "max_connections": 200 },
+            {
+                "name": "keyed", "max_connections": 200, "sharded": true, "warm_s": 1.0,
+                "warmup_s": warmup_time, "warmup_per_s": warmup_rate,
+            },
+            {
+                "name": "pooled", "max_connections": 200,
+                "warmup_s": warmup_time, "warmup_per_s": warmup_rate,
+            },
         ],
         "limits": {
             "max_header_bytes": 16384, "max_body_bytes": 100_000,
@@ -116,18 +137,19 @@
     /// # Errors
     ///
     /// Fails if no port is free or a process cannot be started.
-    pub fn start(program: &Path, size: &Size) -> io::Result<Self> {
+    pub fn start(program: &Path, size: &Size, extended: bool) -> io::Result<Self> {
         let store = Store::start()?;
-        store.put("op/config", &configuration(1));
         let mut cluster = Self {
             store,
             journal: Journal::default(),
             endpoints: Vec::new(),
             nodes: Vec::new(),
-            version: 1,
+            version: 0,
+            extended,
             last_unplanned: Instant::now(),
             record: Record::default(),
         };
+        cluster.configure();
         let keyed = (0..size.keyed).map(|index| (format!("k{index}"), "keyed"));
         let pooled = (0..size.pooled).map(|index| (format!("p{index}"), "pooled"));
         for (id, service) in keyed.chain(pooled) {
@@ -160,6 +182,12 @@
         Ok(Endpoint { id, service, incarnation, target, proxy, up: true })
     }
 
+    /// Writes a new version of the configuration.
+    fn configure(&mut self) {
+        self.version += 1;
+        self.store.put("op/config", &configuration(self.version, self.extended));
+    }
+
     /// Writes the registration of a target, with the address of its proxy, to the store.
     fn register(&self, endpoint: &Endpoint, state: &str) {
         let mut registration = endpoint.target.registration(state);
@@ -193,8 +221,7 @@
             Fault::Stop(index) => self.stop(index),
             Fault::Configure(count) => {
                 for _ in 0..count {
-                    self.version += 1;
-                    self.store.put("op/config", &configuration(self.version));
+                    self.configure();
                 }
             }
             Fault::Malformed => self.store.put_bytes("op/config", b"{\"version\": 9"),
@@ -222,7 +249,7 @@
                 self.record_unplanned();
                 self.store.set_mode(mode);
             }
-            Fault::Crash(index) => {
+            Fault::Crash(index) | Fault::Cold(index) => {
                 self.record_unplanned();
                 self.crash(index);
             }
@@ -232,6 +259,9 @@
                     self.store.remove(&endpoint.target.registration_key());
                 }
             }
+            // The bound on requests to cold targets assumes that transit times vary little.
+            Fault::TargetLink(index, _)
+                if self.endpoints.get(index).is_some_and(|e| e.target.is_cold()) => {}
             Fault::TargetLink(index, link) => {
                 self.record_unplanned();
                 self.set_target_link(index, link);
@@ -268,8 +298,9 @@
             Fault::StoreLink(index, _) => self.set_store_link(index, Link::Open),
             Fault::Store(_) => self.store.set_mode(Mode::Up),
             Fault::Crash(index) | Fault::Leave(index) | Fault::Announce(index) => {
-                self.replace_target(index)?;
+                self.replace_target(index, false)?;
             }
+            Fault::Cold(index) => self.replace_target(index, true)?,
             Fault::Refuse(index) => self.set_pause(index, None),
             Fault::Unlist(index) => {
                 if let Some(endpoint) = self.endpoints.get(index)
@@ -362,6 +393,9 @@
         if let Some(endpoint) = self.endpoints.get_mut(index)
             && endpoint.up
         {
+            if endpoint.target.is_down() {
+                self.record.crashes.push(format!("{} {}", endpoint.id, endpoint.incarnation));
+            }
             endpoint.up = false;
             endpoint.target.crash();
             endpoint.proxy.close_connections();
@@ -369,7 +403,7 @@
     }
 
     /// Ends a target and starts a new incarnation under its id, at another address.
-    fn replace_target(&mut self, index: usize) -> io::Result<()> {
+    fn replace_target(&mut self, index: usize, cold: bool) -> io::Result<()> {
         self.crash(index);
         let Some(endpoint) = self.endpoints.get(index) else { return Ok(()) };
         let (id, service, incarnation) =
@@ -379,6 +413,9 @@
             notice.until = notice.until.min(now);
         }
         let endpoint = self.start_endpoint(id, service, incarnation)?;
+        if cold {
+            endpoint.target.make_cold(COLD_TIME, MAX_COLD_ARRIVALS);
+        }
         self.register(&endpoint, "ready");
         if let Some(old) = self.endpoints.get_mut(index) {
             *old = endpoint;
@@ -453,6 +490,9 @@
         for (instance, node) in self.nodes.iter().enumerate() {
             self.record.versions.extend(applied_versions(instance, &node.instance.log()));
         }
+        for endpoint in self.endpoints.iter().filter(|e| e.up && e.target.is_down()) {
+            self.record.crashes.push(format!("{} {}", endpoint.id, endpoint.incarnation));
+        }
         self.record.runs = self.journal.runs();
         self.record.conflicts = self.journal.conflicts();
     }
--- a/bins/soak/src/main.rs
+++ b/bins/soak/src/main.rs
@@ -46,6 +46,9 @@
     /// Number of concurrent callers.
     #[arg(long, default_value_t = 24)]
     callers: usize,
+    /// Leaves out the additional faults, as in runs of earlier versions.
+    #[arg(long)]
+    basic: bool,
     /// Directory for the instance logs of runs that violated an invariant.
     #[arg(long, default_value = "target/soak")]
     logs: PathBuf,
@@ -63,7 +66,8 @@
     };
     let duration = Duration::from_secs(arguments.seconds);
     if arguments.show {
-        for step in plan::schedule(arguments.seed, &size, duration) {
+        let schedule = if arguments.basic { plan::schedule } else { plan::extended_schedule };
+        for step in schedule(arguments.seed, &size, duration) {
             println!(
                 "{:8.3} s for {:6.3} s {:?}",
                 step.at.as_secs_f64(),
@@ -75,7 +79,8 @@
     }
     let mut all_passed = true;
     for seed in arguments.seed..arguments.seed.saturating_add(arguments.seeds) {
-        let options = Options { seed, size, callers: arguments.callers, duration };
+        let (callers, extended) = (arguments.callers, !arguments.basic);
+        let options = Options { seed, size, callers, duration, extended };
         let outcome = match run::run(&arguments.program, &options) {
             Ok(outcome) => outcome,
             Err(error) => {
--- a/bins/soak/src/plan.rs
+++ b/bins/soak/src/plan.rs
@@ -81,6 +81,8 @@
     Refuse(usize),
     /// Writes an odd entry, of the given shape, beside those of the targets.
     OddEntry(usize),
+    /// Crashes a target, and starts a new incarnation at the end that is cold.
+    Cold(usize),
 }
 
 /// Mean time between the starts of two faults of targets in trouble.
@@ -90,6 +92,13 @@
 /// other faults of a seed stay the same.
 const TROUBLE_SEED: u64 = 0x7a11;
 
+/// Mean time between the starts of two additional faults.
+const MEAN_ADDITION_INTERVAL: Duration = Duration::from_millis(1000);
+
+/// Distinguishes the random numbers of the additional faults from those of the others, so that the
+/// other faults of a seed stay the same.
+const ADDITION_SEED: u64 = 0xc01d;
+
 /// A scheduled fault.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Step {
@@ -128,6 +137,32 @@
     steps
 }
 
+/// Returns the fault schedule of a run with additional faults, in order of start. Its other steps are
+/// those of [`schedule`]. All faults end by `limit`.
+pub fn extended_schedule(seed: u64, size: &Size, limit: Duration) -> Vec<Step> {
+    let mut steps = schedule(seed, size, limit);
+    steps.extend(additions(seed, size, limit));
+    steps.sort_by_key(|step| step.at);
+    steps
+}
+
+/// Returns the additional faults, which begin after the maintenance.
+fn additions(seed: u64, size: &Size, limit: Duration) -> Vec<Step> {
+    let mut random = StdRng::seed_from_u64(seed ^ ADDITION_SEED);
+    let mut steps = Vec::new();
+    let mut at = limit.mul_f64(MAINTENANCE_SHARE);
+    loop {
+        at += MEAN_ADDITION_INTERVAL.mul_f64(-random.random::<f64>().max(1e-9).ln());
+        if at + MIN_DURATION >= limit {
+            return steps;
+        }
+        let fault = Fault::Cold(random.random_range(0..size.keyed + size.pooled));
+        let longest = MAX_DURATION.min(limit - at);
+        let duration = MIN_DURATION + (longest - MIN_DURATION).mul_f64(random.random::<f64>());
+        steps.push(Step { at, fault, duration });
+    }
+}
+
 /// Returns the faults of targets in trouble, which begin after the maintenance.
 fn troubles(seed: u64, size: &Size, limit: Duration) -> Vec<Step> {
     let mut random = StdRng::seed_from_u64(seed ^ TROUBLE_SEED);
--- a/bins/soak/src/run.rs
+++ b/bins/soak/src/run.rs
@@ -52,6 +52,8 @@
     pub callers: usize,
     /// Duration of fault injection.
     pub duration: Duration,
+    /// Whether the run has additional faults.
+    pub extended: bool,
 }
 
 /// Result of a run.
@@ -72,7 +74,7 @@
 /// Fails if a process or a stand-in cannot be started, or if not every request is served before the first
 /// fault.
 pub fn run(program: &Path, options: &Options) -> io::Result<Outcome> {
-    let mut cluster = Cluster::start(program, &options.size)?;
+    let mut cluster = Cluster::start(program, &options.size, options.extended)?;
     let addresses: Vec<SocketAddr> =
         cluster.instances().map(|instance| instance.caller_address).collect();
     if !wait_served(&cluster, &addresses, "start", STARTUP_LIMIT).is_empty() {
@@ -108,8 +110,8 @@
 
 /// Injects and clears the scheduled faults.
 fn inject_faults(cluster: &mut Cluster, options: &Options) -> io::Result<()> {
-    let mut steps =
-        plan::schedule(options.seed, &options.size, options.duration).into_iter().peekable();
+    let schedule = if options.extended { plan::extended_schedule } else { plan::schedule };
+    let mut steps = schedule(options.seed, &options.size, options.duration).into_iter().peekable();
     let mut ends: Vec<(Duration, Fault)> = Vec::new();
     let (started, mut last_supervision) = (Instant::now(), Instant::now());
     while started.elapsed() < options.duration {
--- a/bins/soak/tests/promises.rs
+++ b/bins/soak/tests/promises.rs
@@ -17,6 +17,7 @@
 use caraway_soak::check::findings;
 use caraway_soak::cluster;
 use caraway_soak::plan;
+use caraway_soak::plan::Fault;
 use caraway_soak::plan::Size;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -125,8 +126,8 @@
     assert_eq!(rows, [(7, 1, 4), (7, 2, 3)]);
 }
 
-/// Guards against missing executions that no caller requested, keys with two owners, and requests that stay
-/// unserved.
+/// Guards against missing executions that no caller requested, keys with two owners, crashes of cold targets,
+/// and requests that stay unserved.
 #[test]
 fn the_other_invariants_are_checked() {
     let now = Instant::now();
@@ -142,12 +143,14 @@
     let record = Record {
         runs: vec![run("nobody", now)],
         conflicts: vec![(hold.clone(), hold)],
+        crashes: vec!["t 1".to_owned()],
         unserved: vec!["a key".to_owned()],
         ..Record::default()
     };
     let expected = [
         "a key has one owner",
         "a target runs what a caller sent",
+        "a cold target gets no more requests than it tolerates",
         "everything is served again after the last fault",
     ];
     assert_eq!(violated(&record), expected);
@@ -174,3 +177,18 @@
     kinds.dedup();
     assert_eq!(kinds.len(), 16, "{kinds:?}");
 }
+
+/// Guards against additional faults that change the other steps of a seed, so that regression cases no longer
+/// run the faults they were found with, and against a kind that is never drawn.
+#[test]
+fn additional_faults_leave_the_other_steps_of_a_seed_as_they_are() {
+    let (size, duration) = (Size::default(), 20 * SECOND);
+    for seed in 0..20 {
+        let (basic, mut extended) =
+            (plan::schedule(seed, &size, duration), plan::extended_schedule(seed, &size, duration));
+        assert!(extended.iter().all(|step| step.at + step.duration <= duration));
+        assert!(extended.iter().any(|step| matches!(step.fault, Fault::Cold(_))));
+        extended.retain(|step| !matches!(step.fault, Fault::Cold(_)));
+        assert_eq!(basic, extended);
+    }
+}
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -73,6 +73,8 @@
 pub struct Arrival {
     /// Id of the target.
     pub target: String,
+    /// Start time of the target's incarnation, in milliseconds since the Unix epoch.
+    pub born: u64,
     /// Id of the caller's attempt.
     pub attempt: String,
     /// Time of the arrival.
@@ -275,6 +277,11 @@
         *lock(&self.shared.warmup) = Some(Warmup { until, max_arrivals });
     }
 
+    /// Returns whether the target is cold.
+    pub fn is_cold(&self) -> bool {
+        self.shared.warmup_left_ms() > 0
+    }
+
     /// Returns whether the target has crashed.
     pub fn is_down(&self) -> bool {
         self.shared.down.load(Ordering::SeqCst)
@@ -319,8 +326,11 @@
             return false;
         }
         let arrivals = lock(&self.journal.arrivals);
-        let recent =
-            |arrival: &&Arrival| arrival.target == self.id && arrival.at.elapsed() < WARMUP_WINDOW;
+        // A new process knows nothing of what arrived at the one before it.
+        let recent = |arrival: &&Arrival| {
+            (&arrival.target, arrival.born) == (&self.id, self.born)
+                && arrival.at.elapsed() < WARMUP_WINDOW
+        };
         arrivals.iter().filter(recent).count() > warmup.max_arrivals
     }
 
@@ -494,8 +504,12 @@
             return Ok(true);
         }
     }
-    let arrival =
-        Arrival { target: shared.id.clone(), attempt: attempt.clone(), at: Instant::now() };
+    let arrival = Arrival {
+        target: shared.id.clone(),
+        born: shared.born,
+        attempt: attempt.clone(),
+        at: Instant::now(),
+    };
     let arrived_before = {
         let mut arrivals = lock(&shared.journal.arrivals);
         arrivals.push(arrival);
