Evacuate failure domains in the soak

Instances and targets are in two failure domains in runs with additional faults. The soak checks that no request arrives at a target of an evacuated domain after the bound and before the key is removed. Evacuations of which no instance may have learned, because the store failed within a second, are not checked. One in eight additional faults is an evacuation, so a seed draws other additional faults than before this change; the other faults of a seed stay the same.

--- a/bins/soak/src/check.rs
+++ b/bins/soak/src/check.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use caraway_production::target::Arrival;
 use caraway_production::target::Hold;
 use caraway_production::target::Run;
 
@@ -14,6 +15,10 @@
 /// settings of the instances.
 const DRAIN_TIME: Duration = Duration::from_millis(2000);
 
+/// Time after the start of an evacuation in which requests may still arrive at the targets of the failure
+/// domain; equals `evacuate_ms` in the settings of the instances.
+const EVACUATION_TIME: Duration = Duration::from_millis(4000);
+
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -67,6 +72,19 @@
     pub until: Instant,
 }
 
+/// An evacuation of a failure domain that an instance could learn of.
+#[derive(Clone, Debug)]
+pub struct Evacuation {
+    /// Name of the failure domain.
+    pub domain: &'static str,
+    /// Ids of the targets of the failure domain.
+    pub targets: Vec<String>,
+    /// Time at which it was written to the store.
+    pub at: Instant,
+    /// Time at which it was removed.
+    pub until: Instant,
+}
+
 /// A graceful stop of an instance with no unplanned fault at the same time.
 #[derive(Clone, Copy, Debug)]
 pub struct Stop {
@@ -96,10 +114,14 @@
     pub calls: Vec<Call>,
     /// Executions by targets.
     pub runs: Vec<Run>,
+    /// Arrivals of requests at targets, except for those answered 421.
+    pub arrivals: Vec<Arrival>,
     /// Pairs of conflicting holds of the same keys.
     pub conflicts: Vec<(Hold, Hold)>,
     /// Draining notices of targets.
     pub notices: Vec<Notice>,
+    /// Evacuations of failure domains.
+    pub evacuations: Vec<Evacuation>,
     /// Graceful stops of instances.
     pub stops: Vec<Stop>,
     /// Descriptions of cold targets that crashed because they got too many requests.
@@ -173,6 +195,16 @@
             add("a leaving target gets no requests after its notice", &(notice, run));
         }
     }
+    for evacuation in &record.evacuations {
+        let late = |arrival: &&Arrival| {
+            evacuation.targets.contains(&arrival.target)
+                && arrival.at > evacuation.at + EVACUATION_TIME
+                && arrival.at < evacuation.until
+        };
+        for arrival in record.arrivals.iter().filter(late) {
+            add("an evacuated domain gets no requests after the bound", &(evacuation, arrival));
+        }
+    }
     let mut highest_versions: HashMap<(usize, u32), u64> = HashMap::new();
     for applied in &record.versions {
         let highest = highest_versions.entry((applied.instance, applied.process)).or_default();
--- a/bins/soak/src/cluster.rs
+++ b/bins/soak/src/cluster.rs
@@ -8,10 +8,12 @@
 use serde_json::Value;
 use serde_json::json;
 
+use crate::check::Evacuation;
 use crate::check::Notice;
 use crate::check::Record;
 use crate::check::Stop;
 use crate::check::Version;
+use crate::plan::DOMAINS;
 use crate::plan::Fault;
 use crate::plan::Size;
 use caraway_production::caller::Caller;
@@ -40,6 +42,12 @@
 /// in the settings of the instances.
 const MAX_COLD_ARRIVALS: usize = 8;
 
+/// Names of the failure domains. A run without additional faults has only the first.
+const DOMAIN_NAMES: [&str; DOMAINS] = ["a", "b"];
+
+/// Time within which an instance learns of an evacuation from a store that responds.
+const LEARNING_TIME: Duration = Duration::from_secs(1);
+
 /// Pieces of odd entries, which are repeated.
 const ODD_ENTRIES: [&str; 4] = ["[", "{\"address\":\"127.0.0.1:70000\"}", "\u{0}", "1e999"];
 
@@ -51,6 +59,7 @@
 struct Endpoint {
     id: String,
     service: &'static str,
+    domain: &'static str,
     incarnation: u64,
     target: Target,
     proxy: Proxy,
@@ -92,6 +101,10 @@
     extended: bool,
     /// Time at which the latest unplanned fault was injected.
     last_unplanned: Instant,
+    /// Number of evacuations in progress of each failure domain.
+    evacuated: [u32; DOMAINS],
+    /// Whether the store is in its usual mode.
+    store_up: bool,
     /// Observations, except for calls and unserved requests.
     pub record: Record,
 }
@@ -147,28 +160,38 @@
             version: 0,
             extended,
             last_unplanned: Instant::now(),
+            evacuated: [0; DOMAINS],
+            store_up: true,
             record: Record::default(),
         };
         cluster.configure();
         let keyed = (0..size.keyed).map(|index| (format!("k{index}"), "keyed"));
         let pooled = (0..size.pooled).map(|index| (format!("p{index}"), "pooled"));
-        for (id, service) in keyed.chain(pooled) {
-            let endpoint = cluster.start_endpoint(id, service, FIRST_INCARNATION)?;
+        for (index, (id, service)) in keyed.chain(pooled).enumerate() {
+            let domain = cluster.domain(index);
+            let endpoint = cluster.start_endpoint(id, service, domain, FIRST_INCARNATION)?;
             cluster.register(&endpoint, "ready");
             cluster.endpoints.push(endpoint);
         }
-        for _ in 0..size.instances {
+        for index in 0..size.instances {
             let store_proxy = Proxy::start(cluster.store.address)?;
-            let instance = Instance::start(program, "a", store_proxy.address)?;
+            let instance = Instance::start(program, cluster.domain(index), store_proxy.address)?;
             cluster.nodes.push(Node { instance, store_proxy, stop_requested: None, paused: false });
         }
         Ok(cluster)
     }
 
+    /// Returns the failure domain of an instance or target.
+    fn domain(&self, index: usize) -> &'static str {
+        let number = if self.extended { index % DOMAINS } else { 0 };
+        DOMAIN_NAMES.get(number).copied().unwrap_or_default()
+    }
+
     fn start_endpoint(
         &self,
         id: String,
         service: &'static str,
+        domain: &'static str,
         incarnation: u64,
     ) -> io::Result<Endpoint> {
         let target = Target::start_incarnation(
@@ -179,7 +202,7 @@
             &self.journal,
         )?;
         let proxy = Proxy::start(target.address)?;
-        Ok(Endpoint { id, service, incarnation, target, proxy, up: true })
+        Ok(Endpoint { id, service, domain, incarnation, target, proxy, up: true })
     }
 
     /// Writes a new version of the configuration.
@@ -190,7 +213,7 @@
 
     /// Writes the registration of a target, with the address of its proxy, to the store.
     fn register(&self, endpoint: &Endpoint, state: &str) {
-        let mut registration = endpoint.target.registration(state);
+        let mut registration = endpoint.target.registration_in(state, endpoint.domain);
         if let Some(address) = registration.get_mut("address") {
             *address = endpoint.proxy.address.to_string().into();
         }
@@ -247,6 +270,9 @@
             }
             Fault::Store(mode) => {
                 self.record_unplanned();
+                self.store_up = false;
+                // No instance may have learned of an evacuation that the store acknowledged just before.
+                self.record.evacuations.retain(|e| e.at.elapsed() > LEARNING_TIME);
                 self.store.set_mode(mode);
             }
             Fault::Crash(index) | Fault::Cold(index) => {
@@ -259,9 +285,12 @@
                     self.store.remove(&endpoint.target.registration_key());
                 }
             }
-            // The bound on requests to cold targets assumes that transit times vary little.
+            // The bounds for cold targets and evacuations assume that transit times vary little.
             Fault::TargetLink(index, _)
-                if self.endpoints.get(index).is_some_and(|e| e.target.is_cold()) => {}
+                if self
+                    .endpoints
+                    .get(index)
+                    .is_some_and(|e| e.target.is_cold() || self.is_evacuated(e.domain)) => {}
             Fault::TargetLink(index, link) => {
                 self.record_unplanned();
                 self.set_target_link(index, link);
@@ -271,6 +300,7 @@
                     endpoint.target.announce_departure();
                 }
             }
+            Fault::Evacuate(domain) => self.evacuate(domain),
             Fault::Refuse(index) => self.set_pause(index, Some(PAUSE_SECONDS)),
             Fault::OddEntry(number) => {
                 let entry = ODD_ENTRIES.get(number % ODD_ENTRIES.len()).copied();
@@ -296,7 +326,8 @@
                 }
             }
             Fault::StoreLink(index, _) => self.set_store_link(index, Link::Open),
-            Fault::Store(_) => self.store.set_mode(Mode::Up),
+            Fault::Store(_) => self.set_store_up(),
+            Fault::Evacuate(domain) => self.end_evacuation(domain),
             Fault::Crash(index) | Fault::Leave(index) | Fault::Announce(index) => {
                 self.replace_target(index, false)?;
             }
@@ -340,6 +371,56 @@
         }
     }
 
+    fn set_store_up(&mut self) {
+        self.store.set_mode(Mode::Up);
+        self.store_up = true;
+    }
+
+    fn is_evacuated(&self, domain: &str) -> bool {
+        let mut domains = DOMAIN_NAMES.iter().zip(self.evacuated);
+        domains.any(|(name, count)| *name == domain && count > 0)
+    }
+
+    /// Evacuates a failure domain, unless that is in progress or no instance would learn of it.
+    fn evacuate(&mut self, domain: usize) {
+        let (Some(name), Some(count)) = (DOMAIN_NAMES.get(domain), self.evacuated.get_mut(domain))
+        else {
+            return;
+        };
+        *count += 1;
+        if *count > 1 {
+            return;
+        }
+        let inside = self.endpoints.iter().filter(|endpoint| endpoint.domain == *name);
+        let mut targets = Vec::new();
+        for endpoint in inside {
+            endpoint.proxy.set_link(Link::Open);
+            targets.push(endpoint.id.clone());
+        }
+        self.store.put(&format!("op/evacuate/{name}"), &json!({}));
+        if self.store_up {
+            let at = Instant::now();
+            let until = at + Duration::from_secs(3600);
+            self.record.evacuations.push(Evacuation { domain: name, targets, at, until });
+        }
+    }
+
+    fn end_evacuation(&mut self, domain: usize) {
+        let (Some(name), Some(count)) = (DOMAIN_NAMES.get(domain), self.evacuated.get_mut(domain))
+        else {
+            return;
+        };
+        *count = count.saturating_sub(1);
+        if *count > 0 {
+            return;
+        }
+        let now = Instant::now();
+        for evacuation in self.record.evacuations.iter_mut().filter(|e| e.domain == *name) {
+            evacuation.until = evacuation.until.min(now);
+        }
+        self.store.remove(&format!("op/evacuate/{name}"));
+    }
+
     fn set_store_link(&self, index: usize, link: Link) {
         if let Some(node) = self.nodes.get(index) {
             node.store_proxy.set_link(link);
@@ -412,7 +493,7 @@
         for notice in self.record.notices.iter_mut().filter(|notice| notice.target == id) {
             notice.until = notice.until.min(now);
         }
-        let endpoint = self.start_endpoint(id, service, incarnation)?;
+        let endpoint = self.start_endpoint(id, service, self.domain(index), incarnation)?;
         if cold {
             endpoint.target.make_cold(COLD_TIME, MAX_COLD_ARRIVALS);
         }
@@ -464,7 +545,7 @@
     ///
     /// Fails if a process cannot be started.
     pub fn clear_faults(&mut self) -> io::Result<()> {
-        self.store.set_mode(Mode::Up);
+        self.set_store_up();
         for index in 0..self.nodes.len() {
             self.set_store_link(index, Link::Open);
             self.signal(index, "CONT");
@@ -493,6 +574,7 @@
         for endpoint in self.endpoints.iter().filter(|e| e.up && e.target.is_down()) {
             self.record.crashes.push(format!("{} {}", endpoint.id, endpoint.incarnation));
         }
+        self.record.arrivals = self.journal.arrivals();
         self.record.runs = self.journal.runs();
         self.record.conflicts = self.journal.conflicts();
     }
--- a/bins/soak/src/plan.rs
+++ b/bins/soak/src/plan.rs
@@ -83,8 +83,21 @@
     OddEntry(usize),
     /// Crashes a target, and starts a new incarnation at the end that is cold.
     Cold(usize),
+    /// Evacuates a failure domain, and restores it at the end.
+    Evacuate(usize),
 }
 
+/// Number of failure domains in a run with additional faults.
+pub const DOMAINS: usize = 2;
+
+/// Shortest duration of an evacuation: longer than the bound after which no requests may arrive.
+const MIN_EVACUATION: Duration = Duration::from_millis(5500);
+/// Longest duration of an evacuation.
+const MAX_EVACUATION: Duration = Duration::from_millis(8000);
+
+/// One in this many additional faults is an evacuation.
+const EVACUATION_PERIOD: u32 = 8;
+
 /// Mean time between the starts of two faults of targets in trouble.
 const MEAN_TROUBLE_INTERVAL: Duration = Duration::from_millis(1500);
 
@@ -156,9 +169,16 @@
         if at + MIN_DURATION >= limit {
             return steps;
         }
-        let fault = Fault::Cold(random.random_range(0..size.keyed + size.pooled));
-        let longest = MAX_DURATION.min(limit - at);
-        let duration = MIN_DURATION + (longest - MIN_DURATION).mul_f64(random.random::<f64>());
+        let fault = match random.random_range(0..EVACUATION_PERIOD) {
+            0 => Fault::Evacuate(random.random_range(0..DOMAINS)),
+            _ => Fault::Cold(random.random_range(0..size.keyed + size.pooled)),
+        };
+        let (shortest, longest) = match fault {
+            Fault::Evacuate(_) => (MIN_EVACUATION, MAX_EVACUATION),
+            _ => (MIN_DURATION, MAX_DURATION),
+        };
+        let (shortest, longest) = (shortest.min(limit - at), longest.min(limit - at));
+        let duration = shortest + (longest - shortest).mul_f64(random.random::<f64>());
         steps.push(Step { at, fault, duration });
     }
 }
--- a/bins/soak/tests/promises.rs
+++ b/bins/soak/tests/promises.rs
@@ -5,10 +5,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use caraway_production::target::Arrival;
 use caraway_production::target::Hold;
 use caraway_production::target::Run;
 use caraway_soak::check::Call;
 use caraway_soak::check::End;
+use caraway_soak::check::Evacuation;
 use caraway_soak::check::Kind;
 use caraway_soak::check::Notice;
 use caraway_soak::check::Record;
@@ -19,6 +21,7 @@
 use caraway_soak::plan;
 use caraway_soak::plan::Fault;
 use caraway_soak::plan::Size;
+use caraway_soak::plan::Step;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -101,6 +104,36 @@
     assert_eq!(violated(&record), expected);
 }
 
+/// Guards against missing late requests to an evacuated domain, and against findings for requests within the
+/// bound, after the evacuation or at targets elsewhere.
+#[yare::parameterized(
+    in_time = { "t", 3900, false },
+    late = { "t", 4100, true },
+    restored = { "t", 5100, false },
+    elsewhere = { "u", 4100, false },
+)]
+fn late_requests_to_evacuated_domains_are_checked(target: &str, after_ms: u64, violation: bool) {
+    let at = Instant::now();
+    let arrival = Arrival {
+        target: target.to_owned(),
+        born: 1,
+        attempt: "a".to_owned(),
+        at: at + Duration::from_millis(after_ms),
+    };
+    let targets = vec!["t".to_owned()];
+    let record = Record {
+        arrivals: vec![arrival],
+        evacuations: vec![Evacuation { domain: "a", targets, at, until: at + 5 * SECOND }],
+        ..Record::default()
+    };
+    let expected = if violation {
+        vec!["an evacuated domain gets no requests after the bound"]
+    } else {
+        vec![]
+    };
+    assert_eq!(violated(&record), expected);
+}
+
 /// Guards against missing a configuration version that decreases. A restarted process may begin
 /// with an older version.
 #[yare::parameterized(
@@ -183,12 +216,17 @@
 #[test]
 fn additional_faults_leave_the_other_steps_of_a_seed_as_they_are() {
     let (size, duration) = (Size::default(), 20 * SECOND);
+    let mut evacuations = 0;
     for seed in 0..20 {
         let (basic, mut extended) =
             (plan::schedule(seed, &size, duration), plan::extended_schedule(seed, &size, duration));
         assert!(extended.iter().all(|step| step.at + step.duration <= duration));
-        assert!(extended.iter().any(|step| matches!(step.fault, Fault::Cold(_))));
-        extended.retain(|step| !matches!(step.fault, Fault::Cold(_)));
+        let is_cold = |step: &Step| matches!(step.fault, Fault::Cold(_));
+        let is_evacuation = |step: &Step| matches!(step.fault, Fault::Evacuate(_));
+        assert!(extended.iter().any(is_cold));
+        evacuations += extended.iter().filter(|step| is_evacuation(step)).count();
+        extended.retain(|step| !is_cold(step) && !is_evacuation(step));
         assert_eq!(basic, extended);
     }
+    assert!(evacuations > 20, "{evacuations} evacuations");
 }
