Let misbehaving clients beside the callers of the soak

All checks apply beside them, and a process that ends without being stopped or killed is a finding, also in basic runs. An evacuation has one finding at most.

--- a/bins/soak/src/check.rs
+++ b/bins/soak/src/check.rs
@@ -126,6 +126,8 @@
     pub stops: Vec<Stop>,
     /// Descriptions of cold targets that crashed because they got too many requests.
     pub crashes: Vec<String>,
+    /// Descriptions of instances whose process ended without being stopped or killed.
+    pub exits: Vec<String>,
     /// Applied configuration versions, in log order for each instance.
     pub versions: Vec<Version>,
     /// Descriptions of requests that were not served, and instances with an old configuration,
@@ -201,7 +203,7 @@
                 && arrival.at > evacuation.at + EVACUATION_TIME
                 && arrival.at < evacuation.until
         };
-        for arrival in record.arrivals.iter().filter(late) {
+        if let Some(arrival) = record.arrivals.iter().find(late) {
             add("an evacuated domain gets no requests after the bound", &(evacuation, arrival));
         }
     }
@@ -216,6 +218,9 @@
     for description in &record.crashes {
         add("a cold target gets no more requests than it tolerates", description);
     }
+    for description in &record.exits {
+        add("a process ends only when it is stopped", description);
+    }
     for description in &record.unserved {
         add("everything is served again after the last fault", description);
     }
--- a/bins/soak/src/cluster.rs
+++ b/bins/soak/src/cluster.rs
@@ -1,7 +1,9 @@
 //! Processes and stand-ins of a run, and fault injection into them.
 
 use std::io;
+use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
+use std::process::ExitStatus;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -54,6 +56,9 @@
 /// Time limit of a check whether a process has exited.
 const EXIT_POLL: Duration = Duration::from_millis(1);
 
+/// Number of the signal to reload settings.
+const SIGHUP: i32 = 1;
+
 /// A target behind a proxy.
 #[derive(Debug)]
 struct Endpoint {
@@ -74,6 +79,8 @@
     /// Time at which a graceful stop was requested, until the process is restarted.
     stop_requested: Option<Instant>,
     paused: bool,
+    /// Whether the process was killed, or its end was recorded, until it is restarted.
+    killed: bool,
 }
 
 impl Node {
@@ -81,6 +88,23 @@
         self.instance.wait(EXIT_POLL).is_some()
     }
 
+    /// Returns the status of a process that ended without being stopped or killed, once.
+    fn unexpected_exit(&mut self) -> Option<ExitStatus> {
+        if self.killed || self.stop_requested.is_some() {
+            return None;
+        }
+        let status = self.instance.exit_status()?;
+        self.killed = true;
+        // SIGHUP ends a process that has just started and does not handle it yet.
+        (status.signal() != Some(SIGHUP)).then_some(status)
+    }
+
+    fn restart(&mut self) -> io::Result<()> {
+        self.instance.restart()?;
+        (self.stop_requested, self.paused, self.killed) = (None, false, false);
+        Ok(())
+    }
+
     fn signal(&mut self, name: &str) {
         if !self.has_exited() {
             self.instance.signal(name);
@@ -176,7 +200,13 @@
         for index in 0..size.instances {
             let store_proxy = Proxy::start(cluster.store.address)?;
             let instance = Instance::start(program, cluster.domain(index), store_proxy.address)?;
-            cluster.nodes.push(Node { instance, store_proxy, stop_requested: None, paused: false });
+            cluster.nodes.push(Node {
+                instance,
+                store_proxy,
+                stop_requested: None,
+                paused: false,
+                killed: false,
+            });
         }
         Ok(cluster)
     }
@@ -252,9 +282,10 @@
             Fault::Compact => self.store.compact(),
             Fault::Kill(index) => {
                 self.record_unplanned();
+                self.record_exits();
                 if let Some(node) = self.nodes.get_mut(index) {
                     node.instance.kill();
-                    (node.stop_requested, node.paused) = (None, false);
+                    (node.stop_requested, node.paused, node.killed) = (None, false, true);
                 }
             }
             Fault::Pause(index) => {
@@ -504,12 +535,21 @@
         Ok(())
     }
 
+    /// Records processes that ended without being stopped or killed.
+    fn record_exits(&mut self) {
+        for node in &mut self.nodes {
+            if let Some(status) = node.unexpected_exit() {
+                self.record.exits.push(format!("{}: {status}", node.instance.name));
+            }
+        }
+    }
+
     /// Restarts an instance if it has exited.
     fn restart_exited(&mut self, index: usize) -> io::Result<()> {
+        self.record_exits();
         let Some(node) = self.nodes.get_mut(index) else { return Ok(()) };
         if node.has_exited() {
-            node.instance.restart()?;
-            (node.stop_requested, node.paused) = (None, false);
+            node.restart()?;
         }
         Ok(())
     }
@@ -520,6 +560,7 @@
     ///
     /// Fails if a process cannot be started.
     pub fn supervise(&mut self) -> io::Result<()> {
+        self.record_exits();
         for index in 0..self.nodes.len() {
             let Some(node) = self.nodes.get_mut(index) else { continue };
             if let Some(since) = node.stop_requested {
@@ -531,8 +572,7 @@
                     for stop in self.record.stops.iter_mut().filter(|s| s.instance == index) {
                         stop.until = stop.until.min(Instant::now());
                     }
-                    node.instance.restart()?;
-                    (node.stop_requested, node.paused) = (None, false);
+                    node.restart()?;
                 }
             }
         }
@@ -571,6 +611,7 @@
         for (instance, node) in self.nodes.iter().enumerate() {
             self.record.versions.extend(applied_versions(instance, &node.instance.log()));
         }
+        self.record_exits();
         for endpoint in self.endpoints.iter().filter(|e| e.up && e.target.is_down()) {
             self.record.crashes.push(format!("{} {}", endpoint.id, endpoint.incarnation));
         }
--- a/bins/soak/src/load.rs
+++ b/bins/soak/src/load.rs
@@ -18,6 +18,7 @@
 use crate::check::Call;
 use crate::check::End;
 use crate::check::Kind;
+use crate::crowd;
 use caraway_production::caller::Caller;
 use caraway_production::caller::Response;
 
@@ -58,8 +59,8 @@
 }
 
 impl Load {
-    /// Starts callers, each on its own thread.
-    pub fn start(seed: u64, callers: usize, instances: &[SocketAddr]) -> Self {
+    /// Starts callers and misbehaving clients, each on its own thread.
+    pub fn start(seed: u64, callers: usize, misbehaving: usize, instances: &[SocketAddr]) -> Self {
         let stopping = Arc::new(AtomicBool::new(false));
         let calls = Arc::new(Mutex::new(Vec::new()));
         let start = |number: usize| {
@@ -77,7 +78,13 @@
                 }
             })
         };
-        let threads = (0..callers).map(start).collect();
+        let start_misbehaving = |number: usize| {
+            let (stopping, instances) = (stopping.clone(), instances.to_vec());
+            let seed = seed ^ (callers + number + 1) as u64;
+            thread::spawn(move || crowd::run(seed, &instances, &stopping))
+        };
+        let threads =
+            (0..callers).map(start).chain((0..misbehaving).map(start_misbehaving)).collect();
         Self { stopping, threads, calls }
     }
 
--- a/bins/soak/src/main.rs
+++ b/bins/soak/src/main.rs
@@ -46,7 +46,7 @@
     /// Number of concurrent callers.
     #[arg(long, default_value_t = 24)]
     callers: usize,
-    /// Leaves out the additional faults, as in runs of earlier versions.
+    /// Leaves out the additional faults and the misbehaving clients, as in runs of earlier versions.
     #[arg(long)]
     basic: bool,
     /// Directory for the instance logs of runs that violated an invariant.
--- a/bins/soak/src/run.rs
+++ b/bins/soak/src/run.rs
@@ -15,6 +15,7 @@
 use crate::check::Record;
 use crate::cluster;
 use crate::cluster::Cluster;
+use crate::crowd;
 use crate::load;
 use crate::load::Load;
 use crate::plan;
@@ -52,7 +53,7 @@
     pub callers: usize,
     /// Duration of fault injection.
     pub duration: Duration,
-    /// Whether the run has additional faults.
+    /// Whether the run has additional faults and misbehaving clients.
     pub extended: bool,
 }
 
@@ -80,7 +81,8 @@
     if !wait_served(&cluster, &addresses, "start", STARTUP_LIMIT).is_empty() {
         return Err(io::Error::other("not all requests are served before the first fault"));
     }
-    let load = Load::start(options.seed, options.callers, &addresses);
+    let misbehaving = if options.extended { crowd::CLIENTS } else { 0 };
+    let load = Load::start(options.seed, options.callers, misbehaving, &addresses);
     inject_faults(&mut cluster, options)?;
     cluster.clear_faults()?;
     let end = Instant::now() + RECOVERY_LIMIT;
--- a/bins/soak/tests/promises.rs
+++ b/bins/soak/tests/promises.rs
@@ -160,7 +160,7 @@
 }
 
 /// Guards against missing executions that no caller requested, keys with two owners, crashes of cold targets,
-/// and requests that stay unserved.
+/// processes that end by themselves, and requests that stay unserved.
 #[test]
 fn the_other_invariants_are_checked() {
     let now = Instant::now();
@@ -177,6 +177,7 @@
         runs: vec![run("nobody", now)],
         conflicts: vec![(hold.clone(), hold)],
         crashes: vec!["t 1".to_owned()],
+        exits: vec!["edge-0".to_owned()],
         unserved: vec!["a key".to_owned()],
         ..Record::default()
     };
@@ -184,6 +185,7 @@
         "a key has one owner",
         "a target runs what a caller sent",
         "a cold target gets no more requests than it tolerates",
+        "a process ends only when it is stopped",
         "everything is served again after the last fault",
     ];
     assert_eq!(violated(&record), expected);
--- a/standins/production/src/instance.rs
+++ b/standins/production/src/instance.rs
@@ -167,6 +167,11 @@
         let _ = Command::new("kill").args([number, id]).status();
     }
 
+    /// Returns the status of the process if it has exited.
+    pub fn exit_status(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Waits until the process exits; returns `None` if it is still running after `limit`.
     pub fn wait(&mut self, limit: Duration) -> Option<ExitStatus> {
         let end = Instant::now() + limit;
