--- a/bins/soak/src/run.rs
+++ b/bins/soak/src/run.rs
@@ -15,6 +15,7 @@
 use crate::check::Record;
 use crate::cluster;
 use crate::cluster::Cluster;
+use crate::crowd;
 use crate::load;
 use crate::load::Load;
 use crate::plan;
@@ -52,6 +53,8 @@
     pub callers: usize,
     /// Duration of fault injection.
     pub duration: Duration,
+    /// Whether the run has additional faults and misbehaving clients.
+    pub extended: bool,
 }
 
 /// Result of a run.
@@ -72,13 +75,14 @@
 /// Fails if a process or a stand-in cannot be started, or if not every request is served before the first
 /// fault.
 pub fn run(program: &Path, options: &Options) -> io::Result<Outcome> {
-    let mut cluster = Cluster::start(program, &options.size)?;
+    let mut cluster = Cluster::start(program, &options.size, options.extended)?;
     let addresses: Vec<SocketAddr> =
         cluster.instances().map(|instance| instance.caller_address).collect();
     if !wait_served(&cluster, &addresses, "start", STARTUP_LIMIT).is_empty() {
         return Err(io::Error::other("not all requests are served before the first fault"));
     }
-    let load = Load::start(options.seed, options.callers, &addresses);
+    let misbehaving = if options.extended { crowd::CLIENTS } else { 0 };
+    let load = Load::start(options.seed, options.callers, misbehaving, &addresses);
     inject_faults(&mut cluster, options)?;
     cluster.clear_faults()?;
     let end = Instant::now() + RECOVERY_LIMIT;
@@ -108,8 +112,8 @@
 
 /// Injects and clears the scheduled faults.
 fn inject_faults(cluster: &mut Cluster, options: &Options) -> io::Result<()> {
-    let mut steps =
-        plan::schedule(options.seed, &options.size, options.duration).into_iter().peekable();
+    let schedule = if options.extended { plan::extended_schedule } else { plan::schedule };
+    let mut steps = schedule(options.seed, &options.size, options.duration).into_iter().peekable();
     let mut ends: Vec<(Duration, Fault)> = Vec::new();
     let (started, mut last_supervision) = (Instant::now(), Instant::now());
     while started.elapsed() < options.duration {
