Explain where a live instance would send a request now

`caraway-ctl explain edge` asks the listener for metrics at /explain. The answer has the route, the services with their shares, the candidates, the reason of each other target, the owner of a key and the refusal with its Retry-After. The selection is mirrored read-only in bins/edge/src/explain.rs. Whatever decides by counting (share, warm-up quota, admission, callers expected back) is asked on a copy, so no state changes.

--- a/bins/ctl/src/command.rs
+++ b/bins/ctl/src/command.rs
@@ -9,6 +9,7 @@
 use crate::errors::Error;
 use crate::errors::Result;
 use crate::explain;
+use crate::explain_edge;
 use crate::flag::Command;
 use crate::flag::Declaration;
 use crate::flag::Flags;
@@ -58,6 +59,9 @@
             Subject::Key { entries, service, key } => explain::key(&entries.entry, service, key),
             Subject::Request { entries, id } => explain::request(&entries.entry, id),
             Subject::Log { id, files } => request_log::run(id, files),
+            Subject::Edge { host, path, key, metrics } => {
+                explain_edge::run(metrics, host, path, *key)
+            }
             Subject::Fleet { entries } => explain::fleet(&entries.entry),
         },
     }
--- a/bins/ctl/src/flag.rs
+++ b/bins/ctl/src/flag.rs
@@ -195,6 +195,19 @@
         #[arg(required = true)]
         files: Vec<PathBuf>,
     },
+    /// Show where a live `caraway-edge` would send a request now, and why. The request is not sent.
+    Edge {
+        /// Host of the request.
+        host: String,
+        /// Path of the request.
+        path: String,
+        /// Key of the request.
+        #[arg(long)]
+        key: Option<u16>,
+        /// Address of the instance's listener for metrics.
+        #[arg(long, value_name = "IP:PORT")]
+        metrics: String,
+    },
     /// Show the coordinator of each group, and disagreements between instances.
     Fleet {
         #[command(flatten)]
--- a/bins/ctl/src/main.rs
+++ b/bins/ctl/src/main.rs
@@ -21,6 +21,7 @@
 mod document;
 mod errors;
 mod explain;
+mod explain_edge;
 mod flag;
 mod http;
 mod request_log;
--- a/bins/ctl/tests/ctl/main.rs
+++ b/bins/ctl/tests/ctl/main.rs
@@ -6,6 +6,7 @@
 mod admin;
 mod declaration;
 mod document;
+mod explain_edge;
 mod fake;
 mod promotion;
 mod request_log;
--- a/bins/edge/src/capacity.rs
+++ b/bins/edge/src/capacity.rs
@@ -7,6 +7,7 @@
 
 use caraway_core::time::Stamp;
 use caraway_fleet::classes::Classes;
+use caraway_fleet::membership::Target;
 use caraway_fleet::rendezvous::Domains;
 use caraway_fleet::share::Share;
 use caraway_telemetry::event::Event;
@@ -26,19 +27,28 @@
     /// Returns this instance's share of the targets of a service without keys, or `None` if they
     /// are not divided among the instances.
     pub fn share(&self, service: &Arc<str>, now: Stamp) -> Option<Arc<Share>> {
-        let lists = || {
-            let registry = self.registry.borrow();
-            let evacuations = self.evacuations.borrow();
-            let listed = registry
-                .members()
-                .filter(|member| member.target.service == *service)
-                .filter(|member| member.draining_since.is_none())
-                .filter(|member| !evacuations.is_evacuated(&member.target.domain));
-            (listed.map(|member| member.target.clone()).collect(), self.domains())
-        };
+        let lists = || self.share_lists(service);
         self.shares.borrow_mut().get(service, &self.settings.name, lists, now)
     }
 
+    /// Does the same as [`State::share`] without any change of the state.
+    pub fn preview_share(&self, service: &Arc<str>, now: Stamp) -> Option<Arc<Share>> {
+        let mut shares = self.shares.borrow().clone();
+        shares.get(service, &self.settings.name, || self.share_lists(service), now)
+    }
+
+    /// Returns the targets of a service and the instances among which they are divided.
+    fn share_lists(&self, service: &Arc<str>) -> (Vec<Arc<Target>>, Domains) {
+        let registry = self.registry.borrow();
+        let evacuations = self.evacuations.borrow();
+        let listed = registry
+            .members()
+            .filter(|member| member.target.service == *service)
+            .filter(|member| member.draining_since.is_none())
+            .filter(|member| !evacuations.is_evacuated(&member.target.domain));
+        (listed.map(|member| member.target.clone()).collect(), self.domains())
+    }
+
     /// Returns whether the targets of a service are divided among the instances, as far as requests
     /// of this instance have shown.
     pub fn is_divided(&self, service: &str) -> bool {
--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -46,6 +46,8 @@
 use crate::response::TargetBody;
 use crate::state::State;
 
+pub use self::selection::DEFAULT_SERVICE_TIME;
+
 /// Time beyond the deadline for which a target's response is awaited: the target itself reports a
 /// missed deadline, and its response takes a round trip.
 const DEADLINE_GRACE: Duration = Duration::from_millis(120);
--- a/bins/edge/src/forward/selection.rs
+++ b/bins/edge/src/forward/selection.rs
@@ -33,7 +33,7 @@
 const MAX_WAIT_SHARE: f64 = 0.35;
 
 /// Expected service time at a target without measurements, in seconds.
-const DEFAULT_SERVICE_TIME: f64 = 0.1;
+pub const DEFAULT_SERVICE_TIME: f64 = 0.1;
 
 /// Lower bound for the size of a response with its request, in KiB.
 const MIN_TRANSFER_KB: f64 = 1.0;
--- a/bins/edge/src/ingress/service.rs
+++ b/bins/edge/src/ingress/service.rs
@@ -20,6 +20,7 @@
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
+use crate::explain;
 use crate::forward;
 use crate::forward::Request;
 use crate::ingress::head;
@@ -57,7 +58,7 @@
     Readiness,
     /// Messages of other instances.
     Instances(Rc<RefCell<Reports>>),
-    /// Metrics in the text format.
+    /// Metrics in the text format, and explanations for operators.
     Metrics,
 }
 
@@ -218,6 +219,11 @@
                 reply(status, String::new())
             }
             Self::Instances(reports) => handle_message(&state, &reports, request, &lease),
+            Self::Metrics if request.parts.uri.path() == explain::PATH => {
+                let query = request.parts.uri.query().unwrap_or("");
+                let (status, answer) = explain::explain(&state, query);
+                reply(status, answer.to_string())
+            }
             Self::Metrics => reply(StatusCode::OK, state.metrics.render()),
         }
     }
--- a/bins/edge/src/main.rs
+++ b/bins/edge/src/main.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod capacity;
 mod evacuation;
+mod explain;
 mod forward;
 mod grant;
 mod http;
--- a/bins/edge/src/warmup.rs
+++ b/bins/edge/src/warmup.rs
@@ -65,6 +65,20 @@
         shares.check(&target.incarnation, &target.domain, limit.rate, now)
     }
 
+    /// Does the same as [`State::check_warmup`] without any change of the state.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time at which the target may get a request, as far as it is known.
+    pub fn preview_warmup(&self, target: &Target, limit: Limit, now: Stamp) -> Result<(), Stamp> {
+        if !self.is_cold(target, limit, now) {
+            return Ok(());
+        }
+        let mut shares = self.warmup.borrow().clone();
+        shares.observe(|| self.registered_domains(), now);
+        shares.check(&target.incarnation, &target.domain, limit.rate, now)
+    }
+
     /// Takes a request out of this instance's share in a target if the target is cold. Called
     /// immediately before a request is sent, whatever its kind; returns the time from which it may
     /// be sent if the share is used up.
--- a/bins/edge/tests/process/main.rs
+++ b/bins/edge/tests/process/main.rs
@@ -8,6 +8,7 @@
 mod configuration;
 mod control;
 mod evacuation;
+mod explain;
 mod following;
 mod lifecycle;
 mod ownership;
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -133,7 +133,7 @@
 
 /// Distances of all instances to targets, kept from one division to the next: the lists change
 /// many times a second while targets are replaced, mostly by one entry.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Distances {
     /// Names of the instances, in order.
     names: Vec<Arc<str>>,
@@ -418,7 +418,7 @@
 }
 
 /// Share of this instance in one service, with the lists that it was computed from.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Computed {
     checked: Stamp,
     targets: Vec<Arc<Target>>,
@@ -428,7 +428,7 @@
 }
 
 /// Shares of this instance by service, computed when the lists change.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Shares {
     services: HashMap<Arc<str>, Computed>,
 }
