--- a/bins/edge/tests/process/main.rs
+++ b/bins/edge/tests/process/main.rs
@@ -9,6 +9,7 @@
 mod control;
 mod era;
 mod evacuation;
+mod explain;
 mod following;
 mod lifecycle;
 mod ownership;
