--- a/bins/edge/src/explain.rs
+++ b/bins/edge/src/explain.rs
@@ -325,7 +325,7 @@
     /// Explains a service whose target is the owner of the key.
     fn explain_owner(&self, key: u16) -> Value {
         let (view, registry) = (self.state.view.borrow(), self.state.registry.borrow());
-        let version = format!("{}.{}", view.version.term, view.version.change);
+        let version = format!("{}.{}", view.version.term.number, view.version.change);
         let found = view.services.get(self.service).and_then(|owners| owners.find(key));
         let member = found.and_then(|(incarnation, _)| {
             registry.get(&incarnation.id).filter(|member| member.target.incarnation == *incarnation)
