--- a/bins/soak/src/cluster.rs
+++ b/bins/soak/src/cluster.rs
@@ -1,17 +1,21 @@
 //! Processes and stand-ins of a run, and fault injection into them.
 
 use std::io;
+use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
+use std::process::ExitStatus;
 use std::time::Duration;
 use std::time::Instant;
 
 use serde_json::Value;
 use serde_json::json;
 
+use crate::check::Evacuation;
 use crate::check::Notice;
 use crate::check::Record;
 use crate::check::Stop;
 use crate::check::Version;
+use crate::plan::DOMAINS;
 use crate::plan::Fault;
 use crate::plan::Size;
 use caraway_production::caller::Caller;
@@ -30,17 +34,37 @@
 /// Pause that a refusing target asks for, in seconds.
 const PAUSE_SECONDS: &str = "0.7";
 
+/// Time in which a cold target is cold.
+const COLD_TIME: Duration = Duration::from_secs(3);
+
+/// Requests per second that a cold target tolerates.
+const COLD_RATE: f64 = 4.0;
+
+/// Number of requests in any second above which a cold target crashes: 1.5 times the rate and 2 more, as
+/// in the settings of the instances.
+const MAX_COLD_ARRIVALS: usize = 8;
+
+/// Names of the failure domains. A run without additional faults has only the first.
+const DOMAIN_NAMES: [&str; DOMAINS] = ["a", "b"];
+
+/// Time within which an instance learns of an evacuation from a store that responds.
+const LEARNING_TIME: Duration = Duration::from_secs(1);
+
 /// Pieces of odd entries, which are repeated.
 const ODD_ENTRIES: [&str; 4] = ["[", "{\"address\":\"127.0.0.1:70000\"}", "\u{0}", "1e999"];
 
 /// Time limit of a check whether a process has exited.
 const EXIT_POLL: Duration = Duration::from_millis(1);
 
+/// Number of the signal to reload settings.
+const SIGHUP: i32 = 1;
+
 /// A target behind a proxy.
 #[derive(Debug)]
 struct Endpoint {
     id: String,
     service: &'static str,
+    domain: &'static str,
     incarnation: u64,
     target: Target,
     proxy: Proxy,
@@ -55,6 +79,8 @@
     /// Time at which a graceful stop was requested, until the process is restarted.
     stop_requested: Option<Instant>,
     paused: bool,
+    /// Whether the process was killed, or its end was recorded, until it is restarted.
+    killed: bool,
 }
 
 impl Node {
@@ -62,6 +88,23 @@
         self.instance.wait(EXIT_POLL).is_some()
     }
 
+    /// Returns the status of a process that ended without being stopped or killed, once.
+    fn unexpected_exit(&mut self) -> Option<ExitStatus> {
+        if self.killed || self.stop_requested.is_some() {
+            return None;
+        }
+        let status = self.instance.exit_status()?;
+        self.killed = true;
+        // SIGHUP ends a process that has just started and does not handle it yet.
+        (status.signal() != Some(SIGHUP)).then_some(status)
+    }
+
+    fn restart(&mut self) -> io::Result<()> {
+        self.instance.restart()?;
+        (self.stop_requested, self.paused, self.killed) = (None, false, false);
+        Ok(())
+    }
+
     fn signal(&mut self, name: &str) {
         if !self.has_exited() {
             self.instance.signal(name);
@@ -78,14 +121,23 @@
     nodes: Vec<Node>,
     /// Latest version of the configuration.
     version: u64,
+    /// Whether the run has additional faults.
+    extended: bool,
     /// Time at which the latest unplanned fault was injected.
     last_unplanned: Instant,
+    /// Number of evacuations in progress of each failure domain.
+    evacuated: [u32; DOMAINS],
+    /// Whether the store is in its usual mode.
+    store_up: bool,
     /// Observations, except for calls and unserved requests.
     pub record: Record,
 }
 
-/// Returns a configuration with a keyed service and one without keys.
-fn configuration(version: u64) -> Value {
+/// Returns a configuration with a keyed service and one without keys. If it is `extended`, it limits
+/// the requests to their cold targets.
+fn configuration(version: u64, extended: bool) -> Value {
+    let (warmup_time, warmup_rate) =
+        if extended { (COLD_TIME.as_secs_f64(), COLD_RATE) } else { (0.0, 0.0) };
     let route = |name: &str, kind: &str, service: &str| {
         json!({
             "name": name, "prefix": format!("/{name}/"), "route_type": kind, "timeout_ms": 2000,
@@ -95,8 +147,14 @@
     json!({
         "version": version,
         "services": [
-            { "name": "keyed", "max_connections": 200, "sharded": true, "warm_s": 1.0 },
-            { "name": "pooled", "max_connections": 200 },
+            {
+                "name": "keyed", "max_connections": 200, "sharded": true, "warm_s": 1.0,
+                "warmup_s": warmup_time, "warmup_per_s": warmup_rate,
+            },
+            {
+                "name": "pooled", "max_connections": 200,
+                "warmup_s": warmup_time, "warmup_per_s": warmup_rate,
+            },
         ],
         "limits": {
             "max_header_bytes": 16384, "max_body_bytes": 100_000,
@@ -116,37 +174,54 @@
     /// # Errors
     ///
     /// Fails if no port is free or a process cannot be started.
-    pub fn start(program: &Path, size: &Size) -> io::Result<Self> {
+    pub fn start(program: &Path, size: &Size, extended: bool) -> io::Result<Self> {
         let store = Store::start()?;
-        store.put("op/config", &configuration(1));
         let mut cluster = Self {
             store,
             journal: Journal::default(),
             endpoints: Vec::new(),
             nodes: Vec::new(),
-            version: 1,
+            version: 0,
+            extended,
             last_unplanned: Instant::now(),
+            evacuated: [0; DOMAINS],
+            store_up: true,
             record: Record::default(),
         };
+        cluster.configure();
         let keyed = (0..size.keyed).map(|index| (format!("k{index}"), "keyed"));
         let pooled = (0..size.pooled).map(|index| (format!("p{index}"), "pooled"));
-        for (id, service) in keyed.chain(pooled) {
-            let endpoint = cluster.start_endpoint(id, service, FIRST_INCARNATION)?;
+        for (index, (id, service)) in keyed.chain(pooled).enumerate() {
+            let domain = cluster.domain(index);
+            let endpoint = cluster.start_endpoint(id, service, domain, FIRST_INCARNATION)?;
             cluster.register(&endpoint, "ready");
             cluster.endpoints.push(endpoint);
         }
-        for _ in 0..size.instances {
+        for index in 0..size.instances {
             let store_proxy = Proxy::start(cluster.store.address)?;
-            let instance = Instance::start(program, "a", store_proxy.address)?;
-            cluster.nodes.push(Node { instance, store_proxy, stop_requested: None, paused: false });
+            let instance = Instance::start(program, cluster.domain(index), store_proxy.address)?;
+            cluster.nodes.push(Node {
+                instance,
+                store_proxy,
+                stop_requested: None,
+                paused: false,
+                killed: false,
+            });
         }
         Ok(cluster)
     }
 
+    /// Returns the failure domain of an instance or target.
+    fn domain(&self, index: usize) -> &'static str {
+        let number = if self.extended { index % DOMAINS } else { 0 };
+        DOMAIN_NAMES.get(number).copied().unwrap_or_default()
+    }
+
     fn start_endpoint(
         &self,
         id: String,
         service: &'static str,
+        domain: &'static str,
         incarnation: u64,
     ) -> io::Result<Endpoint> {
         let target = Target::start_incarnation(
@@ -157,12 +232,18 @@
             &self.journal,
         )?;
         let proxy = Proxy::start(target.address)?;
-        Ok(Endpoint { id, service, incarnation, target, proxy, up: true })
+        Ok(Endpoint { id, service, domain, incarnation, target, proxy, up: true })
+    }
+
+    /// Writes a new version of the configuration.
+    fn configure(&mut self) {
+        self.version += 1;
+        self.store.put("op/config", &configuration(self.version, self.extended));
     }
 
     /// Writes the registration of a target, with the address of its proxy, to the store.
     fn register(&self, endpoint: &Endpoint, state: &str) {
-        let mut registration = endpoint.target.registration(state);
+        let mut registration = endpoint.target.registration_in(state, endpoint.domain);
         if let Some(address) = registration.get_mut("address") {
             *address = endpoint.proxy.address.to_string().into();
         }
@@ -193,8 +274,7 @@
             Fault::Stop(index) => self.stop(index),
             Fault::Configure(count) => {
                 for _ in 0..count {
-                    self.version += 1;
-                    self.store.put("op/config", &configuration(self.version));
+                    self.configure();
                 }
             }
             Fault::Malformed => self.store.put_bytes("op/config", b"{\"version\": 9"),
@@ -202,9 +282,10 @@
             Fault::Compact => self.store.compact(),
             Fault::Kill(index) => {
                 self.record_unplanned();
+                self.record_exits();
                 if let Some(node) = self.nodes.get_mut(index) {
                     node.instance.kill();
-                    (node.stop_requested, node.paused) = (None, false);
+                    (node.stop_requested, node.paused, node.killed) = (None, false, true);
                 }
             }
             Fault::Pause(index) => {
@@ -220,9 +301,12 @@
             }
             Fault::Store(mode) => {
                 self.record_unplanned();
+                self.store_up = false;
+                // No instance may have learned of an evacuation that the store acknowledged just before.
+                self.record.evacuations.retain(|e| e.at.elapsed() > LEARNING_TIME);
                 self.store.set_mode(mode);
             }
-            Fault::Crash(index) => {
+            Fault::Crash(index) | Fault::Cold(index) => {
                 self.record_unplanned();
                 self.crash(index);
             }
@@ -232,6 +316,12 @@
                     self.store.remove(&endpoint.target.registration_key());
                 }
             }
+            // The bounds for cold targets and evacuations assume that transit times vary little.
+            Fault::TargetLink(index, _)
+                if self
+                    .endpoints
+                    .get(index)
+                    .is_some_and(|e| e.target.is_cold() || self.is_evacuated(e.domain)) => {}
             Fault::TargetLink(index, link) => {
                 self.record_unplanned();
                 self.set_target_link(index, link);
@@ -241,6 +331,7 @@
                     endpoint.target.announce_departure();
                 }
             }
+            Fault::Evacuate(domain) => self.evacuate(domain),
             Fault::Refuse(index) => self.set_pause(index, Some(PAUSE_SECONDS)),
             Fault::OddEntry(number) => {
                 let entry = ODD_ENTRIES.get(number % ODD_ENTRIES.len()).copied();
@@ -266,10 +357,12 @@
                 }
             }
             Fault::StoreLink(index, _) => self.set_store_link(index, Link::Open),
-            Fault::Store(_) => self.store.set_mode(Mode::Up),
+            Fault::Store(_) => self.set_store_up(),
+            Fault::Evacuate(domain) => self.end_evacuation(domain),
             Fault::Crash(index) | Fault::Leave(index) | Fault::Announce(index) => {
-                self.replace_target(index)?;
+                self.replace_target(index, false)?;
             }
+            Fault::Cold(index) => self.replace_target(index, true)?,
             Fault::Refuse(index) => self.set_pause(index, None),
             Fault::Unlist(index) => {
                 if let Some(endpoint) = self.endpoints.get(index)
@@ -309,6 +402,56 @@
         }
     }
 
+    fn set_store_up(&mut self) {
+        self.store.set_mode(Mode::Up);
+        self.store_up = true;
+    }
+
+    fn is_evacuated(&self, domain: &str) -> bool {
+        let mut domains = DOMAIN_NAMES.iter().zip(self.evacuated);
+        domains.any(|(name, count)| *name == domain && count > 0)
+    }
+
+    /// Evacuates a failure domain, unless that is in progress or no instance would learn of it.
+    fn evacuate(&mut self, domain: usize) {
+        let (Some(name), Some(count)) = (DOMAIN_NAMES.get(domain), self.evacuated.get_mut(domain))
+        else {
+            return;
+        };
+        *count += 1;
+        if *count > 1 {
+            return;
+        }
+        let inside = self.endpoints.iter().filter(|endpoint| endpoint.domain == *name);
+        let mut targets = Vec::new();
+        for endpoint in inside {
+            endpoint.proxy.set_link(Link::Open);
+            targets.push(endpoint.id.clone());
+        }
+        self.store.put(&format!("op/evacuate/{name}"), &json!({}));
+        if self.store_up {
+            let at = Instant::now();
+            let until = at + Duration::from_secs(3600);
+            self.record.evacuations.push(Evacuation { domain: name, targets, at, until });
+        }
+    }
+
+    fn end_evacuation(&mut self, domain: usize) {
+        let (Some(name), Some(count)) = (DOMAIN_NAMES.get(domain), self.evacuated.get_mut(domain))
+        else {
+            return;
+        };
+        *count = count.saturating_sub(1);
+        if *count > 0 {
+            return;
+        }
+        let now = Instant::now();
+        for evacuation in self.record.evacuations.iter_mut().filter(|e| e.domain == *name) {
+            evacuation.until = evacuation.until.min(now);
+        }
+        self.store.remove(&format!("op/evacuate/{name}"));
+    }
+
     fn set_store_link(&self, index: usize, link: Link) {
         if let Some(node) = self.nodes.get(index) {
             node.store_proxy.set_link(link);
@@ -362,6 +505,9 @@
         if let Some(endpoint) = self.endpoints.get_mut(index)
             && endpoint.up
         {
+            if endpoint.target.is_down() {
+                self.record.crashes.push(format!("{} {}", endpoint.id, endpoint.incarnation));
+            }
             endpoint.up = false;
             endpoint.target.crash();
             endpoint.proxy.close_connections();
@@ -369,7 +515,7 @@
     }
 
     /// Ends a target and starts a new incarnation under its id, at another address.
-    fn replace_target(&mut self, index: usize) -> io::Result<()> {
+    fn replace_target(&mut self, index: usize, cold: bool) -> io::Result<()> {
         self.crash(index);
         let Some(endpoint) = self.endpoints.get(index) else { return Ok(()) };
         let (id, service, incarnation) =
@@ -378,7 +524,10 @@
         for notice in self.record.notices.iter_mut().filter(|notice| notice.target == id) {
             notice.until = notice.until.min(now);
         }
-        let endpoint = self.start_endpoint(id, service, incarnation)?;
+        let endpoint = self.start_endpoint(id, service, self.domain(index), incarnation)?;
+        if cold {
+            endpoint.target.make_cold(COLD_TIME, MAX_COLD_ARRIVALS);
+        }
         self.register(&endpoint, "ready");
         if let Some(old) = self.endpoints.get_mut(index) {
             *old = endpoint;
@@ -386,12 +535,21 @@
         Ok(())
     }
 
+    /// Records processes that ended without being stopped or killed.
+    fn record_exits(&mut self) {
+        for node in &mut self.nodes {
+            if let Some(status) = node.unexpected_exit() {
+                self.record.exits.push(format!("{}: {status}", node.instance.name));
+            }
+        }
+    }
+
     /// Restarts an instance if it has exited.
     fn restart_exited(&mut self, index: usize) -> io::Result<()> {
+        self.record_exits();
         let Some(node) = self.nodes.get_mut(index) else { return Ok(()) };
         if node.has_exited() {
-            node.instance.restart()?;
-            (node.stop_requested, node.paused) = (None, false);
+            node.restart()?;
         }
         Ok(())
     }
@@ -402,6 +560,7 @@
     ///
     /// Fails if a process cannot be started.
     pub fn supervise(&mut self) -> io::Result<()> {
+        self.record_exits();
         for index in 0..self.nodes.len() {
             let Some(node) = self.nodes.get_mut(index) else { continue };
             if let Some(since) = node.stop_requested {
@@ -413,8 +572,7 @@
                     for stop in self.record.stops.iter_mut().filter(|s| s.instance == index) {
                         stop.until = stop.until.min(Instant::now());
                     }
-                    node.instance.restart()?;
-                    (node.stop_requested, node.paused) = (None, false);
+                    node.restart()?;
                 }
             }
         }
@@ -427,7 +585,7 @@
     ///
     /// Fails if a process cannot be started.
     pub fn clear_faults(&mut self) -> io::Result<()> {
-        self.store.set_mode(Mode::Up);
+        self.set_store_up();
         for index in 0..self.nodes.len() {
             self.set_store_link(index, Link::Open);
             self.signal(index, "CONT");
@@ -453,6 +611,11 @@
         for (instance, node) in self.nodes.iter().enumerate() {
             self.record.versions.extend(applied_versions(instance, &node.instance.log()));
         }
+        self.record_exits();
+        for endpoint in self.endpoints.iter().filter(|e| e.up && e.target.is_down()) {
+            self.record.crashes.push(format!("{} {}", endpoint.id, endpoint.incarnation));
+        }
+        self.record.arrivals = self.journal.arrivals();
         self.record.runs = self.journal.runs();
         self.record.conflicts = self.journal.conflicts();
     }
