--- a/bins/soak/src/cluster.rs
+++ b/bins/soak/src/cluster.rs
@@ -7,14 +7,15 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use serde_json::Value;
 use serde_json::json;
 
 use crate::check::Evacuation;
 use crate::check::Notice;
 use crate::check::Record;
 use crate::check::Stop;
-use crate::check::Version;
+use crate::configuration;
+use crate::configuration::COLD_TIME;
+use crate::configuration::configuration;
 use crate::plan::DOMAINS;
 use crate::plan::Fault;
 use crate::plan::Size;
@@ -34,12 +35,6 @@
 /// Pause that a refusing target asks for, in seconds.
 const PAUSE_SECONDS: &str = "0.7";
 
-/// Time in which a cold target is cold.
-const COLD_TIME: Duration = Duration::from_secs(3);
-
-/// Requests per second that a cold target tolerates.
-const COLD_RATE: f64 = 4.0;
-
 /// Number of requests in any second above which a cold target crashes: 1.5 times the rate and 2 more, as
 /// in the settings of the instances.
 const MAX_COLD_ARRIVALS: usize = 8;
@@ -133,41 +128,6 @@
     pub record: Record,
 }
 
-/// Returns a configuration with a keyed service and one without keys. If it is `extended`, it limits
-/// the requests to their cold targets.
-fn configuration(version: u64, extended: bool) -> Value {
-    let (warmup_time, warmup_rate) =
-        if extended { (COLD_TIME.as_secs_f64(), COLD_RATE) } else { (0.0, 0.0) };
-    let route = |name: &str, kind: &str, service: &str| {
-        json!({
-            "name": name, "prefix": format!("/{name}/"), "route_type": kind, "timeout_ms": 2000,
-            "target_latency_ms": 500, "priority": 1, "service": service, "max_attempts": 2,
-        })
-    };
-    json!({
-        "version": version,
-        "services": [
-            {
-                "name": "keyed", "max_connections": 200, "sharded": true, "warm_s": 1.0,
-                "warmup_s": warmup_time, "warmup_per_s": warmup_rate,
-            },
-            {
-                "name": "pooled", "max_connections": 200,
-                "warmup_s": warmup_time, "warmup_per_s": warmup_rate,
-            },
-        ],
-        "limits": {
-            "max_header_bytes": 16384, "max_body_bytes": 100_000,
-            "header_timeout_ms": 1000, "idle_timeout_ms": 3000,
-        },
-        "virtual_hosts": [{ "hostname": "shop.example", "paths": [
-            route("read", "idempotent", "pooled"),
-            route("order", "non_idempotent", "pooled"),
-            route("key", "idempotent", "keyed"),
-        ]}],
-    })
-}
-
 impl Cluster {
     /// Starts the stand-ins and the processes of `program`.
     ///
@@ -609,7 +569,9 @@
     /// Adds the targets' journal and the configuration versions applied by the instances to the record.
     pub fn collect(&mut self) {
         for (instance, node) in self.nodes.iter().enumerate() {
-            self.record.versions.extend(applied_versions(instance, &node.instance.log()));
+            self.record
+                .versions
+                .extend(configuration::applied_versions(instance, &node.instance.log()));
         }
         self.record_exits();
         for endpoint in self.endpoints.iter().filter(|e| e.up && e.target.is_down()) {
@@ -620,29 +582,3 @@
         self.record.conflicts = self.journal.conflicts();
     }
 }
-
-/// Returns the configuration versions that the processes of an instance applied, from its log.
-pub fn applied_versions(instance: usize, log: &str) -> Vec<Version> {
-    let mut process = 0;
-    let mut versions = Vec::new();
-    for line in log.lines().filter_map(|line| serde_json::from_str::<Value>(line).ok()) {
-        match line.get("name").and_then(Value::as_str) {
-            Some("edge-started") => process += 1,
-            Some("configuration-applied") => {
-                let version = line.get("version").and_then(Value::as_u64).unwrap_or(0);
-                versions.push(Version { instance, process, version });
-            }
-            _ => {}
-        }
-    }
-    versions
-}
-
-/// Returns the configuration version in an instance's metrics, or `None` if they cannot be read.
-pub fn reported_version(instance: &Instance) -> Option<u64> {
-    let mut caller = Caller::open(instance.metrics_address).ok()?;
-    let response = caller.call("GET", "/metrics", "metrics", &[]).ok()?;
-    let mut lines = response.body.lines();
-    let value = lines.find_map(|line| line.strip_prefix("caraway_config_version "))?;
-    value.trim().parse().ok()
-}
--- a/bins/soak/src/lib.rs
+++ b/bins/soak/src/lib.rs
@@ -10,6 +10,7 @@
 
 pub mod check;
 pub mod cluster;
+pub mod configuration;
 pub mod crowd;
 pub mod load;
 pub mod plan;
--- a/bins/soak/src/run.rs
+++ b/bins/soak/src/run.rs
@@ -13,8 +13,8 @@
 use crate::check::Finding;
 use crate::check::Kind;
 use crate::check::Record;
-use crate::cluster;
 use crate::cluster::Cluster;
+use crate::configuration;
 use crate::crowd;
 use crate::load;
 use crate::load::Load;
@@ -145,7 +145,7 @@
     let end = Instant::now() + CONFIGURATION_LIMIT;
     loop {
         let old = cluster.instances().filter(|instance| {
-            cluster::reported_version(instance) != Some(cluster.latest_version())
+            configuration::reported_version(instance) != Some(cluster.latest_version())
         });
         let descriptions: Vec<String> =
             old.map(|instance| format!("the latest configuration at {}", instance.name)).collect();
--- a/bins/soak/tests/promises.rs
+++ b/bins/soak/tests/promises.rs
@@ -17,7 +17,7 @@
 use caraway_soak::check::Stop;
 use caraway_soak::check::Version;
 use caraway_soak::check::findings;
-use caraway_soak::cluster;
+use caraway_soak::configuration;
 use caraway_soak::plan;
 use caraway_soak::plan::Fault;
 use caraway_soak::plan::Size;
@@ -154,7 +154,7 @@
     let log = "{\"name\":\"edge-started\"}\n{\"name\":\"configuration-applied\",\"version\":4}\n\
                half a line\n{\"name\":\"configuration-old\",\"version\":2}\n\
                {\"name\":\"edge-started\"}\n{\"name\":\"configuration-applied\",\"version\":3}\n";
-    let seen = cluster::applied_versions(7, log);
+    let seen = configuration::applied_versions(7, log);
     let rows: Vec<_> = seen.iter().map(|v| (v.instance, v.process, v.version)).collect();
     assert_eq!(rows, [(7, 1, 4), (7, 2, 3)]);
 }
--- a/standins/production/src/lib.rs
+++ b/standins/production/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod caller;
 pub mod http;
 pub mod instance;
+pub mod journal;
 pub mod misbehavior;
 pub mod proxy;
 pub mod store;
