--- a/crates/fleet/src/descriptors.rs
+++ b/crates/fleet/src/descriptors.rs
@@ -43,8 +43,8 @@
             callers: (left * 3 / 8).max(FEWEST),
             readiness: checks,
             metrics: checks,
-            // Every other instance may keep two connections; the largest fleet has 122 instances and 2,870
-            // descriptors.
+            // Every other instance keeps up to two connections, so a fleet may have a sixteenth as many
+            // instances as there are descriptors.
             instances: (left / 8).max(FEWEST),
             requests: (left * 3 / 16).max(FEWEST),
         }
--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -49,7 +49,7 @@
 const MAX_QUEUEING_SHARE: f64 = 0.8;
 
 /// Minimum interval between comparisons of the lists with those that a share was computed from. A
-/// division among 122 instances after a change of one target takes 1 ms of a full core, which is
+/// division among a hundred instances after a change of one target takes 1 ms of a full core, which is
 /// 14 ms at an instance with 0.07 cores, and the lists change many times a second while targets are
 /// replaced.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
