Let small instances campaign after all large ones

Cause: an instance with 0.075 of 0.5 cores waited 340 ms at least, one with the largest share up to 420 ms, so a small instance could become the coordinator of a large fleet although all large ones ran. Change: the delay of the smallest share is 650 ms, which is more than the last rank and a call to the store.

--- a/crates/fleet/src/election.rs
+++ b/crates/fleet/src/election.rs
@@ -8,9 +8,9 @@
 /// Number of ranks, which bounds the delay in a large fleet.
 const RANKS: u32 = 8;
 
-/// Largest additional delay of an instance with a small share of a processor. All instances with a
-/// large share have made their attempt by then.
-const MAX_CAPACITY_DELAY: Duration = Duration::from_millis(400);
+/// Largest additional delay of an instance with a small share of a processor. An instance with less
+/// than a fifth of the largest share waits longer than the last rank and a call to the store.
+const MAX_CAPACITY_DELAY: Duration = Duration::from_millis(650);
 
 /// Returns how long an instance waits after the leadership has become vacant. The rank is derived
 /// from a hash of the name and of the revision at which the leadership ended, so that a failing
--- a/crates/fleet/tests/coordinator.rs
+++ b/crates/fleet/tests/coordinator.rs
@@ -344,6 +344,21 @@
     }
 }
 
+/// Guards against a small instance that wins an election although all large ones run: it cannot serve the
+/// reports of a large fleet, and the others learn changes late. Every rank of a large instance, with a
+/// call to the store, comes before every rank of a small one.
+#[test]
+fn a_small_instance_never_campaigns_before_a_large_one() {
+    let call = Duration::from_millis(50);
+    let delays = |capacity: f64| {
+        let names = (0..200).map(|index| format!("edge-{index}"));
+        names.map(|name| election::delay(&name, 7, capacity, 0.5)).collect::<Vec<_>>()
+    };
+    let last_large = delays(0.5).into_iter().max().unwrap();
+    let first_small = delays(0.075).into_iter().min().unwrap();
+    assert!(last_large + call <= first_small, "{last_large:?} {first_small:?}");
+}
+
 /// Guards against a new incarnation at the same address that receives a token of the old one. A
 /// target that restarted behind a network partition accepted its predecessor's grants.
 #[test]
