--- a/crates/fleet/src/share.rs
+++ b/crates/fleet/src/share.rs
@@ -49,9 +49,8 @@
 const MAX_QUEUEING_SHARE: f64 = 0.8;
 
 /// Minimum interval between comparisons of the lists with those that a share was computed from. A
-/// division among a hundred instances after a change of one target takes 1 ms of a full core, which is
-/// 14 ms at an instance with 0.07 cores, and the lists change many times a second while targets are
-/// replaced.
+/// division among a hundred instances after a change of one target takes 1 ms of a full core, which
+/// small instances do not have, and the lists change many times a second while targets are replaced.
 const REFRESH_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Right of an instance to have requests in flight at a target.
