--- a/review/harness-2/src/client.rs
+++ b/review/harness-2/src/client.rs
@@ -43,11 +43,14 @@
     )
 }
 
-/// Reads the answer to an attempt. `read_body` reads a body of the given length.
+/// Reads a body of the given length.
+pub type ReadBody<'a> = &'a mut dyn FnMut(&mut BufReader<TcpStream>, usize) -> io::Result<Vec<u8>>;
+
+/// Reads the answer to an attempt.
 pub fn read(
     input: &mut BufReader<TcpStream>,
     attempt: &str,
-    read_body: &mut dyn FnMut(&mut BufReader<TcpStream>, usize) -> io::Result<Vec<u8>>,
+    read_body: ReadBody<'_>,
 ) -> io::Result<Answer> {
     let line = read_line(input)?;
     let status = line.split(' ').nth(1).and_then(|text| text.parse().ok());
--- a/review/harness-2/src/server.rs
+++ b/review/harness-2/src/server.rs
@@ -10,6 +10,7 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Condvar;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::thread;
@@ -65,6 +66,34 @@
     }
 }
 
+/// Slots of a server. A request waits for one before it runs.
+#[derive(Debug, Default)]
+struct Slots {
+    taken: Mutex<u32>,
+    freed: Condvar,
+}
+
+impl Slots {
+    fn take(&self, most: u32) -> Slot<'_> {
+        let mut taken = self.taken.lock().unwrap_or_else(PoisonError::into_inner);
+        while *taken >= most {
+            taken = self.freed.wait(taken).unwrap_or_else(PoisonError::into_inner);
+        }
+        *taken += 1;
+        Slot(self)
+    }
+}
+
+/// A taken slot, which is freed on drop.
+struct Slot<'a>(&'a Slots);
+
+impl Drop for Slot<'_> {
+    fn drop(&mut self) {
+        *self.0.taken.lock().unwrap_or_else(PoisonError::into_inner) -= 1;
+        self.0.freed.notify_one();
+    }
+}
+
 /// A running server. Its threads run until the process exits.
 #[derive(Clone, Debug)]
 pub struct Server {
@@ -75,14 +104,15 @@
     /// Address on which it listens.
     pub address: SocketAddr,
     /// Number of requests that it runs at a time.
-    slots: u32,
+    capacity: u32,
+    slots: Arc<Slots>,
     born: u64,
     journal: Journal,
 }
 
 impl Server {
     /// Starts a server on a free loopback port.
-    pub fn start(id: &str, service: &str, slots: u32, journal: &Journal) -> io::Result<Self> {
+    pub fn start(id: &str, service: &str, capacity: u32, journal: &Journal) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
         let born = since_epoch.map_or(0, |time| u64::try_from(time.as_millis()).unwrap_or(0));
@@ -90,7 +120,8 @@
             id: id.to_owned(),
             service: service.to_owned(),
             address: listener.local_addr()?,
-            slots,
+            capacity,
+            slots: Arc::default(),
             born,
             journal: journal.clone(),
         };
@@ -116,7 +147,7 @@
             "address": self.address.to_string(),
             "born": self.born,
             "info": {
-                "service": self.service, "version": "v1", "zone": "zone-1", "capacity": self.slots,
+                "service": self.service, "version": "v1", "zone": "zone-1", "capacity": self.capacity,
             },
             "status": { "state": "ready", "sequence": sequence, "warmup_left_ms": 0 },
         })
@@ -140,6 +171,10 @@
             let more = format!("carawayscale-instance-id: {}\r\n", self.id);
             return Ok(Some(encode("421 Misdirected Request", &attempt, &more, &[])));
         }
+        let _slot = self.slots.take(self.capacity);
+        if is_closed(stream)? {
+            return Ok(None);
+        }
         let started = Instant::now();
         let index = self.journal.begin(Run {
             server: self.id.clone(),
