Accept during a planned stop only what ends before it

A request whose body was still arriving at the end got no response.

Cause: a stop had two fixed times, for accepting requests and for failing them; neither was compared with the deadline of a request.

Change: one schedule (crates/fleet/src/stop.rs), derived from the grace period, says until when a request may run, when requests are failed and when the process exits. A request that begins during the stop is admitted if its deadline fits, and refused otherwise, before its body is read and again when it has arrived. Attempts that begin during the stop hand targets no later deadline. Each stage of a stop is logged (event 114).

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -50,7 +50,7 @@
 
 /// Time beyond the deadline for which a target's response is awaited: the target itself reports a
 /// missed deadline, and its response takes a round trip.
-const DEADLINE_GRACE: Duration = Duration::from_millis(120);
+pub const DEADLINE_GRACE: Duration = Duration::from_millis(120);
 
 /// Idle time up to which a pooled connection is used for a non-idempotent request. If the target
 /// closes an idle connection while the request is in transit, the outcome of the request is
@@ -240,9 +240,10 @@
         })
     }
 
-    /// Returns the time left until the deadline.
+    /// Returns the time left until the deadline, or until the targets' latest deadline if the process stops.
     fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        self.state.shutdown.limit(left)
     }
 
     async fn run(&mut self) -> Response<response::Body> {
@@ -377,7 +378,7 @@
         });
         let head = tokio::select! {
             head = head => head,
-            () = self.state.wait_for_exit() => {
+            () = self.state.shutdown.wait_for_failing() => {
                 attempt.end(Outcome::Abandoned);
                 return Completion::Unknown(Reason::Stopping);
             }
--- a/bins/edge/src/ingress.rs
+++ b/bins/edge/src/ingress.rs
@@ -59,6 +59,12 @@
     TcpListener::from_std(socket.into())
 }
 
+/// Returns the number of open connections of callers.
+pub fn open_connections(state: &State) -> u64 {
+    let labels = [("listener", Service::Callers.name().to_owned())];
+    u64::try_from(state.metrics.connections.get_or_create(&labels).get()).unwrap_or(0)
+}
+
 /// Serves callers until `closing` is true, then closes the listener and returns when all connections have
 /// closed.
 pub async fn callers(state: Rc<State>, listener: TcpListener, closing: Receiver<bool>) {
--- a/bins/edge/src/ingress/connection.rs
+++ b/bins/edge/src/ingress/connection.rs
@@ -197,7 +197,7 @@
             let Ok(response) = (&mut entry.running.0).await else { return false };
             // The last response of a stopping process closes the connection. Requests that run already are
             // answered first.
-            if self.state.stopping.get() && self.queue.borrow().is_empty() {
+            if self.state.shutdown.is_stopping() && self.queue.borrow().is_empty() {
                 entry.form.close = true;
             }
             self.closing.set(self.closing.get() || entry.form.close);
--- a/bins/edge/src/ingress/reader.rs
+++ b/bins/edge/src/ingress/reader.rs
@@ -11,6 +11,7 @@
 
 use caraway_adapter::header as field;
 
+use crate::forward;
 use crate::forward::Request;
 use crate::ingress::body::Body;
 use crate::ingress::chunk;
@@ -22,8 +23,10 @@
 use crate::ingress::head::Head;
 use crate::ingress::service::Failure;
 use crate::ingress::service::Plan;
+use crate::ingress::writer::Form;
 use crate::memory::Lease;
 use crate::memory::MAX_WAIT;
+use crate::reason::Reason;
 
 /// Size by which the buffer of a connection grows. Most heads are smaller.
 const BUFFER_BYTES: usize = 4 << 10;
@@ -257,10 +260,14 @@
         if link.is_closing() {
             return Some(Stop::Finished);
         }
+        let deadline = received + plan.time_limit;
+        if !link.service.has_time(state, deadline) {
+            return Some(self.refuse_closing(&request, form));
+        }
         if head.framing != Framing::Length(0) {
             link.receiving_body.set(true);
             let expects_continue = head.expects_continue;
-            let result = self.receive(head.framing, plan, &lease, received, expects_continue).await;
+            let result = self.receive(head.framing, plan, &lease, deadline, expects_continue).await;
             link.receiving_body.set(false);
             match result {
                 Ok(body) => request.body = body,
@@ -272,6 +279,10 @@
                     return Some(Stop::Finished);
                 }
             }
+            // The process may have begun to stop while the body arrived.
+            if !link.service.has_time(state, deadline) {
+                return Some(self.refuse_closing(&request, form));
+            }
         }
         lease.complete();
         self.release();
@@ -285,16 +296,24 @@
         None
     }
 
+    /// Refuses a request whose deadline a stopping process cannot wait for.
+    fn refuse_closing(&self, request: &Request, mut form: Form) -> Stop {
+        form.close = true;
+        let response = forward::refuse_early(&self.link.state, request, Reason::Closing);
+        self.link.push(std::future::ready(response), form);
+        Stop::Finished
+    }
+
     /// Receives a body after its memory is available, until the deadline of its request.
     async fn receive(
         &mut self,
         framing: Framing,
         plan: Plan,
         lease: &Lease,
-        received: Instant,
+        deadline: Instant,
         expects_continue: bool,
     ) -> Result<Body, Break> {
-        let deadline = received + plan.time_limit;
+        let shutdown = &self.link.state.shutdown;
         let receive = async {
             let length = match framing {
                 Framing::Length(length) if length > plan.max_body_bytes => {
@@ -317,6 +336,9 @@
                 result.unwrap_or(Err(Break::Refused(Failure::Late)))
             }
             () = lease.given_up() => Err(Break::Refused(Failure::Shortage)),
+            () = shutdown.wait_for_failing() => {
+                Err(Break::Refused(Failure::Closing))
+            }
         }
     }
 
--- a/bins/edge/src/ingress/service.rs
+++ b/bins/edge/src/ingress/service.rs
@@ -11,6 +11,7 @@
 use hyper::Response;
 use hyper::StatusCode;
 use hyper::http::request::Parts;
+use tokio::time::Instant;
 
 use caraway_adapter::header as field;
 use caraway_core::time::Clock;
@@ -91,6 +92,8 @@
     Shortage,
     /// The body did not arrive before the deadline of the request.
     Late,
+    /// This instance stops before the body has arrived.
+    Closing,
     /// The encoding of the body is invalid.
     Invalid(head::Problem),
 }
@@ -101,6 +104,7 @@
             Self::TooLong => "too long",
             Self::Shortage => "no memory",
             Self::Late => "late",
+            Self::Closing => "closing",
             Self::Invalid(_) => "invalid",
         }
     }
@@ -178,6 +182,13 @@
         }
     }
 
+    /// Returns whether a request with this deadline may begin. A stopping process begins only requests of callers that
+    /// end before it exits.
+    pub fn has_time(&self, state: &State, deadline: Instant) -> bool {
+        let left = deadline.saturating_duration_since(Instant::now());
+        !matches!(self, Self::Callers) || state.shutdown.admits(left)
+    }
+
     /// Returns the response to a caller's request that is not admitted, or `None` for other clients,
     /// whose requests are served without their bodies.
     pub fn reject(&self, state: &Rc<State>, request: &Request) -> Option<Response<Body>> {
@@ -208,7 +219,7 @@
             }
             Self::Readiness => {
                 let configured = state.configuration().is_some();
-                let ready = !state.stopping.get() && configured && state.is_current();
+                let ready = !state.shutdown.is_stopping() && configured && state.is_current();
                 let status = if request.parts.uri.path() != field::READY_PATH {
                     StatusCode::NOT_FOUND
                 } else if ready {
@@ -252,6 +263,7 @@
         });
         match failure {
             Failure::Shortage => forward::refuse_early(state, request, Reason::MemoryShort),
+            Failure::Closing => forward::refuse_early(state, request, Reason::Closing),
             Failure::TooLong => {
                 response::plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is too long")
             }
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -126,7 +126,7 @@
 
 /// Campaigns for election, and coordinates while elected, until the process stops.
 pub async fn run(state: Rc<State>, reports: Rc<RefCell<Reports>>) {
-    while !state.stopping.get() {
+    while !state.shutdown.is_stopping() {
         if state.leader.borrow().is_some() || state.last_store_response.get().is_none() {
             let _ = timeout(Duration::from_millis(500), state.leader_changed.notified()).await;
             continue;
@@ -145,7 +145,7 @@
             election::delay(&name, state.leader_revision.get().number, own_share, largest_share);
         sleep(delay).await;
         state.wait_for_store().await;
-        if state.leader.borrow().is_some() || state.stopping.get() {
+        if state.leader.borrow().is_some() || state.shutdown.is_stopping() {
             continue;
         }
         match campaign(&state, &reports).await {
@@ -249,7 +249,7 @@
         if let Some(reason) = ended.or_else(|| term.invalidated()) {
             return (term, reason);
         }
-        if term.state.stopping.get() {
+        if term.state.shutdown.is_stopping() {
             return (term, "the process is stopping".to_owned());
         }
         term.apply_retirement();
@@ -348,7 +348,7 @@
     async fn end(mut self) {
         self.tasks.shutdown().await;
         self.announce().await;
-        if self.state.stopping.get() {
+        if self.state.shutdown.is_stopping() {
             let call = store::end_lease(self.lease);
             // If this fails, the lease expires.
             let _ = send(&self.state, &call, "end", Duration::ZERO).await;
--- a/bins/edge/src/main.rs
+++ b/bins/edge/src/main.rs
@@ -19,6 +19,7 @@
 mod process;
 mod reason;
 mod response;
+mod shutdown;
 mod state;
 mod store;
 mod sync;
--- a/bins/edge/src/process.rs
+++ b/bins/edge/src/process.rs
@@ -15,16 +15,18 @@
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use caraway_adapter::settings;
 use caraway_adapter::settings::Settings;
 use caraway_adapter::store;
 use caraway_adapter::store::Transaction;
 use caraway_core::time::Clock;
+use caraway_core::time::Stamp;
 use caraway_core::time::millis;
 use caraway_fleet::era::Revision;
 use caraway_fleet::reports::Reports;
+use caraway_fleet::stop::Schedule;
+use caraway_fleet::stop::Stop;
 use caraway_telemetry::background::Dropped;
 use caraway_telemetry::background::Writer;
 use caraway_telemetry::event;
@@ -33,6 +35,7 @@
 use caraway_telemetry::logger;
 
 use crate::capacity::Monitor;
+use crate::forward;
 use crate::ingress;
 use crate::leader;
 use crate::peers;
@@ -41,19 +44,6 @@
 use crate::store::send;
 use crate::sync;
 
-/// Fraction of the shutdown grace period in which a stopping instance still accepts requests. The
-/// platform checks readiness once a second and removes an instance after two failed checks; the
-/// rest of the period is for the last responses on open connections.
-const ACCEPT_SHARE: f64 = 0.45;
-
-/// Fraction of the shutdown grace period after which requests no longer wait for their targets. The
-/// rest is for telling their callers that the outcome is unknown.
-const WAIT_SHARE: f64 = 0.9;
-
-/// Time before the end of the grace period, when the platform kills the process, at which it exits
-/// even with requests in flight.
-const KILL_MARGIN: Duration = Duration::from_millis(250);
-
 /// Interval of checks for changes of the settings file, which may change without a signal.
 const RELOAD_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -155,29 +145,48 @@
     Ok(())
 }
 
-/// Shuts down gracefully: fails readiness checks first while still accepting requests, then closes
-/// the listener and idle connections, and waits for requests in flight.
+/// Stops gracefully: fails readiness checks first while still accepting requests, then closes the listener and idle
+/// connections, and waits for requests in flight. `ended` completes when all connections have closed.
 async fn shut_down(state: &State, closing: &watch::Sender<bool>, ended: impl Future<Output = ()>) {
-    state.stopping.set(true);
-    state.leader_changed.notify_waiters();
     let grace = state.settings.shutdown_grace;
-    let accepting = grace.mul_f64(ACCEPT_SHARE);
-    let draining = grace.saturating_sub(accepting).saturating_sub(KILL_MARGIN);
+    let schedule = Schedule::new(Clock.now(), grace, forward::DEADLINE_GRACE);
+    state.shutdown.begin(schedule);
+    state.leader_changed.notify_waiters();
     let mut ended = std::pin::pin!(ended);
+    let stop = Stop::begin(schedule);
     tokio::select! {
-        () = sleep(accepting) => {}
+        () = sleep_until(stop.end()) => {}
         () = ended.as_mut() => return,
     }
+    let stop = stop.close();
+    record_stage(state, schedule, "draining");
     // Fails only if there are no receivers, that is, no listener and no connections.
     let _ = closing.send(true);
-    let waiting = grace.mul_f64(WAIT_SHARE).saturating_sub(accepting);
     tokio::select! {
-        () = sleep(waiting) => state.announce_exit(),
+        () = sleep_until(stop.end()) => {}
         () = ended.as_mut() => return,
     }
-    // After the timeout, responses still being forwarded are cut off; the platform's kill would do the
-    // same.
-    let _ = timeout(draining.saturating_sub(waiting), ended).await;
+    let stop = stop.fail();
+    record_stage(state, schedule, "failing");
+    state.shutdown.fail_requests();
+    // Responses that are still being forwarded at the end are cut off; the platform's kill would do the same.
+    tokio::select! {
+        () = sleep_until(stop.end()) => {}
+        () = ended.as_mut() => {}
+    }
+}
+
+async fn sleep_until(end: Stamp) {
+    sleep(end.since(Clock.now())).await;
+}
+
+fn record_stage(state: &State, schedule: Schedule, stage: &str) {
+    emit(Event::StopProgressed {
+        stage: stage.to_owned(),
+        in_flight: u64::try_from(state.metrics.in_flight.get()).unwrap_or(0),
+        connections: ingress::open_connections(state),
+        stop_ms: millis(schedule.elapsed(Clock.now())),
+    });
 }
 
 /// Checks the settings file for changes and logs the result. Changes take effect only after a
--- a/bins/edge/src/reason.rs
+++ b/bins/edge/src/reason.rs
@@ -51,6 +51,8 @@
     MemoryShort,
     /// This instance has as many requests in flight as its descriptors allow.
     TooManyRequests,
+    /// This instance stops, possibly before the deadline of the request.
+    Closing,
     /// This instance stops before the target has responded.
     Stopping,
     /// The response is not a valid response to this request.
@@ -84,6 +86,7 @@
             Self::TimedOut => "no answer in time",
             Self::MemoryShort => "this instance has no memory for the body at the moment",
             Self::TooManyRequests => "this instance has too many requests in flight",
+            Self::Closing => "this instance stops before the deadline of the request",
             Self::Stopping => "this instance stops before the target has answered",
             Self::Mismatched => "the answer belongs to another request",
             Self::Failed => "the target failed",
@@ -124,6 +127,7 @@
             | Self::Unreachable
             | Self::ConnectionLost
             | Self::TimedOut
+            | Self::Closing
             | Self::Stopping
             | Self::Mismatched
             | Self::Failed => Duration::from_millis(50),
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -65,6 +65,7 @@
 use crate::peers::CrashLog;
 use crate::pool::Pool;
 use crate::reason::Reason;
+use crate::shutdown::Shutdown;
 
 pub use self::entries::History;
 
@@ -229,12 +230,8 @@
     pub retirement: RefCell<Retirement>,
     /// Revision of the latest change of the coordinator's record, including its removal.
     pub leader_revision: Cell<Revision>,
-    /// Whether the process is stopping.
-    pub stopping: Cell<bool>,
-    /// Whether the process is about to exit and requests no longer wait for their targets.
-    exiting: Cell<bool>,
-    /// Notified when the process is about to exit.
-    exit_notice: Notify,
+    /// Planned stop of the process.
+    pub shutdown: Shutdown,
     /// Whether this instance is the coordinator.
     pub leading: Cell<bool>,
 }
@@ -306,29 +303,12 @@
             fences: RefCell::default(),
             retirement: RefCell::default(),
             leader_revision: Cell::default(),
-            stopping: Cell::new(false),
-            exiting: Cell::new(false),
-            exit_notice: Notify::new(),
+            shutdown: Shutdown::default(),
             leading: Cell::new(false),
             settings,
         }
     }
 
-    /// Makes requests in flight stop waiting for their targets, so that each gets a response before
-    /// the process exits.
-    pub fn announce_exit(&self) {
-        self.exiting.set(true);
-        self.exit_notice.notify_waiters();
-    }
-
-    /// Returns when the process is about to exit.
-    pub async fn wait_for_exit(&self) {
-        let notice = self.exit_notice.notified();
-        if !self.exiting.get() {
-            notice.await;
-        }
-    }
-
     /// Returns the version of the configuration in force, or zero if there is none.
     pub fn version(&self) -> u64 {
         self.active_configuration
--- a/bins/edge/tests/process/main.rs
+++ b/bins/edge/tests/process/main.rs
@@ -15,5 +15,6 @@
 mod ownership;
 mod pipelining;
 mod responses;
+mod stop;
 mod trouble;
 mod warmup;
--- /dev/null
+++ b/bins/edge/tests/process/stop.rs
@@ -0,0 +1,275 @@
+//! Planned stops: what is accepted, what is refused, and that nothing that runs is broken off.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use caraway_production::caller::Caller;
+
+use crate::cluster::Cluster;
+use crate::cluster::wait;
+
+/// Grace period of the instances of the tests.
+const GRACE: Duration = Duration::from_secs(6);
+
+fn deadline(milliseconds: &str) -> (&'static str, &str) {
+    ("carawayscale-deadline-ms", milliseconds)
+}
+
+fn stop(cluster: &Cluster) -> Instant {
+    cluster.instances[0].signal("TERM");
+    wait(Duration::from_secs(1), "stopping", || {
+        cluster.instances[0].log().contains("stop-requested")
+    });
+    Instant::now()
+}
+
+fn sleep_until(end: Instant) {
+    thread::sleep(end.saturating_duration_since(Instant::now()));
+}
+
+/// Guards against passing on an order late in a stop and breaking it off at the end, before its deadline: the caller
+/// could not know whether it ran.
+#[test]
+fn a_stop_refuses_orders_that_it_could_break_off() {
+    let cluster = Cluster::start(2, 0, 1);
+    let mut callers = [cluster.caller(0), cluster.caller(0)];
+    for caller in &mut callers {
+        let response = caller.call("GET", "/read/x", "first", &[deadline("2000")]);
+        assert_eq!(response.unwrap().status, 200);
+    }
+    let stopped = stop(&cluster);
+    sleep_until(stopped + Duration::from_millis(1500));
+    let [long, short] = &mut callers;
+    short.send("POST", "/slow/wait-1000", "short", &[deadline("2000")], "order").unwrap();
+    let refused = long.call("POST", "/slow/wait-4200", "long", &[deadline("4500")]).unwrap();
+    assert_eq!(refused.status, 503, "{refused:?}");
+    assert_eq!(refused.header("connection"), Some("close"));
+    let retry: f64 = refused.header("retry-after").unwrap().parse().unwrap();
+    assert!(retry > 0.0 && retry < 0.5, "{retry}");
+    assert!(stopped.elapsed() < Duration::from_millis(2300), "{:?}", stopped.elapsed());
+    assert_eq!(short.receive().unwrap().status, 200);
+    assert_eq!((cluster.runs("long"), cluster.runs("short")), (0, 1));
+    assert!(cluster.instances[0].log().contains("stops before the deadline"));
+}
+
+/// Guards against waiting for a body until the process exits, or running its request too late.
+#[test]
+fn a_stop_refuses_an_order_whose_body_is_late() {
+    let mut cluster = Cluster::start(1, 0, 1);
+    let mut caller = cluster.caller(0);
+    let head = "POST /slow/x HTTP/1.1\r\nhost: shop.example\r\ncarawayscale-attempt-id: late\r\n\
+                carawayscale-deadline-ms: 11000\r\ncontent-length: 5\r\n\r\nord";
+    caller.send_raw(head.as_bytes()).unwrap();
+    thread::sleep(Duration::from_millis(200));
+    let stopped = stop(&cluster);
+    let response = caller.receive().unwrap();
+    assert_eq!(response.status, 503, "{response:?}");
+    assert!(stopped.elapsed() < GRACE, "{:?}", stopped.elapsed());
+    assert_eq!(cluster.runs("late"), 0);
+    assert_eq!(cluster.instances[0].wait(Duration::from_secs(2)).unwrap().code(), Some(0));
+}
+
+/// Pause of a client in the middle of a body.
+const HALF_BODY_PAUSE: Duration = Duration::from_millis(400);
+
+/// How a client sends its request.
+#[derive(Clone, Copy, Debug)]
+enum Shape {
+    Get,
+    KeptOrder,
+    Order,
+    Chunked,
+    Expecting,
+    Head,
+    Ahead,
+    HalfBody,
+    OldVersion,
+}
+
+const SHAPES: [Shape; 9] = [
+    Shape::Get,
+    Shape::KeptOrder,
+    Shape::Order,
+    Shape::Chunked,
+    Shape::Expecting,
+    Shape::Head,
+    Shape::Ahead,
+    Shape::HalfBody,
+    Shape::OldVersion,
+];
+
+/// A request that is sent during a stop, and what its client received until the connection ended.
+struct Exchange {
+    shape: Shape,
+    sent_ms: u64,
+    attempts: Vec<String>,
+    received: String,
+}
+
+impl Exchange {
+    /// Sends a request of a shape at `at` and reads until the connection ends. An empty text means that the connection
+    /// ended without a response, or could not be opened.
+    fn perform(
+        address: SocketAddr,
+        shape: Shape,
+        sent_ms: u64,
+        limit_ms: u64,
+        at: Instant,
+    ) -> Self {
+        let attempt = format!("{shape:?}-{sent_ms}-{limit_ms}");
+        let mut exchange =
+            Self { shape, sent_ms, attempts: vec![attempt], received: String::new() };
+        // Errors of the connection end the exchange; what arrived until then counts.
+        let _ = exchange.run(address, limit_ms, at);
+        exchange
+    }
+
+    fn head(&self, method: &str, attempt: &str, limit_ms: u64, lines: &str) -> String {
+        // The work ends shortly before the deadline, which counts from the head.
+        let late =
+            if matches!(self.shape, Shape::HalfBody) { HALF_BODY_PAUSE } else { Duration::ZERO };
+        let work = limit_ms * 9 / 10 - u64::try_from(late.as_millis()).unwrap();
+        let route = match method {
+            _ if limit_ms > 2000 => "slow",
+            "POST" => "order",
+            _ => "read",
+        };
+        let path = format!("/{route}/wait-{work}");
+        format!(
+            "{method} {path} HTTP/1.1\r\nhost: shop.example\r\ncarawayscale-attempt-id: {attempt}\r\n\
+             carawayscale-deadline-ms: {limit_ms}\r\n{lines}\r\n"
+        )
+    }
+
+    fn run(&mut self, address: SocketAddr, limit_ms: u64, at: Instant) -> std::io::Result<()> {
+        let length = "content-length: 5\r\n";
+        let attempt = self.attempts[0].clone();
+        let get = self.head("GET", &attempt, limit_ms, "");
+        let post = |lines: &str| self.head("POST", &attempt, limit_ms, lines);
+        let (text, rest) = match self.shape {
+            Shape::Get => (get, String::new()),
+            Shape::KeptOrder | Shape::Order => (post(length) + "order", String::new()),
+            Shape::Chunked => {
+                (post("transfer-encoding: chunked\r\n") + "5\r\norder\r\n0\r\n\r\n", String::new())
+            }
+            Shape::Expecting => {
+                (post(&format!("{length}expect: 100-continue\r\n")), "order".to_owned())
+            }
+            Shape::Head => (get.replacen("GET", "HEAD", 1), String::new()),
+            Shape::Ahead => {
+                let second = format!("{attempt}-second");
+                self.attempts.push(second.clone());
+                (get + &self.head("GET", &second, limit_ms, ""), String::new())
+            }
+            Shape::HalfBody => (post(length) + "or", "der".to_owned()),
+            Shape::OldVersion => (get.replacen("HTTP/1.1", "HTTP/1.0", 1), String::new()),
+        };
+        let kept = match self.shape {
+            Shape::KeptOrder => {
+                let mut caller = Caller::open(address)?;
+                caller.call("GET", "/read/x", "first", &[])?;
+                Some(caller)
+            }
+            _ => None,
+        };
+        sleep_until(at);
+        if let Some(mut caller) = kept {
+            caller.send_raw(text.as_bytes())?;
+            let response = caller.receive()?;
+            self.received = format!("HTTP/1.1 {}\r\n{}", response.status, response.body);
+            return Ok(());
+        }
+        let mut stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(GRACE + Duration::from_secs(2)))?;
+        stream.write_all(text.as_bytes())?;
+        if matches!(self.shape, Shape::Expecting) {
+            let mut space = [0; 1024];
+            let size = stream.read(&mut space)?;
+            let text = String::from_utf8_lossy(&space[..size]).into_owned();
+            if !text.starts_with("HTTP/1.1 100") {
+                self.received = text;
+            } else {
+                stream.write_all(rest.as_bytes())?;
+            }
+        } else if !rest.is_empty() {
+            thread::sleep(HALF_BODY_PAUSE);
+            stream.write_all(rest.as_bytes())?;
+        }
+        let mut space = [0; 4096];
+        loop {
+            let size = stream.read(&mut space)?;
+            if size == 0 {
+                return Ok(());
+            }
+            self.received += &String::from_utf8_lossy(&space[..size]);
+        }
+    }
+
+    /// Returns what is wrong, if anything, where `ran` tells whether an attempt ran.
+    fn problem(&self, ran: impl Fn(&str) -> bool) -> Option<String> {
+        let responses: Vec<&str> = self.received.split("HTTP/1.1 ").skip(1).collect();
+        let status = |response: &str| response.get(..3).unwrap_or_default().to_owned();
+        for (index, attempt) in self.attempts.iter().enumerate() {
+            let response = responses.get(index).copied().unwrap_or_default();
+            let whole = match self.shape {
+                Shape::Head => response.ends_with("\r\n\r\n"),
+                _ => response.ends_with(&format!(":{attempt}")),
+            };
+            let allowed = match status(response).as_str() {
+                "200" => ran(attempt) && whole,
+                "503" | "" => !ran(attempt),
+                _ => false,
+            };
+            if !allowed {
+                let ran = ran(attempt);
+                return Some(format!(
+                    "{attempt} sent at {}, ran: {ran}, got {response:?}",
+                    self.sent_ms
+                ));
+            }
+        }
+        None
+    }
+}
+
+/// Guards against requests that are taken late in the grace period and cut off at its end, whatever their shape: each
+/// is answered by its target, or has not run.
+#[test]
+fn a_stop_answers_or_refuses_requests_of_every_shape() {
+    let mut cluster = Cluster::start(12, 0, 1);
+    let address = cluster.instances[0].caller_address;
+    // The connections that are kept open are idle for less than the timeout.
+    let stopped = Instant::now() + Duration::from_millis(500);
+    let mut clients = Vec::new();
+    for shape in SHAPES {
+        for (sent_ms, limit_ms) in (100..5600).step_by(550).zip([700, 4000, 1900].iter().cycle()) {
+            let at = stopped + Duration::from_millis(sent_ms);
+            // Requests that are sent ahead run at the same time only on a route of repeatable ones.
+            let most = if matches!(shape, Shape::Ahead) { 1900 } else { 4000 };
+            let limit_ms = (*limit_ms).min(most);
+            clients.push(thread::spawn(move || {
+                if !matches!(shape, Shape::KeptOrder) {
+                    sleep_until(at - Duration::from_millis(5));
+                }
+                Exchange::perform(address, shape, sent_ms, limit_ms, at)
+            }));
+        }
+    }
+    sleep_until(stopped);
+    cluster.instances[0].signal("TERM");
+    let exchanges: Vec<Exchange> = clients.into_iter().map(|c| c.join().unwrap()).collect();
+    assert_eq!(cluster.instances[0].wait(Duration::from_secs(2)).unwrap().code(), Some(0));
+    let ran = |attempt: &str| cluster.runs(attempt) > 0;
+    let problems: Vec<String> = exchanges.iter().filter_map(|e| e.problem(ran)).collect();
+    assert!(problems.is_empty(), "{}", problems.join("\n"));
+    let answered = exchanges.iter().filter(|e| e.received.contains(" 200")).count();
+    let refused = exchanges.iter().filter(|e| e.received.contains(" 503")).count();
+    println!("{answered} answered, {refused} refused, {} in all", exchanges.len());
+    // Requests of the first second of the stop have time.
+    assert!(answered >= 2 * SHAPES.len(), "{answered} answered");
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod reports;
 pub mod share;
 pub mod speed;
+pub mod stop;
 pub mod unowned;
 pub mod view;
 pub mod warmup;
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -136,6 +136,9 @@
     /// A further SIGTERM arrived during a planned stop.
     113 Warn StopRepeated "stop-repeated" { stop_ms: u64 }
         "SIGTERM again, {stop_ms} ms after the stop began: the planned stop continues"
+    /// A planned stop entered its next stage.
+    114 Info StopProgressed "stop-progressed" { stage: String, in_flight: u64, connections: u64, stop_ms: u64 }
+        "planned stop {stage} after {stop_ms} ms with {in_flight} requests in flight on {connections} connections"
 
     /// The first heartbeat of an entry instance arrived.
     201 Info MemberJoined "member-joined" { instance: name::Instance, incarnation: u64 }
