Count response heads and read buffers in the memory budget

Callers (report of operators of a similar system): servers in trouble sent bytes without an end, the process kept them until it ran out of memory, and the requests of all its callers ended with it.

Cause here: single responses were bounded (32 KiB of head, 64 KiB of buffered body), but only buffered bodies drew from the memory budget. Heads and read buffers grew with the number of requests in flight, in buffers of up to twice their size, and buffered bodies could take a caller's whole part of the budget. Evidence: the new test on the code before, 1,280 requests at 110 targets on a machine with 48 MB: peak 71.4 MB with heads that hang, and no ordinary request answered for 20 s with bodies that hang.

Change: an attempt takes the memory of its read buffer before anything is sent; without it the request is refused as not executed. Larger heads and buffered bodies draw memory that a request can do without, which is granted only while half of the budget and of the caller's part is free. Buffers grow by the size that is counted.

This works because every byte that a target can make the process keep is now drawn from the budget, and what is optional cannot take what requests need.

Result: the same test passes, peaks 22.1 and 42.0 MB (debug build); all tests of caraway-edge pass.

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -2,6 +2,7 @@
 
 mod message;
 mod outcome;
+mod probe;
 mod selection;
 
 use std::cell::Cell;
@@ -17,7 +18,6 @@
 use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use tokio::time::Instant;
-use tokio::time::sleep;
 use tokio::time::timeout_at;
 
 use caraway_adapter::header as field;
@@ -36,9 +36,12 @@
 
 use crate::attempt::Attempt;
 use crate::forward::outcome::refuse;
+use crate::forward::probe::probe_target;
 use crate::http::Connection;
 use crate::http::Head;
+use crate::http::READ_BYTES;
 use crate::ingress::body::Body;
+use crate::memory::Lease;
 use crate::metrics::Metrics;
 use crate::pool;
 use crate::reason::Reason;
@@ -68,9 +71,6 @@
 /// once; after this many failures, most likely all targets are unreachable.
 const MAX_UNSENT: usize = 8;
 
-/// Time after which a connection that was opened to check for a crash must still be open.
-const PROBE_SETTLE_TIME: Duration = Duration::from_millis(50);
-
 /// Longest time for which a caller is taken to wait for the rest of a response, whatever it states.
 const MAX_CALLER_WAIT: Duration = Duration::from_secs(3600);
 
@@ -263,6 +263,7 @@
             self.selected.push(target.incarnation.id.clone());
             match self.attempt(&target).await {
                 Completion::Answered(head, body) => return self.respond(&target, head, body),
+                Completion::Unsent(Reason::MemoryShort) => return self.fail(Reason::MemoryShort),
                 Completion::Unsent(reason) => {
                     self.last_reason = reason;
                     // The request was not sent, so this is neither an attempt nor a retry.
@@ -329,6 +330,13 @@
 
     /// Sends the request to a target.
     async fn attempt(&self, target: &Arc<Target>) -> Completion {
+        // Nothing is sent without memory for the beginning of the response, which would be lost after the request
+        // has been executed.
+        let lease = self.state.memory.lease(self.request.caller);
+        lease.complete();
+        if lease.grow(READ_BYTES, self.deadline).await.is_err() {
+            return Completion::Unsent(Reason::MemoryShort);
+        }
         let attempt = Attempt::begin(self.state, target, self.urgent);
         let max_idle =
             if self.route.repeatable { MAX_IDLE_IDEMPOTENT } else { MAX_IDLE_NON_IDEMPOTENT };
@@ -374,7 +382,7 @@
                 connection.send(piece).await?;
             }
             self.state.record_sent(target);
-            connection.read_head().await
+            connection.read_head(&lease).await
         });
         let head = tokio::select! {
             head = head => head,
@@ -401,7 +409,7 @@
             }
             Ok(Ok(head)) => head,
         };
-        self.classify(target, attempt, connection, head, until).await
+        self.classify(target, attempt, connection, lease, head, until).await
     }
 
     /// Records a broken or mismatched response, and starts a crash probe of the target unless one
@@ -428,6 +436,7 @@
         target: &Arc<Target>,
         attempt: Attempt,
         mut connection: Connection,
+        lease: Lease,
         head: Head,
         until: Instant,
     ) -> Completion {
@@ -470,9 +479,14 @@
         }
         let status = head.status;
         let outcome = if status >= 500 { Outcome::Failed } else { Outcome::Answered };
-        let mut body =
-            TargetBody::new(self.state.clone(), target.clone(), connection, attempt, outcome);
-        body.set_lease(self.state.memory.lease(self.request.caller));
+        let mut body = TargetBody::new(
+            self.state.clone(),
+            target.clone(),
+            connection,
+            attempt,
+            outcome,
+            lease,
+        );
         body.set_deadline(self.caller_deadline + DEADLINE_GRACE);
         if not_executed {
             let reason = if status == 421 { Reason::NotOwner } else { Reason::Shed };
@@ -555,29 +569,6 @@
     }
 }
 
-/// Checks whether a target that broke off a response has crashed, by opening a connection. The
-/// connection is pooled for the next request.
-fn probe_target(state: &Rc<State>, target: &Target) {
-    let (probing, target) = (state.clone(), target.clone());
-    state.crash_probes.borrow_mut().spawn_local(async move {
-        let mut opened = Connection::open(target.address, pool::CONNECT_TIMEOUT).await;
-        if opened.is_ok() {
-            // A process that is ending may accept a connection and reset it a moment later.
-            sleep(PROBE_SETTLE_TIME).await;
-            if opened.as_ref().is_ok_and(|connection| !connection.is_reusable()) {
-                opened = Connection::open(target.address, pool::CONNECT_TIMEOUT).await;
-            }
-        }
-        match opened {
-            Ok(connection) => probing.keep_connection(&target, connection),
-            Err(_) => {
-                probing.suspect_cold(&target);
-                probing.record_crash(&target.incarnation, &target.service);
-            }
-        }
-    });
-}
-
 /// Returns a header field of a response, if it is valid text.
 fn header_text<'a>(head: &'a Head, name: &str) -> Option<&'a str> {
     head.headers.get(name)?.to_str().ok()
--- a/bins/edge/src/http.rs
+++ b/bins/edge/src/http.rs
@@ -32,6 +32,8 @@
 
 use caraway_core::time::Stamp;
 
+use crate::memory::Lease;
+
 /// Timeout for the acknowledgment of sent data. A live peer acknowledges within one round trip; the timeout
 /// allows for one lost packet and its retransmission after 200 to 400 ms.
 const ACKNOWLEDGMENT_TIMEOUT: Duration = Duration::from_millis(900);
@@ -61,8 +63,8 @@
 /// Maximum number of refused requests on a connection that is reused.
 const MAX_REFUSALS: usize = 16;
 
-/// Read buffer size.
-const READ_BYTES: usize = 8 << 10;
+/// Read buffer size. Only the head of a response may need a larger buffer.
+pub const READ_BYTES: usize = 8 << 10;
 
 /// Decoder state: how the end of the body is determined, and what comes next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -99,6 +101,8 @@
 pub struct Connection {
     stream: TcpStream,
     buffer: BytesMut,
+    /// Most bytes that the buffer may hold.
+    limit: usize,
     framing: Framing,
     /// Whether the peer closes the connection after the response, so that it cannot be reused.
     closing: bool,
@@ -137,6 +141,7 @@
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
+            limit: READ_BYTES,
             framing: Framing::Ended,
             closing: false,
             bodiless: false,
@@ -211,6 +216,7 @@
     pub fn set_idle(&mut self, now: Stamp) {
         self.idle_since = now;
         self.buffer = BytesMut::new();
+        self.limit = READ_BYTES;
     }
 
     /// Sends a request.
@@ -222,21 +228,29 @@
         self.stream.write_all(bytes).await
     }
 
-    /// Reads the head of the next response, skipping interim (1xx) responses.
+    /// Reads the head of the next response, skipping interim (1xx) responses. What it takes beyond [`READ_BYTES`] draws
+    /// from `lease`.
     ///
     /// # Errors
     ///
-    /// Fails if the connection closes or the data is not a valid response.
-    pub async fn read_head(&mut self) -> io::Result<Head> {
-        self.read_head_within(MAX_HEAD_BYTES).await
+    /// Fails if the connection closes, the data is not a valid response, the head is too long or there is no memory
+    /// for it.
+    pub async fn read_head(&mut self, lease: &Lease) -> io::Result<Head> {
+        // A parsed head is held beside its text.
+        self.read_head_within(MAX_HEAD_BYTES, || lease.try_grow_optional(2 * READ_BYTES)).await
     }
 
-    /// Reads the head of the next response like [`Connection::read_head`], with a size limit.
+    /// Reads the head of the next response like [`Connection::read_head`], with a size limit. `grow` takes the memory
+    /// for a larger buffer and returns false if there is none.
     ///
     /// # Errors
     ///
-    /// Fails if the connection closes, the data is not a valid response or the head is too long.
-    pub async fn read_head_within(&mut self, max_bytes: usize) -> io::Result<Head> {
+    /// Fails like [`Connection::read_head`].
+    pub async fn read_head_within(
+        &mut self,
+        max_bytes: usize,
+        grow: impl Fn() -> bool,
+    ) -> io::Result<Head> {
         let mut interim = 0;
         // Size of the buffer at the latest attempt to parse it.
         let mut parsed = 0;
@@ -258,6 +272,13 @@
             if self.buffer.len() > max_bytes {
                 return Err(invalid("the response head is too long"));
             }
+            if self.buffer.len() >= self.limit {
+                if !grow() {
+                    let problem = "no memory for the response head";
+                    return Err(io::Error::new(ErrorKind::OutOfMemory, problem));
+                }
+                self.limit += READ_BYTES;
+            }
             if poll_fn(|cx| self.poll_fill(cx)).await? == 0 {
                 return Err(ErrorKind::UnexpectedEof.into());
             }
@@ -315,12 +336,25 @@
     }
 
     fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        self.buffer.reserve(READ_BYTES / 2);
+        // The parts of a body that are decoded only as a whole are shorter than the buffer.
+        let room = self.limit.saturating_sub(self.buffer.len()).min(READ_BYTES);
+        if room == 0 {
+            return Poll::Ready(Err(invalid("the response does not fit into its buffer")));
+        }
         let mut space = [std::mem::MaybeUninit::<u8>::uninit(); READ_BYTES];
-        let mut read = ReadBuf::uninit(&mut space);
+        let space = space.get_mut(..room).unwrap_or_default();
+        let mut read = ReadBuf::uninit(space);
         ready!(Pin::new(&mut self.stream).poll_read(cx, &mut read))?;
+        let size = read.filled().len();
+        let spare = self.buffer.capacity() - self.buffer.len();
+        if spare < size && !self.buffer.try_reclaim(size) {
+            // A buffer that grows by itself would take up to twice as much.
+            let mut larger = BytesMut::with_capacity(self.buffer.len() + size.max(READ_BYTES / 2));
+            larger.extend_from_slice(&self.buffer);
+            self.buffer = larger;
+        }
         self.buffer.extend_from_slice(read.filled());
-        Poll::Ready(Ok(read.filled().len()))
+        Poll::Ready(Ok(size))
     }
 
     /// Polls for the next bytes of the body; `None` is the end of the body.
--- a/bins/edge/src/memory.rs
+++ b/bins/edge/src/memory.rs
@@ -86,6 +86,20 @@
         self.ask(bytes) == Answer::Granted
     }
 
+    /// Takes more memory that the holder can do without, if a good part of the budget is free.
+    pub fn try_grow_optional(&self, bytes: usize) -> bool {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        let answer = self.memory.budget.borrow_mut().grow_optional(self.id, bytes, Clock.now());
+        answer == Answer::Granted
+    }
+
+    /// Returns all memory above `bytes`.
+    pub fn shrink_to(&self, bytes: usize) {
+        let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
+        self.memory.budget.borrow_mut().shrink_to(self.id, bytes);
+        self.memory.freed.notify_one();
+    }
+
     fn ask(&self, bytes: usize) -> Answer {
         let bytes = u64::try_from(bytes).unwrap_or(u64::MAX);
         self.memory.budget.borrow_mut().grow(self.id, bytes, Clock.now())
--- a/bins/edge/src/pool.rs
+++ b/bins/edge/src/pool.rs
@@ -204,7 +204,7 @@
     let started = Instant::now();
     let head = timeout(bounds.time, async {
         connection.send(request).await?;
-        connection.read_head_within(bounds.head_bytes).await
+        connection.read_head_within(bounds.head_bytes, || true).await
     });
     let head = head.await??;
     let end = started + bounds.time + bounds.extension;
--- a/bins/edge/src/response.rs
+++ b/bins/edge/src/response.rs
@@ -30,6 +30,7 @@
 use crate::attempt::Attempt;
 use crate::http::Connection;
 use crate::http::Head;
+use crate::http::READ_BYTES;
 use crate::http::is_end_to_end;
 use crate::memory::Lease;
 use crate::state::State;
@@ -51,8 +52,10 @@
     /// Outcome that is recorded once the body has been read completely.
     outcome: Outcome,
     buffered: BytesMut,
-    /// Memory of the buffered part, if it is counted.
-    lease: Option<Lease>,
+    /// Memory of the response.
+    lease: Lease,
+    /// Whether the lease may be for more than the read buffer of the connection.
+    holds_more: bool,
     /// Whether the complete body was buffered before any of it was forwarded.
     complete: bool,
     length: Option<u64>,
@@ -63,13 +66,14 @@
 }
 
 impl TargetBody {
-    /// Creates the body of a response whose head has been read.
+    /// Creates the body of a response whose head has been read. `lease` is the memory of the response.
     pub fn new(
         state: Rc<State>,
         target: Arc<Target>,
         connection: Connection,
         attempt: Attempt,
         outcome: Outcome,
+        lease: Lease,
     ) -> Self {
         let (connection, buffered) = (Some(connection), BytesMut::new());
         Self {
@@ -79,7 +83,8 @@
             attempt,
             outcome,
             buffered,
-            lease: None,
+            lease,
+            holds_more: true,
             complete: false,
             length: None,
             deadline: None,
@@ -87,12 +92,6 @@
         }
     }
 
-    /// Sets the holding from which the buffered part of the body draws.
-    pub fn set_lease(&mut self, lease: Lease) {
-        lease.complete();
-        self.lease = Some(lease);
-    }
-
     /// Sets the time after which no caller waits for the rest of the body. Without it, a body
     /// without an end would be read for as long as the caller's connection is open.
     pub fn set_deadline(&mut self, deadline: Instant) {
@@ -121,7 +120,7 @@
             match connection.read_body().await? {
                 Some(bytes) => {
                     self.buffered.extend_from_slice(&bytes);
-                    let counted = self.lease.as_ref().is_none_or(|l| l.try_grow(bytes.len()));
+                    let counted = self.lease.try_grow_optional(bytes.len());
                     if !counted || self.buffered.len() > limit {
                         return Ok(());
                     }
@@ -164,8 +163,10 @@
             let bytes = std::mem::take(&mut this.buffered).freeze();
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
-        // The buffered part has been written.
-        this.lease = None;
+        if std::mem::take(&mut this.holds_more) {
+            // The buffered part has been written.
+            this.lease.shrink_to(READ_BYTES);
+        }
         if this.connection.is_some() && this.poll_deadline(cx).is_ready() {
             this.attempt.end(Outcome::Abandoned);
             this.connection = None;
--- a/bins/edge/tests/clients/crowd.rs
+++ b/bins/edge/tests/clients/crowd.rs
@@ -50,6 +50,7 @@
 pub struct Watched {
     pub cluster: Cluster,
     memory_mb: u64,
+    max_descriptors: usize,
     descriptors: Arc<AtomicUsize>,
     ended: Arc<AtomicBool>,
     watcher: Option<JoinHandle<()>>,
@@ -64,6 +65,16 @@
 
     /// Starts an instance whose settings have further lines.
     pub fn start_with(memory_mb: u64, max_body_bytes: u64, more: &str) -> Self {
+        Self::start_on(memory_mb, MAX_DESCRIPTORS, max_body_bytes, more)
+    }
+
+    /// Starts an instance on a machine with this memory and this many descriptors.
+    pub fn start_on(
+        memory_mb: u64,
+        max_descriptors: usize,
+        max_body_bytes: u64,
+        more: &str,
+    ) -> Self {
         let turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
         let store = Store::start().unwrap();
         let mut document = configuration(1);
@@ -80,7 +91,7 @@
         store.put(&target.registration_key(), &target.registration("ready"));
         let program = Path::new(env!("CARGO_BIN_EXE_caraway-edge"));
         let limits = format!(
-            "self.limits.memory_mb={memory_mb}\nself.limits.max_fds={MAX_DESCRIPTORS}\n\
+            "self.limits.memory_mb={memory_mb}\nself.limits.max_fds={max_descriptors}\n\
              self.limits.link_mbps=1000\n{more}"
         );
         let instance = Instance::start_with(program, "a", store.address, &limits).unwrap();
@@ -97,7 +108,15 @@
                 thread::sleep(Duration::from_millis(5));
             }
         });
-        Self { cluster, memory_mb, descriptors, ended, watcher: Some(watcher), _turn: turn }
+        Self {
+            cluster,
+            memory_mb,
+            max_descriptors,
+            descriptors,
+            ended,
+            watcher: Some(watcher),
+            _turn: turn,
+        }
     }
 
     pub fn instance(&self) -> &Instance {
@@ -126,7 +145,7 @@
         assert!(descriptors > 0, "the descriptors cannot be read");
         println!("peak memory {peak} bytes, peak descriptors {descriptors}");
         assert!(peak < self.memory_mb * 1_000_000, "peak memory {peak} bytes");
-        assert!(descriptors < MAX_DESCRIPTORS, "{descriptors} descriptors");
+        assert!(descriptors < self.max_descriptors, "{descriptors} descriptors");
     }
 }
 
--- a/bins/edge/tests/clients/main.rs
+++ b/bins/edge/tests/clients/main.rs
@@ -17,3 +17,4 @@
 mod heads;
 mod limits;
 mod readers;
+mod targets;
--- a/crates/fleet/src/memory.rs
+++ b/crates/fleet/src/memory.rs
@@ -25,6 +25,10 @@
 /// Share of the memory for large holdings, and of the memory that these leave, for one caller address.
 const CALLER_SHARE: f64 = 0.5;
 
+/// Share of the budget, and of the part for one caller address, up to which memory is granted that a request can do
+/// without.
+const OPTIONAL_SHARE: f64 = 0.5;
+
 /// Number of received bytes that count as progress. A client that sends single bytes makes none.
 const PROGRESS_BYTES: u64 = 4 << 10;
 
@@ -187,6 +191,20 @@
         Answer::Granted
     }
 
+    /// Asks for more memory that a request can do without. It is granted only while about half of the budget is free, so
+    /// that requests that need memory still get it.
+    pub fn grow_optional(&mut self, id: Id, bytes: u64, now: Stamp) -> Answer {
+        let Some(holding) = self.holdings.get(&id) else { return Answer::TooLarge };
+        let own = self.callers.get(&holding.caller).copied().unwrap_or_default();
+        let own_part = share(self.total, CALLER_SHARE);
+        let within =
+            |used: u64, part: u64| used.saturating_add(bytes) <= share(part, OPTIONAL_SHARE);
+        if !within(self.used.sum(), self.total) || !within(own.sum(), own_part) {
+            return Answer::Short(None);
+        }
+        self.grow(id, bytes, now)
+    }
+
     /// Returns the holding that has made no progress for the longest time, among those whose end would help.
     fn stalled(&self, asking: Id, large: bool, caller: Option<IpAddr>, now: Stamp) -> Option<Id> {
         let candidates = self.holdings.iter().filter(|(id, holding)| {
@@ -217,6 +235,12 @@
         }
     }
 
+    /// Returns the memory of a holding above `bytes`.
+    pub fn shrink_to(&mut self, id: Id, bytes: u64) {
+        let held = self.holdings.get(&id).map_or(0, |holding| holding.bytes);
+        self.shrink(id, held.saturating_sub(bytes));
+    }
+
     /// Records that bytes of a holding have arrived.
     pub fn record_arrival(&mut self, id: Id, bytes: u64, now: Stamp) {
         if let Some(holding) = self.holdings.get_mut(&id) {
--- a/crates/fleet/tests/memory.rs
+++ b/crates/fleet/tests/memory.rs
@@ -57,6 +57,34 @@
     assert_eq!(granted, 2 * MIB / SMALL_BYTES);
 }
 
+/// Guards against responses of targets in trouble that take the memory that ordinary requests need: what a request can
+/// do without ends at half of the budget, and at half of a caller's part.
+#[test]
+fn memory_that_requests_can_do_without_leaves_half_of_the_budget() {
+    let mut budget = Budget::new(8 * MIB);
+    let mut granted = 0;
+    for number in 0..200 {
+        let id = budget.begin(caller(number), at(0));
+        assert_eq!(budget.grow(id, 8 << 10, at(0)), Answer::Granted);
+        granted += u64::from(budget.grow_optional(id, 56 << 10, at(0)) == Answer::Granted);
+    }
+    assert!(
+        granted > 0 && budget.used() <= 4 * MIB + 200 * (8 << 10),
+        "{granted} granted, {} used",
+        budget.used()
+    );
+    let mut budget = Budget::new(8 * MIB);
+    while budget.used() < 4 * MIB {
+        let id = budget.begin(caller(1), at(0));
+        if budget.grow_optional(id, 64 << 10, at(0)) != Answer::Granted {
+            break;
+        }
+    }
+    assert_eq!(budget.used(), 2 * MIB);
+    let id = budget.begin(caller(1), at(0));
+    assert_eq!(budget.grow(id, 64 << 10, at(0)), Answer::Granted);
+}
+
 /// Guards against one address that takes the whole budget, with large or with small bodies.
 #[yare::parameterized(
     large = { MIB },
--- a/standins/production/src/misbehavior.rs
+++ b/standins/production/src/misbehavior.rs
@@ -15,6 +15,9 @@
 /// Pause between the single bytes of a slow response.
 const BYTE_INTERVAL: Duration = Duration::from_millis(2);
 
+/// Pause between the single bytes of a response that hangs after a large beginning.
+const HUNG_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Numbers of responses of each shape that are being sent.
 static UNENDED: [AtomicUsize; SHAPES.len()] = [const { AtomicUsize::new(0) }; SHAPES.len()];
 
@@ -32,22 +35,32 @@
     piece: &'static str,
     /// Whether the piece is sent one byte at a time.
     slow: bool,
+    /// Number of bytes that are sent at once between the beginning and the piece.
+    filler: usize,
 }
 
 const OK: &str = "HTTP/1.1 200 OK\r\n";
 const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n";
 
 const fn shape(keyword: &'static str, beginning: &'static str, piece: &'static str) -> Shape {
-    Shape { keyword, beginning, piece, slow: false }
+    Shape { keyword, beginning, piece, slow: false, filler: 0 }
+}
+
+const fn slow(keyword: &'static str, beginning: &'static str, filler: usize) -> Shape {
+    Shape { keyword, beginning, piece: "HTTP/1.1 200 OK\r\nx: ", slow: true, filler }
 }
 
 /// All shapes. The id of the request and an empty line follow a beginning that is not empty.
-const SHAPES: [Shape; 11] = [
+const SHAPES: [Shape; 13] = [
     shape("endless-garbage", "", "xxxxxxxxxxxxxxxx"),
     shape("endless-interim", "", "HTTP/1.1 102 Processing\r\n\r\n"),
     shape("endless-line", "", "HTTP/1.1 200 OKOKOKOKOK"),
     shape("endless-fields", "", "HTTP/1.1 200 OK\r\nx-a: 1\r\nx-b: 2\r\nx-c: 3\r\nx-d: 4"),
-    Shape { keyword: "endless-slow", beginning: "", piece: "HTTP/1.1 200 OK\r\nx: ", slow: true },
+    slow("endless-slow", "", 0),
+    // Just below the size limit of a head, so that it is held until the deadline of its request.
+    slow("endless-head", "", 31_000),
+    // Just below the part of a body that is buffered.
+    slow("endless-body", OK, 60_000),
     shape("endless-close", OK, "yyyyyyyyyyyyyyyy"),
     shape("endless-chunks", CHUNKED, "4\r\nabcd\r\n"),
     shape("endless-size", CHUNKED, "0000000000000000"),
@@ -83,6 +96,11 @@
         (first, rest) = shape.piece.split_at(split);
     }
     output.write_all(first.as_bytes())?;
+    if shape.filler > 0 {
+        output.write_all(format!("x: {}", "a".repeat(shape.filler)).as_bytes())?;
+    }
+    // A filler is followed by few bytes, as from a target that hangs.
+    let interval = if shape.filler > 0 { HUNG_INTERVAL } else { BYTE_INTERVAL };
     let repeated = match shape.slow {
         true => rest.to_owned(),
         false => rest.repeat(512),
@@ -92,7 +110,7 @@
         if shape.slow {
             for byte in repeated.as_bytes() {
                 output.write_all(&[*byte])?;
-                thread::sleep(BYTE_INTERVAL);
+                thread::sleep(interval);
             }
         } else {
             output.write_all(repeated.as_bytes())?;
