Test responses that end in the middle of their head

Callers (report of operators of a similar system): a server stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body, framed as whole.

Cause: none here. A head counts only with its empty line; the end of the connection before it is an error. Change: a test that cuts the head after each byte, for reads, orders and HEAD requests, with and without a stated length. Everything else in the stand-in is unchanged.

--- a/bins/edge/tests/process/responses.rs
+++ b/bins/edge/tests/process/responses.rs
@@ -131,6 +131,28 @@
     assert_eq!(cluster.get(0, "/read/x", "after").status, 200);
 }
 
+/// Guards against a success with an empty or short body for a target that closed the connection in the middle of its
+/// response's head, wherever that was.
+#[yare::parameterized(
+    with_length = { "" },
+    until_close = { "-no-length" },
+)]
+fn a_response_without_a_complete_head_is_not_a_success(kind: &str) {
+    let cluster = Cluster::start(2, 0, 1);
+    // The stand-in's shorter head, without its last byte.
+    let shortest = "HTTP/1.1 200 OK\r\ncarawayscale-attempt-id: r1000\r\n\r\n".len() - 1;
+    for size in 0..=shortest {
+        for (method, path) in [("GET", "read"), ("POST", "order"), ("HEAD", "read")] {
+            let path = format!("/{path}/head-cut-{size}{kind}");
+            let attempt = format!("{}{}", method.to_lowercase().get(..1).unwrap(), 1000 + size);
+            let mut caller = cluster.caller(0);
+            let response = caller.call(method, &path, &attempt, &[DEADLINE]).unwrap();
+            assert_eq!(response.status, 502, "{method} {path}: {response:?}");
+        }
+    }
+    assert_eq!(cluster.get(0, "/read/x", "after").status, 200);
+}
+
 /// Guards against failing an idempotent request after one broken response, and against more
 /// attempts than the route allows.
 #[test]
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -381,6 +381,13 @@
     http::response(200, &[("carawayscale-handover", "state")], b"")
 }
 
+/// Returns the number that follows a keyword in a path.
+fn number_after(path: &str, keyword: &str) -> Option<u64> {
+    let text = path.split(keyword).nth(1)?;
+    let digits: String = text.chars().take_while(char::is_ascii_digit).collect();
+    Some(digits.parse().unwrap_or(0))
+}
+
 /// Executes a request and responds as the keywords in its path specify. Returns whether the
 /// connection, which has the given id, stays open.
 fn execute(
@@ -471,9 +478,8 @@
         runs.push(run.clone());
         runs.len() - 1
     };
-    if let Some(text) = request.path.split("wait-").nth(1) {
-        let digits: String = text.chars().take_while(char::is_ascii_digit).collect();
-        thread::sleep(Duration::from_millis(digits.parse().unwrap_or(0)));
+    if let Some(time) = number_after(&request.path, "wait-") {
+        thread::sleep(Duration::from_millis(time));
         stream.set_nonblocking(true)?;
         let gone = matches!(stream.peek(&mut [0; 1]), Ok(0) | Err(_))
             && !matches!(stream.peek(&mut [0; 1]), Err(error) if error.kind() == io::ErrorKind::WouldBlock);
@@ -528,6 +534,16 @@
         stream.shutdown(Shutdown::Both)?;
         return Ok(false);
     }
+    if let Some(size) = number_after(&request.path, "head-cut-") {
+        let head = match has("no-length") {
+            true => format!("HTTP/1.1 200 OK\r\ncarawayscale-attempt-id: {attempt}\r\n\r\n")
+                .into_bytes(),
+            false => encoded,
+        };
+        output.write_all(head.get(..usize::try_from(size).unwrap_or(0)).unwrap_or_default())?;
+        stream.shutdown(Shutdown::Both)?;
+        return Ok(false);
+    }
     if has("unframed") {
         let mut text = format!(
             "HTTP/1.1 200 OK\r\ncarawayscale-attempt-id: {attempt}\r\n\
