Read no requests ahead during a planned stop

Cause: a connection closed only with a response behind which nothing was in flight, and reading stopped only while the read buffer was empty; with many requests outstanding neither happens.

Change: during a stop a connection with a request in flight reads no further one.

This works because the responses in flight then run out, and the last one closes the connection; what is behind it has not run, and the client knows that.

--- a/bins/edge/src/ingress/reader.rs
+++ b/bins/edge/src/ingress/reader.rs
@@ -170,7 +170,10 @@
         let limits = self.link.service.head_limits(&self.link.state);
         let (mut scanned, mut empty_lines) = (0, 0);
         loop {
-            if self.link.is_closing() {
+            // A stopping process reads nothing ahead: a client that always has a request outstanding would keep its
+            // connection open.
+            let retiring = self.link.state.shutdown.is_stopping() && !self.link.is_idle();
+            if retiring || self.link.is_closing() {
                 return Err(Stop::Finished);
             }
             // Empty lines before a request are ignored.
--- a/bins/edge/tests/process/stop.rs
+++ b/bins/edge/tests/process/stop.rs
@@ -77,6 +77,54 @@
 /// Pause of a client in the middle of a body.
 const HALF_BODY_PAUSE: Duration = Duration::from_millis(400);
 
+fn get(path: &str, attempt: &str) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nhost: shop.example\r\ncarawayscale-attempt-id: {attempt}\r\n\
+         carawayscale-deadline-ms: 2000\r\ncookie: {}\r\n\r\n",
+        "c".repeat(900)
+    )
+}
+
+/// Guards against a stop that goes on reading from a connection with requests in flight: a client that sends more than
+/// is read ahead kept its connection until requests were refused or broken off.
+#[test]
+fn a_stop_reads_nothing_ahead() {
+    const OUTSTANDING: usize = 24;
+    let cluster = Cluster::start(4, 0, 1);
+    let mut caller = cluster.caller(0);
+    let mut sent = 0;
+    let mut send = |caller: &mut Caller| {
+        sent += 1;
+        caller.send_raw(get("/read/wait-200", &format!("a{sent}")).as_bytes())
+    };
+    for _ in 0..OUTSTANDING {
+        send(&mut caller).unwrap();
+    }
+    let mut stopped = None;
+    let mut answered = 0;
+    loop {
+        let response = caller.receive().unwrap();
+        answered += 1;
+        assert_eq!(
+            (response.status, response.body.ends_with(&format!(":a{answered}"))),
+            (200, true)
+        );
+        if response.header("connection") == Some("close") {
+            break;
+        }
+        if answered == OUTSTANDING {
+            stopped = Some(stop(&cluster));
+        }
+        // Fails once the connection is closed.
+        let _ = send(&mut caller);
+    }
+    // The requests in flight take 200 ms; the listener is still open.
+    let elapsed = stopped.unwrap().elapsed();
+    assert!(elapsed < GRACE.mul_f64(0.45), "{elapsed:?}");
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(cluster.journal.runs().len(), answered, "requests ran that got no response");
+}
+
 /// How a client sends its request.
 #[derive(Clone, Copy, Debug)]
 enum Shape {
