Keep a closing connection until its client has read the responses

Cause: the connection was closed 1 s after the last response had been written into the socket. What the client sent then reset it and discarded what it had not read; the same for idle connections closed with the listener.

Change: after a response, a closing connection is read and discarded until the client closes it, for at most the time that a client has to read a response, at least 1 s.

This works because the reset needs a closed socket: as long as the client may be reading, the socket is open, and its sending side has ended, so that the client sees the end behind the last response.

--- a/bins/edge/src/ingress/connection.rs
+++ b/bins/edge/src/ingress/connection.rs
@@ -22,7 +22,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 use tokio::time::sleep_until;
-use tokio::time::timeout;
+use tokio::time::timeout_at;
 
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
@@ -44,8 +44,8 @@
 /// connection can take of the targets; what is sent beyond waits in the socket.
 const READ_AHEAD: usize = 16;
 
-/// Time for which the rest of what a client sends is read and discarded after a response that closes the
-/// connection. Closing at once would reset the connection, and the client might not get the response.
+/// Least time for which the rest of what a client sends is read and discarded before the connection is closed. Closing
+/// at once would reset the connection, and the client might not get its last response.
 const LINGER_TIME: Duration = Duration::from_secs(1);
 
 /// Most bytes that are discarded in this way.
@@ -96,8 +96,8 @@
     changed: Notify,
     /// Time at which bytes last arrived.
     pub last_read: Cell<Instant>,
-    /// Time at which a response last ended.
-    last_response: Cell<Instant>,
+    /// Time at which a response last ended, if there was one.
+    last_response: Cell<Option<Instant>>,
     /// Time at which the first bytes of an incomplete head arrived.
     pub head_started: Cell<Option<Instant>>,
     /// Whether a body is being received, which has the deadline of its request.
@@ -206,7 +206,7 @@
                 return false;
             }
             self.responding.set(false);
-            self.last_response.set(Instant::now());
+            self.last_response.set(Some(Instant::now()));
             self.slot.set_busy(!self.is_idle());
             self.changed.notify_waiters();
             if entry.form.close {
@@ -215,12 +215,17 @@
         }
     }
 
+    /// Returns the time that a client has to read a response.
+    fn read_timeout(&self) -> Duration {
+        let (_, idle_timeout) = self.service.timeouts(&self.state);
+        self.state.settings.ingress.read_timeout.unwrap_or(idle_timeout)
+    }
+
     /// Returns the next time at which the timeouts are to be checked, or `None` if one has expired.
     fn check_timeouts(&self) -> Option<Instant> {
         let (head_timeout, idle_timeout) = self.service.timeouts(&self.state);
         let now = Instant::now();
-        let read_timeout = self.state.settings.ingress.read_timeout.unwrap_or(idle_timeout);
-        if self.unread_since.get().is_some_and(|since| now - since > read_timeout) {
+        if self.unread_since.get().is_some_and(|since| now - since > self.read_timeout()) {
             self.record_closed("unread response");
             return None;
         }
@@ -235,7 +240,8 @@
         if !self.is_idle() || self.receiving_body.get() {
             return Some(now + CHECK_INTERVAL);
         }
-        let active = self.last_read.get().max(self.last_response.get());
+        let last_read = self.last_read.get();
+        let active = self.last_response.get().map_or(last_read, |last| last.max(last_read));
         let end = active + idle_timeout;
         // A head may begin while the connection sleeps until its idle timeout.
         (now < end).then(|| end.min(now + head_timeout).max(now + CHECK_INTERVAL))
@@ -265,7 +271,9 @@
         }
     }
 
-    /// Ends the sending side and discards what the client still sends.
+    /// Ends the sending side and discards what the client still sends, until it closes the connection. The sockets may
+    /// hold responses that the client has not read; what it sends to a closed connection would reset that and discard
+    /// them.
     async fn linger(&self) {
         if SockRef::from(&self.stream).shutdown(std::net::Shutdown::Write).is_err() {
             return;
@@ -282,8 +290,10 @@
                 }
             }
         };
+        let read_end = self.last_response.get().map(|last| last + self.read_timeout());
+        let least = Instant::now() + LINGER_TIME;
         // The client had its time to read the response.
-        let _ = timeout(LINGER_TIME, discard).await;
+        let _ = timeout_at(read_end.map_or(least, |end| end.max(least)), discard).await;
     }
 }
 
@@ -310,7 +320,7 @@
         draining: Cell::new(false),
         changed: Notify::new(),
         last_read: Cell::new(now),
-        last_response: Cell::new(now),
+        last_response: Cell::new(None),
         head_started: Cell::new(None),
         receiving_body: Cell::new(false),
         unread_since: Cell::new(None),
--- a/bins/edge/tests/process/stop.rs
+++ b/bins/edge/tests/process/stop.rs
@@ -125,6 +125,56 @@
     assert_eq!(cluster.journal.runs().len(), answered, "requests ran that got no response");
 }
 
+/// Guards against closing a connection at a stop while its client still reads: what the client sends meanwhile reset
+/// the connection, and responses that it had not read yet were lost.
+#[yare::parameterized(
+    with_requests_in_flight = { true },
+    idle = { false },
+)]
+fn a_stop_waits_for_clients_that_read_slowly(in_flight: bool) {
+    const RESPONSE_BYTES: usize = 400_000;
+    const PACE: Duration = Duration::from_millis(20);
+    let mut cluster = Cluster::start(4, 0, 1);
+    let mut stream = TcpStream::connect(cluster.instances[0].caller_address).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let path = if in_flight { "/read/wait-300-large-400" } else { "/read/large-400" };
+    for index in 0..3 {
+        stream.write_all(get(path, &format!("a{index}")).as_bytes()).unwrap();
+    }
+    wait(Duration::from_secs(2), "running", || cluster.journal.runs().len() == 3);
+    if !in_flight {
+        // Until the responses have been written.
+        thread::sleep(Duration::from_millis(300));
+    }
+    cluster.instances[0].signal("TERM");
+    let mut received = Vec::new();
+    let mut behind = 0;
+    let mut space = [0; 8192];
+    loop {
+        let size = stream.read(&mut space).unwrap();
+        if size == 0 {
+            break;
+        }
+        received.extend_from_slice(&space[..size]);
+        if received.len() / RESPONSE_BYTES > behind {
+            behind += 1;
+            // A request behind the last response. It is not read, so sending it may fail.
+            let _ = stream.write_all(get("/read/x", &format!("behind-{behind}")).as_bytes());
+        }
+        thread::sleep(PACE);
+    }
+    let text = String::from_utf8(received).unwrap();
+    let responses: Vec<&str> = text.split("HTTP/1.1 200 OK").skip(1).collect();
+    for (index, response) in responses.iter().take(3).enumerate() {
+        let (_, body) = response.split_once("\r\n\r\n").unwrap();
+        assert!(body.contains(&format!(":a{index}.")), "response {index}");
+        assert!(body.len() >= RESPONSE_BYTES, "{} bytes of response {index}", body.len());
+    }
+    assert!(responses.len() >= 3, "{} responses", responses.len());
+    drop(stream);
+    assert_eq!(cluster.instances[0].wait(GRACE).unwrap().code(), Some(0));
+}
+
 /// How a client sends its request.
 #[derive(Clone, Copy, Debug)]
 enum Shape {
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -494,7 +494,10 @@
         thread::sleep(Duration::from_secs(8));
         return Ok(false);
     }
-    let body = format!("{}:{attempt}", shared.id);
+    let mut body = format!("{}:{attempt}", shared.id);
+    if let Some(kilobytes) = number_after(&request.path, "large-") {
+        body.push_str(&".".repeat(usize::try_from(kilobytes).unwrap_or(0) * 1000));
+    }
     let mut headers = vec![
         ("carawayscale-attempt-id", attempt.as_str()),
         ("carawayscale-response-signature", "proof"),
