Reset responses without a length that end with the process

Callers: a client of HTTP/1.0 that was reading a response of unknown length when the process ended, at the end of a planned stop or by a kill, took the part that it had for the whole response. Found by reading; not reported.

Cause: the process resets the connection of a response that breaks off, but when it ends itself the operating system closes its connections in order. Evidence: a_response_that_ends_with_the_process_does_not_look_complete read an orderly end on the code before, after SIGTERM and after SIGKILL.

Change: while such a response is written, the socket is set to be reset on close.

This works because the setting belongs to the socket and outlives the process's last instruction.

--- a/bins/edge/src/ingress/writer.rs
+++ b/bins/edge/src/ingress/writer.rs
@@ -7,6 +7,7 @@
 use std::io::IoSlice;
 use std::pin::Pin;
 use std::task::Poll;
+use std::time::Duration;
 use std::time::SystemTime;
 
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use hyper::body::Body as _;
 use hyper::body::Frame;
 use hyper::header;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
@@ -119,6 +121,11 @@
             Framing::Length(length) => length,
             _ => u64::MAX,
         };
+        if framing == Framing::Close {
+            // The operating system closes the connections of a process that ends. Without a reset, what the client
+            // has got by then would look complete.
+            SockRef::from(self.stream).set_linger(Some(Duration::ZERO))?;
+        }
         // Everything that is there already goes out together, as one chunk: a target may send very small ones.
         let chunked = framing == Framing::Chunked;
         let mut joined = Vec::new();
@@ -164,10 +171,15 @@
         }
         let end: &[u8] = if chunked { b"0\r\n\r\n" } else { b"" };
         if joined.is_empty() {
-            return self.write([&head, end, b""]).await;
+            self.write([&head, end, b""]).await?;
+        } else {
+            self.write_data(&mut head, &joined, chunked).await?;
+            self.write([end, b"", b""]).await?;
+        }
+        if framing == Framing::Close {
+            SockRef::from(self.stream).set_linger(None)?;
         }
-        self.write_data(&mut head, &joined, chunked).await?;
-        self.write([end, b"", b""]).await
+        Ok(())
     }
 
     /// Writes what is left of a head, and data.
--- a/bins/edge/tests/process/stop.rs
+++ b/bins/edge/tests/process/stop.rs
@@ -175,6 +175,52 @@
     assert_eq!(cluster.instances[0].wait(GRACE).unwrap().code(), Some(0));
 }
 
+/// Guards against a response without a length that looks complete because the process ended: the operating system
+/// closes the connections of a process in order.
+#[yare::parameterized(
+    stopped = { "TERM" },
+    killed = { "KILL" },
+)]
+fn a_response_that_ends_with_the_process_does_not_look_complete(signal: &str) {
+    let mut cluster = Cluster::start(1, 0, 1);
+    let mut stream = TcpStream::connect(cluster.instances[0].caller_address).unwrap();
+    stream.set_read_timeout(Some(GRACE * 2)).unwrap();
+    let head = "GET /slow/endless-stream HTTP/1.0\r\nhost: shop.example\r\n\
+                carawayscale-attempt-id: a\r\ncarawayscale-deadline-ms: 11000\r\n\r\n";
+    stream.write_all(head.as_bytes()).unwrap();
+    let mut space = [0; 16 << 10];
+    let mut received = 0;
+    // More than is buffered, so that the response is being streamed.
+    while received < 65_000 {
+        received += stream.read(&mut space).unwrap();
+    }
+    cluster.instances[0].signal(signal);
+    let end = loop {
+        match stream.read(&mut space) {
+            Ok(0) => break Ok(()),
+            Ok(_) => {}
+            Err(error) => break Err(error.kind()),
+        }
+    };
+    assert_eq!(end, Err(std::io::ErrorKind::ConnectionReset));
+    assert!(cluster.instances[0].wait(Duration::from_secs(2)).is_some());
+}
+
+/// Guards against a response without a length that is reset although it is complete.
+#[test]
+fn a_complete_response_without_a_length_ends_in_order() {
+    let cluster = Cluster::start(1, 0, 1);
+    for index in 0..20 {
+        let mut stream = TcpStream::connect(cluster.instances[0].caller_address).unwrap();
+        let attempt = format!("a{index}");
+        let text = get("/read/unframed-large-60", &attempt).replacen("HTTP/1.1", "HTTP/1.0", 1);
+        stream.write_all(text.as_bytes()).unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        assert!(text.ends_with('.') && text.contains(&format!(":{attempt}.")), "{}", text.len());
+    }
+}
+
 /// How a client sends its request.
 #[derive(Clone, Copy, Debug)]
 enum Shape {
--- a/standins/production/src/misbehavior.rs
+++ b/standins/production/src/misbehavior.rs
@@ -51,7 +51,7 @@
 }
 
 /// All shapes. The id of the request and an empty line follow a beginning that is not empty.
-const SHAPES: [Shape; 13] = [
+const SHAPES: [Shape; 14] = [
     shape("endless-garbage", "", "xxxxxxxxxxxxxxxx"),
     shape("endless-interim", "", "HTTP/1.1 102 Processing\r\n\r\n"),
     shape("endless-line", "", "HTTP/1.1 200 OKOKOKOKOK"),
@@ -62,6 +62,7 @@
     // Just below the part of a body that is buffered.
     slow("endless-body", OK, 60_000),
     shape("endless-close", OK, "yyyyyyyyyyyyyyyy"),
+    shape("endless-stream", OK, "zzzzzzzzzzzzzzzz"),
     shape("endless-chunks", CHUNKED, "4\r\nabcd\r\n"),
     shape("endless-size", CHUNKED, "0000000000000000"),
     shape("endless-extension", CHUNKED, "4;a=bbbbbbbbbbbb"),
