--- a/bins/edge/tests/process/trouble.rs
+++ b/bins/edge/tests/process/trouble.rs
@@ -355,6 +355,31 @@
     }
 }
 
+/// Guards against an entry of another writer, with fields missing, that gives a running target to another service: its
+/// requests were run by a target that may not run them.
+#[yare::parameterized(
+    version = { "/info", "version" },
+    sequence = { "/status", "sequence" },
+    warmup = { "/status", "warmup_left_ms" },
+    start = { "", "born" },
+)]
+fn an_entry_without_a_field_moves_no_target_to_another_service(place: &str, field: &str) {
+    let mut cluster = Cluster::start(1, 0, 1);
+    cluster.add_target("other", "spare", false);
+    let other = cluster.targets[1].clone();
+    let mut entry = other.registration("ready");
+    entry["info"]["service"] = json!("pool");
+    entry.pointer_mut(place).unwrap().as_object_mut().unwrap().remove(field);
+    cluster.store.put(&other.registration_key(), &entry);
+    wait(Duration::from_secs(5), "the entry is ignored", || {
+        cluster.instances[0].log().contains("\"entry-ignored\"")
+    });
+    for index in 0..40 {
+        let response = cluster.get(0, "/read/x", &format!("a{index}"));
+        assert!(response.body.starts_with("p0:"), "{response:?}");
+    }
+}
+
 /// Guards against a log line for an odd entry each time that the whole list is read.
 #[test]
 fn an_odd_entry_is_logged_once() {
