Check in the soak that planned stops break off no request that they took

Cause: the soak accepted any response of the instance itself during a planned stop, and its requests took 30 ms at most, so it could not see a request that was taken late and broken off at the end. Change: one request in 16 takes up to 1.8 s of its deadline of 2 s, and a response 502 or 504 of an instance that is stopping, to a request that it took during the stop, is a finding if the target was still at work before the deadline.

--- a/bins/soak/src/check.rs
+++ b/bins/soak/src/check.rs
@@ -19,6 +19,9 @@
 /// domain; equals `evacuate_ms` in the settings of the instances.
 const EVACUATION_TIME: Duration = Duration::from_millis(4000);
 
+/// Deadline of all requests of callers.
+pub const DEADLINE: Duration = Duration::from_millis(2000);
+
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -144,6 +147,13 @@
     pub detail: String,
 }
 
+/// Returns the graceful stop of the instance in which a call ended, if any.
+fn stop_of<'a>(record: &'a Record, call: &Call) -> Option<&'a Stop> {
+    record.stops.iter().find(|stop| {
+        stop.instance == call.instance && stop.from <= call.ended && call.ended <= stop.until
+    })
+}
+
 /// Returns all violations of the invariants.
 pub fn findings(record: &Record) -> Vec<Finding> {
     let mut runs: HashMap<&str, Vec<&Run>> = HashMap::new();
@@ -169,14 +179,22 @@
             End::Answered { status: 200, own: false } => {
                 add("a success is the whole answer to the request", call);
             }
+            End::Answered { status: 502 | 504, own: false } => {
+                // A target that was not heard was still at work when its connection was closed.
+                let unheard = runs
+                    .get(call.attempt.as_str())
+                    .is_some_and(|runs| runs.iter().any(|run| !run.heard));
+                let stop = stop_of(record, call).filter(|stop| stop.from <= call.sent);
+                if let Some(stop) = stop
+                    && unheard
+                    && call.ended < call.sent + DEADLINE
+                {
+                    add("a planned stop breaks off no request that it took", &(call, stop));
+                }
+            }
             End::Answered { .. } => {}
             End::Cut => {
-                let during = |stop: &&Stop| {
-                    stop.instance == call.instance
-                        && stop.from <= call.ended
-                        && call.ended <= stop.until
-                };
-                if let Some(stop) = record.stops.iter().find(during)
+                if let Some(stop) = stop_of(record, call)
                     && executions > 0
                 {
                     add("a planned stop cuts no request that a target runs", &(call, stop));
--- a/bins/soak/src/load.rs
+++ b/bins/soak/src/load.rs
@@ -16,6 +16,7 @@
 use rand::rngs::StdRng;
 
 use crate::check::Call;
+use crate::check::DEADLINE;
 use crate::check::End;
 use crate::check::Kind;
 use crate::crowd;
@@ -28,8 +29,12 @@
 /// Delay of a caller after a failed connection attempt.
 const RECONNECT_DELAY: Duration = Duration::from_millis(50);
 
-/// Header field with the deadline of each request, in milliseconds.
-const DEADLINE: (&str, &str) = ("carawayscale-deadline-ms", "2000");
+/// One in this many requests takes most of its deadline.
+const SLOW_PERIOD: u32 = 16;
+
+/// Longest work of other requests, and of slow ones, in milliseconds.
+const MAX_WORK_MS: u32 = 30;
+const MAX_SLOW_WORK_MS: u32 = 1800;
 
 /// One in this many requests is for the hot key.
 const HOT_KEY_PERIOD: u32 = 10;
@@ -124,7 +129,9 @@
             1 => Kind::Order,
             _ => Kind::Key,
         };
-        let wait = self.random.random_range(0..30);
+        let slow = self.random.random_range(0..SLOW_PERIOD) == 0;
+        let longest = if slow { MAX_SLOW_WORK_MS } else { MAX_WORK_MS };
+        let wait = self.random.random_range(0..longest);
         let key =
             if self.random.random_range(0..HOT_KEY_PERIOD) == 0 { 7 } else { self.random.random() };
         let key: u16 = key;
@@ -171,12 +178,13 @@
     keywords: &str,
     key: u16,
 ) -> std::io::Result<Response> {
-    let key = key.to_string();
+    let (key, deadline) = (key.to_string(), DEADLINE.as_millis().to_string());
+    let deadline = ("carawayscale-deadline-ms", deadline.as_str());
     match kind {
-        Kind::Read => connection.call("GET", &format!("/read/{keywords}"), attempt, &[DEADLINE]),
-        Kind::Order => connection.call("POST", &format!("/order/{keywords}"), attempt, &[DEADLINE]),
+        Kind::Read => connection.call("GET", &format!("/read/{keywords}"), attempt, &[deadline]),
+        Kind::Order => connection.call("POST", &format!("/order/{keywords}"), attempt, &[deadline]),
         Kind::Key => {
-            let headers = [DEADLINE, ("carawayscale-shard-key", key.as_str())];
+            let headers = [deadline, ("carawayscale-shard-key", key.as_str())];
             connection.call("GET", &format!("/key/{keywords}"), attempt, &headers)
         }
     }
