Send a release to the address of its own incarnation

Cause: a release for an earlier incarnation was sent to whatever address was listed under its id, and any 200 was taken as proof that the incarnation holds nothing; neither the call nor its response names a target. Evidence: the new process test, in which such an entry comes and goes three times, found conflicting holds on the code before.

Change: the registry knows the address of each incarnation, listed or former. A release goes there; the incarnation that is listed under the id elsewhere gets it only if the connection is refused or the address is not known.

This works because a response then comes from the process that took the grants, or from the one that was started in its place where nothing listens any more. A silent address proves nothing, so the grant's end is waited for.

--- a/bins/edge/src/grant.rs
+++ b/bins/edge/src/grant.rs
@@ -1,5 +1,6 @@
 //! Grant and release calls to targets.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -84,18 +85,32 @@
     }
 }
 
-/// Sends a release. The target responds within `limit`, when its requests for the keys have
-/// completed.
+/// Sends a release to the address `own` of the incarnation. The target responds within `limit`, when its requests for
+/// the keys have completed.
+///
+/// If nothing accepts connections there, or the address is not known, the release is sent to `successor`, a later
+/// incarnation elsewhere, which may hold grants that were meant for the earlier one.
 ///
 /// The connection is new and closed afterwards: on one that has carried another request, a late copy
 /// of the response to that would be taken for the confirmation, and the keys would have two owners.
-pub async fn send_release(call: &Call, address: SocketAddr, limit: Duration) -> Reply {
-    let (path, body) = grant::request(call);
-    let request = http::request("POST", path, address, &body);
-    let connection = Connection::open(address, CONNECT_TIMEOUT).await.ok();
-    let Some(mut connection) = connection.filter(Connection::is_reusable) else {
+pub async fn send_release(
+    call: &Call,
+    own: Option<SocketAddr>,
+    successor: Option<SocketAddr>,
+    limit: Duration,
+) -> Reply {
+    let Some(mut address) = own.or(successor) else { return Reply::Unsent };
+    let mut connection = Connection::open(address, CONNECT_TIMEOUT).await;
+    let refused = matches!(&connection, Err(e) if e.kind() == ErrorKind::ConnectionRefused);
+    if let Some(successor) = successor.filter(|_| own.is_some() && refused) {
+        address = successor;
+        connection = Connection::open(address, CONNECT_TIMEOUT).await;
+    }
+    let Some(mut connection) = connection.ok().filter(Connection::is_reusable) else {
         return Reply::Unsent;
     };
+    let (path, body) = grant::request(call);
+    let request = http::request("POST", path, address, &body);
     let bounds = Bounds {
         head_bytes: MAX_RELEASE_HEAD_BYTES,
         content: Content::Skip(MAX_UNUSED_BYTES),
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -433,26 +433,14 @@
         }
         let calls = self.coordinator.due_calls(&self.state.registry.borrow(), now);
         for call in calls {
-            let address = {
-                let registry = self.state.registry.borrow();
-                // A later incarnation may respond to a release: it may hold grants sent to an earlier one.
-                let any_incarnation = call.request == Request::Release;
-                let member = registry.get(&call.incarnation.id);
-                let listed =
-                    member.filter(|m| any_incarnation || m.target.incarnation == call.incarnation);
-                listed
-                    .map(|m| m.target.address)
-                    .or_else(|| registry.last_address(&call.incarnation))
-            };
+            let (own, successor) = self.state.registry.borrow().addresses(&call.incarnation);
             let outcomes = self.outcome_sender.clone();
             let limit = self.state.settings.max_grant_duration;
             let channel = self.channel(&call);
             self.tasks.spawn_local(async move {
-                let reply = match (&call.request, address, &channel) {
+                let reply = match (&call.request, own, &channel) {
+                    (Request::Release, _, _) => send_release(&call, own, successor, limit).await,
                     (_, None, _) => Reply::Unsent,
-                    (Request::Release, Some(address), _) => {
-                        send_release(&call, address, limit).await
-                    }
                     (Request::Grant { .. }, _, None) => Reply::ConnectionGone,
                     (Request::Grant { .. }, Some(address), Some((_, channel))) => {
                         send_grant(channel, &call, address, now).await
--- a/bins/edge/tests/process/ownership.rs
+++ b/bins/edge/tests/process/ownership.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use serde_json::json;
+
 use caraway_production::store::Mode;
 
 use crate::cluster::Cluster;
@@ -256,3 +258,25 @@
     }
     assert!(cluster.journal.conflicts().is_empty(), "{:?}", cluster.journal.conflicts());
 }
+
+/// Guards against a release that is confirmed by another target: an entry of another writer gave a target's id the
+/// address of another one, and when the entry came back, keys had two owners.
+#[test]
+fn a_release_is_confirmed_at_the_address_of_its_own_incarnation() {
+    let cluster = Cluster::start(0, 3, 2);
+    cluster.wait_owned(0);
+    let (known, other) = (&cluster.targets[0], &cluster.targets[1]);
+    let mut entry = known.registration("ready");
+    entry["address"] = other.registration("ready")["address"].clone();
+    entry["born"] = json!(known.born - 1);
+    for _ in 0..3 {
+        cluster.store.put(&known.registration_key(), &entry);
+        thread::sleep(Duration::from_millis(900));
+        cluster.store.put(&known.registration_key(), &known.registration("ready"));
+        thread::sleep(Duration::from_millis(1500));
+    }
+    let conflicts = cluster.journal.conflicts();
+    assert!(conflicts.is_empty(), "{conflicts:#?}");
+    cluster.wait_owned(0);
+    cluster.wait_owned(1);
+}
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -223,6 +223,21 @@
         incarnations.filter(|incarnation| !self.is_known_ended(incarnation)).collect()
     }
 
+    /// Returns the address of an incarnation, and the one of another incarnation that is listed under its id elsewhere. The
+    /// second one shows that the first one has ended only if nothing accepts connections at its own address: an entry
+    /// of another writer may name any address.
+    pub fn addresses(&self, incarnation: &Incarnation) -> (Option<SocketAddr>, Option<SocketAddr>) {
+        let listed = self.members.get(&incarnation.id).map(|member| &member.target);
+        match listed {
+            Some(target) if target.incarnation == *incarnation => (Some(target.address), None),
+            _ => {
+                let own = self.last_address(incarnation);
+                let other = listed.map(|target| target.address);
+                (own, other.filter(|address| Some(*address) != own))
+            }
+        }
+    }
+
     /// Returns the address of a target that is no longer listed, unless another target uses it now.
     pub fn last_address(&self, incarnation: &Incarnation) -> Option<SocketAddr> {
         let address = self.former.get(incarnation)?.target.address;
--- a/crates/fleet/tests/tables.rs
+++ b/crates/fleet/tests/tables.rs
@@ -378,3 +378,30 @@
     registry.record_unknown_drain_age("b");
     assert!(!registry.get("b").unwrap().drain_age_unknown);
 }
+
+/// Guards against a release that goes to another target than the incarnation that holds the keys, and against one that no
+/// target gets after a restart.
+#[test]
+fn an_incarnation_keeps_its_address_when_its_id_is_listed_elsewhere() {
+    let now = Stamp::from_millis(1000);
+    let at = |born: u64, port: u16| Target {
+        address: ([10, 0, 0, 1], port).into(),
+        ..target("a", born, false)
+    };
+    let address = |port: u16| Some(([10, 0, 0, 1], port).into());
+    let mut registry = Registry::default();
+    registry.put(at(2, 80), now);
+    assert_eq!(registry.addresses(&incarnation("a", 2)), (address(80), None));
+    // Listed elsewhere, earlier or later.
+    for (born, port) in [(1, 81), (3, 82)] {
+        registry.put(at(born, port), now);
+        assert_eq!(registry.addresses(&incarnation("a", 2)), (address(80), address(port)));
+        assert_eq!(registry.addresses(&incarnation("a", born)), (address(port), None));
+    }
+    // Restarted at the same address: the new incarnation answers for the one before.
+    registry.put(at(4, 80), now);
+    assert_eq!(registry.addresses(&incarnation("a", 2)), (None, address(80)));
+    // Never seen by this instance.
+    assert_eq!(registry.addresses(&incarnation("a", 9)), (None, address(80)));
+    assert_eq!(registry.addresses(&incarnation("b", 1)), (None, None));
+}
