Wait for targets that read the body of an order late

Callers: a target that paused before it read a large order lost the connection after about 1 s, and the caller got 502 long before its deadline.

Cause: the timeout for the acknowledgment of sent data, 0.9 s, is meant for peers that are gone, but also ends the connection of one that is alive and reads nothing. Evidence: an_order_waits_for_a_target_that_reads_late got "502 the connection broke" on the code before.

Change: for an order whose body is sent apart from its head, the timeout is the time until its deadline; it is set back when the connection becomes idle. Requests that may be repeated keep the short one.

This works because the operating system then keeps probing the closed window for as long as the caller waits.

Result: the test passes, as do the other tests of targets in trouble.

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -377,6 +377,10 @@
         let until = self.deadline + DEADLINE_GRACE;
         let sent = Instant::now();
         let head = timeout_at(until, async {
+            if separate && !self.route.repeatable {
+                // An order that is given up cannot be sent again. Others have a better chance at another target.
+                connection.set_acknowledgment_timeout(self.time_left() + DEADLINE_GRACE)?;
+            }
             connection.send(&message).await?;
             for piece in self.request.body.pieces().filter(|_| separate) {
                 connection.send(piece).await?;
--- a/bins/edge/src/http.rs
+++ b/bins/edge/src/http.rs
@@ -117,6 +117,8 @@
     refusals: Vec<Arc<str>>,
     /// Id of the request that the peer responded to last.
     answered: Option<Arc<str>>,
+    /// Whether the timeout for the acknowledgment of sent data differs from [`ACKNOWLEDGMENT_TIMEOUT`].
+    timeout_changed: bool,
 }
 
 fn invalid(problem: &str) -> io::Error {
@@ -149,6 +151,7 @@
             idle_since: Stamp::default(),
             refusals: Vec::new(),
             answered: None,
+            timeout_changed: false,
         })
     }
 
@@ -200,6 +203,17 @@
         let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
     }
 
+    /// Lets the peer take this long to read what is sent. The timeout for the acknowledgment of sent data also ends
+    /// connections of peers that are alive and read nothing for a while.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket is closed.
+    pub fn set_acknowledgment_timeout(&mut self, time: Duration) -> io::Result<()> {
+        self.timeout_changed = true;
+        SockRef::from(&self.stream).set_tcp_user_timeout(Some(time))
+    }
+
     /// Returns whether another request can be sent: the response is complete, no surplus bytes
     /// followed it and the peer has not closed the connection.
     pub fn is_reusable(&self) -> bool {
@@ -217,6 +231,10 @@
         self.idle_since = now;
         self.buffer = BytesMut::new();
         self.limit = READ_BYTES;
+        if std::mem::take(&mut self.timeout_changed) {
+            // Fails only if the socket is closed, which is found when it is taken from the pool.
+            let _ = SockRef::from(&self.stream).set_tcp_user_timeout(Some(ACKNOWLEDGMENT_TIMEOUT));
+        }
     }
 
     /// Sends a request.
--- a/bins/edge/tests/process/trouble.rs
+++ b/bins/edge/tests/process/trouble.rs
@@ -1,10 +1,17 @@
 //! Targets in trouble: those that leave, ask for a pause, or send bytes that are no response.
 
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use serde_json::json;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
 
 use caraway_production::caller::Response;
 use caraway_production::misbehavior;
@@ -380,6 +387,50 @@
     }
 }
 
+/// Guards against giving up an order whose target reads its body late: the order may run, and cannot be sent again.
+#[test]
+fn an_order_waits_for_a_target_that_reads_late() {
+    const READ_DELAY: Duration = Duration::from_millis(2500);
+    let cluster = Cluster::start(0, 0, 1);
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    // The connections inherit the size, so that the body does not fit.
+    socket.set_recv_buffer_size(4 << 10).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(4).unwrap();
+    let listener = TcpListener::from(socket);
+    let entry = json!({
+        "address": listener.local_addr().unwrap().to_string(),
+        "info": { "service": "pool", "version": "v1", "zone": "a", "capacity": 4 },
+        "status": { "state": "ready", "sequence": 1, "warmup_left_ms": 0 }, "born": 1,
+    });
+    cluster.store.put("servers/late", &entry);
+    let body = "x".repeat(99_999) + "e";
+    let serving = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        thread::sleep(READ_DELAY);
+        let mut space = vec![0; 16 << 10];
+        let mut text = String::new();
+        while !text.ends_with('e') {
+            let size = stream.read(&mut space).unwrap();
+            assert!(size > 0, "the connection ended after {} bytes", text.len());
+            text.push_str(std::str::from_utf8(&space[..size]).unwrap());
+        }
+        let answer = "HTTP/1.1 200 OK\r\ncarawayscale-attempt-id: o\r\n\
+                      carawayscale-response-signature: proof\r\ncontent-length: 2\r\n\r\nok";
+        stream.write_all(answer.as_bytes()).unwrap();
+    });
+    let headers = [("carawayscale-deadline-ms", "8000")];
+    let send = || {
+        let mut caller = cluster.caller(0);
+        caller.send("POST", "/slow/x", "o", &headers, &body).unwrap();
+        caller.receive().unwrap()
+    };
+    wait(Duration::from_secs(5), "listed", || cluster.instances[0].log().contains("target-listed"));
+    let response = send();
+    assert_eq!((response.status, response.body.as_str()), (200, "ok"), "{response:?}");
+    serving.join().unwrap();
+}
+
 /// Guards against a log line for an odd entry each time that the whole list is read.
 #[test]
 fn an_odd_entry_is_logged_once() {
