--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -263,7 +263,10 @@
             self.selected.push(target.incarnation.id.clone());
             match self.attempt(&target).await {
                 Completion::Answered(head, body) => return self.respond(&target, head, body),
-                Completion::Unsent(Reason::MemoryShort) => return self.fail(Reason::MemoryShort),
+                Completion::Unsent(Reason::MemoryShort) => {
+                    self.unsent += 1;
+                    return self.fail(Reason::MemoryShort);
+                }
                 Completion::Unsent(reason) => {
                     self.last_reason = reason;
                     // The request was not sent, so this is neither an attempt nor a retry.
