Let the soak repeat stop signals and reuse closed connections

Cause: signals of a stopping instance came once only, and every caller left a connection when told to. Change: a further stop of an instance that is stopping sends SIGTERM again; one caller in four goes on using its connection until it breaks.

--- a/bins/soak/src/cluster.rs
+++ b/bins/soak/src/cluster.rs
@@ -438,10 +438,14 @@
     fn stop(&mut self, index: usize) {
         let (now, undisturbed) = (Instant::now(), self.is_undisturbed());
         let Some(node) = self.nodes.get_mut(index) else { return };
-        if node.stop_requested.is_some() || node.paused || node.has_exited() {
+        if node.paused || node.has_exited() {
             return;
         }
         node.signal("TERM");
+        if node.stop_requested.is_some() {
+            // A repeated signal changes nothing.
+            return;
+        }
         node.stop_requested = Some(now);
         if undisturbed {
             self.record.stops.push(Stop { instance: index, from: now, until: now + GRACE_TIME });
--- a/bins/soak/src/load.rs
+++ b/bins/soak/src/load.rs
@@ -34,6 +34,9 @@
 /// Beginning of the body with which an instance answers a request that it breaks off at the end of a stop.
 const BROKEN_OFF: &str = "this instance stops before the target has answered";
 
+/// One in this many callers goes on using its connection after a response that closes it.
+const STUBBORN_PERIOD: usize = 4;
+
 /// One in this many requests takes most of its deadline.
 const SLOW_PERIOD: u32 = 16;
 
@@ -153,7 +156,8 @@
         let ended = Instant::now();
         let (end, keep) = match response {
             Ok(response) => {
-                let keep = response.header("connection") != Some("close");
+                let closes = response.header("connection") == Some("close");
+                let keep = !closes || self.number.is_multiple_of(STUBBORN_PERIOD);
                 (end(&response, &attempt), keep)
             }
             Err(_) => (End::Cut, false),
