--- a/bins/soak/src/load.rs
+++ b/bins/soak/src/load.rs
@@ -35,7 +35,7 @@
 const BROKEN_OFF: &str = "this instance stops before the target has answered";
 
 /// One in this many callers goes on using its connection after a response that closes it.
-const STUBBORN_PERIOD: usize = 4;
+const REUSE_PERIOD: usize = 4;
 
 /// One in this many requests takes most of its deadline.
 const SLOW_PERIOD: u32 = 16;
@@ -157,7 +157,7 @@
         let (end, keep) = match response {
             Ok(response) => {
                 let closes = response.header("connection") == Some("close");
-                let keep = !closes || self.number.is_multiple_of(STUBBORN_PERIOD);
+                let keep = !closes || self.number.is_multiple_of(REUSE_PERIOD);
                 (end(&response, &attempt), keep)
             }
             Err(_) => (End::Cut, false),
