--- a/bins/edge/tests/clients/targets.rs
+++ b/bins/edge/tests/clients/targets.rs
@@ -40,6 +40,6 @@
     }
     thread::sleep(Duration::from_secs(4));
     println!("{} requests at targets", watched.cluster.journal.runs().len());
-    // An ordinary caller has another address than the crowd, whose requests are still in flight.
+    // The requests of the crowd are still in flight, and the ordinary caller has the same address.
     watched.check();
 }
