--- a/review/harness-3/src/odd_entry.rs
+++ b/review/harness-3/src/odd_entry.rs
@@ -78,12 +78,12 @@
     if trouble {
         let entry = json!({
             "address": leaving.address.to_string(),
-            "info": { "service": "host-agent", "version": "v1", "zone": zones[1], "capacity": 1 },
+            "info": { "service": "lectura-old", "version": "v1", "zone": zones[1], "capacity": 4 },
             "status": { "state": "ready", "sequence": 1, "warmup_left_ms": 0 },
             "born": unix_ms(),
         });
-        deployment.store.put("servers/agent-3", &entry);
-        record.line(&format!("another writer writes servers/agent-3: {entry}"));
+        deployment.store.put("servers/agent-7", &entry);
+        record.line(&format!("another writer writes servers/agent-7: {entry}"));
     }
     thread::sleep(Duration::from_secs(3));
     record.line(&format!("server {id} leaves without a notice: its entry is removed"));
@@ -96,7 +96,7 @@
     for client in clients {
         let _ = client.join();
     }
-    record_logs(record, &deployment, &["agent-3", "\"i-3\"", "keys moved"]);
+    record_logs(record, &deployment, &["agent-7", "\"i-3\"", "keys moved"]);
     judge(record, &journal, answered.load(Ordering::SeqCst))
 }
 
