--- a/review/harness-3/src/server.rs
+++ b/review/harness-3/src/server.rs
@@ -32,8 +32,8 @@
 pub enum Fault {
     /// It sends a refusal without an id in addition, where the response to the next request is expected.
     ExtraRefusal,
-    /// It loses the field with its signature.
-    NoSignature,
+    /// It gets one byte wrong, in the name of the field with its signature.
+    WrongByte,
     /// It breaks off after this many bytes of the body.
     BreakOff(usize),
 }
@@ -199,7 +199,7 @@
         let fault = shared.next_fault();
         run(shared, &request, &attempt);
         let (mut answer, head) =
-            answer(shared, &request, &attempt, fault == Some(Fault::NoSignature));
+            answer(shared, &request, &attempt, fault == Some(Fault::WrongByte));
         if let Some(size) = world.poison.filter(|_| request.path.contains("poison")) {
             output.write_all(answer.get(..head + size).unwrap_or_default())?;
             thread::sleep(Duration::from_millis(20));
@@ -208,8 +208,8 @@
         }
         match fault {
             None => {}
-            Some(Fault::NoSignature) => world.record.line(&format!(
-                "server {} answers {attempt} without the field with its signature",
+            Some(Fault::WrongByte) => world.record.line(&format!(
+                "server {} answers {attempt} with a wrong byte in the name of the field with its signature",
                 shared.id
             )),
             Some(Fault::ExtraRefusal) => {
@@ -243,7 +243,7 @@
 }
 
 /// Returns an answer and the length of its head.
-fn answer(shared: &Shared, request: &Request, attempt: &str, unsigned: bool) -> (Vec<u8>, usize) {
+fn answer(shared: &Shared, request: &Request, attempt: &str, wrong: bool) -> (Vec<u8>, usize) {
     let work = shared.world.work.iter().find(|(prefix, ..)| request.path.starts_with(prefix));
     let size = work.map_or(100, |(_, _, size)| *size);
     let body = vec![b'a'; size];
@@ -253,9 +253,9 @@
         ("Carawayscale-Server-Load", "1,0,4"),
         ("Keep-Alive", "timeout=10"),
     ];
-    if !unsigned {
-        fields.push(("Carawayscale-Response-Signature", signature.as_str()));
-    }
+    let name =
+        if wrong { "Carawayscale-Response-Xignature" } else { "Carawayscale-Response-Signature" };
+    fields.push((name, signature.as_str()));
     let bytes = http::response(200, &fields, &body);
     let head = bytes.len() - size;
     (bytes, head)
--- a/review/harness-3/src/unsigned.rs
+++ b/review/harness-3/src/unsigned.rs
@@ -1,4 +1,4 @@
-//! Faulty servers lose the field with their signature in a few answers. Judged: MIXED.
+//! A faulty server gets a byte wrong in a few answers, in the name of the field with its signature. Judged: MIXED.
 
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -62,7 +62,7 @@
     thread::sleep(Duration::from_secs(3));
     if trouble {
         record.line("trouble begins: one of four servers spoils one in 50 answers");
-        servers.iter().take(FAULTY).for_each(|s| s.set_fault(Some((Fault::NoSignature, INTERVAL))));
+        servers.iter().take(FAULTY).for_each(|s| s.set_fault(Some((Fault::WrongByte, INTERVAL))));
     }
     thread::sleep(TROUBLE_TIME);
     servers.iter().for_each(|server| server.set_fault(None));
