Require proof from the target itself that an owner has ended

Another writer had left an entry with a service that no configuration names, at the address of an owner that then left.

Cause: Registry::is_known_ended took an entry of another service at the owner's address, with a later start, as proof that the owner had ended. The record shows the owner's entry removed at 7.822 s and its keys held by four others at 7.828 s, without a release.

Change: proof::Proof says what ends an owner, and Coordinator::clear_earlier is the only place that removes one. Entries only tell whom to ask. A target of another service at the owner's address is asked for its id, and so is a later incarnation elsewhere. Registry::objection keeps entries of services that no configuration names aside until one does, and leaves out those that contradict a running incarnation. Event 326 logs each proof, 614 each entry that is not used. The stand-in reports its id at /healthz and, without keys, refuses grants and releases.

Tests: an_address_with_another_service_proves_that_a_target_has_ended demanded the fault; only_an_answer_at_the_address_of_a_target_proves_that_it_ has_ended replaces it with the same two bounds, in more cases. In an_ incarnation_keeps_its_address_when_its_id_is_listed_elsewhere the address of a target that restarted in place is now named as its own instead of as that of its successor; a release goes to it as before.

--- a/bins/edge/src/grant.rs
+++ b/bins/edge/src/grant.rs
@@ -14,6 +14,7 @@
 use caraway_fleet::coordinator;
 use caraway_fleet::coordinator::Call;
 use caraway_fleet::coordinator::Reply;
+use caraway_fleet::proof::Witness;
 
 use crate::http;
 use crate::http::Connection;
@@ -86,7 +87,7 @@
 }
 
 /// Sends a release to the address `own` of the incarnation. The target responds within `limit`, when its requests for
-/// the keys have completed.
+/// the keys have completed. Returns the reply and the address from which it came.
 ///
 /// If nothing accepts connections there, or the address is not known, the release is sent to `successor`, a later
 /// incarnation elsewhere, which may hold grants that were meant for the earlier one.
@@ -98,8 +99,8 @@
     own: Option<SocketAddr>,
     successor: Option<SocketAddr>,
     limit: Duration,
-) -> Reply {
-    let Some(mut address) = own.or(successor) else { return Reply::Unsent };
+) -> (Reply, Option<SocketAddr>) {
+    let Some(mut address) = own.or(successor) else { return (Reply::Unsent, None) };
     let mut connection = Connection::open(address, CONNECT_TIMEOUT).await;
     let refused = matches!(&connection, Err(e) if e.kind() == ErrorKind::ConnectionRefused);
     if let Some(successor) = successor.filter(|_| own.is_some() && refused) {
@@ -107,7 +108,7 @@
         connection = Connection::open(address, CONNECT_TIMEOUT).await;
     }
     let Some(mut connection) = connection.ok().filter(Connection::is_reusable) else {
-        return Reply::Unsent;
+        return (Reply::Unsent, None);
     };
     let (path, body) = grant::request(call);
     let request = http::request("POST", path, address, &body);
@@ -117,12 +118,25 @@
         time: limit,
         extension: Duration::ZERO,
     };
-    match exchange_on(&mut connection, &request, &bounds).await {
+    let reply = match exchange_on(&mut connection, &request, &bounds).await {
         Ok((head, _)) => {
             let handover = head.headers.get(header::HANDOVER);
             let handover = handover.and_then(|value| value.to_str().ok()).map(Arc::from);
             grant::reply(head.status, handover)
         }
         Err(_) => Reply::Unknown,
-    }
+    };
+    (reply, Some(address))
+}
+
+/// Asks a process for its id, on a new connection, and returns whether it is the one of the witness.
+pub async fn confirm(witness: &Witness, health_path: Option<&str>) -> bool {
+    let Some(path) = health_path else { return false };
+    let opened = Connection::open(witness.address, CONNECT_TIMEOUT).await.ok();
+    let Some(mut connection) = opened.filter(Connection::is_reusable) else { return false };
+    let request = http::request("GET", path, witness.address, "");
+    let response = exchange_on(&mut connection, &request, &GRANT_BOUNDS).await;
+    let Ok((head, _)) = response else { return false };
+    let stated = head.headers.get(header::TARGET).and_then(|value| value.to_str().ok());
+    witness.is_confirmed_by(stated)
 }
--- a/bins/edge/src/leader.rs
+++ b/bins/edge/src/leader.rs
@@ -30,6 +30,7 @@
 use caraway_fleet::election;
 use caraway_fleet::era::Revision;
 use caraway_fleet::evacuation::Batches;
+use caraway_fleet::proof::Witness;
 use caraway_fleet::reports::Reports;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
@@ -37,6 +38,7 @@
 use self::era::read_tables;
 use self::era::takeover;
 use crate::grant::Channel;
+use crate::grant::confirm;
 use crate::grant::send_grant;
 use crate::grant::send_release;
 use crate::metrics::Metrics;
@@ -379,6 +381,7 @@
         let result = match reply {
             Reply::Done { .. } => "done",
             Reply::Fenced => "a higher token was seen",
+            Reply::Replaced => "another service answers at the address",
             Reply::Unknown => "no valid answer",
             Reply::Unsent => "no connection",
             Reply::ConnectionGone => "the connection of its grant is gone; it gets a new token",
@@ -395,8 +398,9 @@
                     emit(Event::KeysGranted { service, first, last, target, fence, handover });
                 }
             }
-            (Reply::Done { .. }, Request::Release) => {}
-            (Reply::Fenced | Reply::Unknown | Reply::Unsent | Reply::ConnectionGone, _) => {
+            (Reply::Done { .. } | Reply::Replaced, Request::Release) => {}
+            (Reply::Replaced, Request::Grant { .. })
+            | (Reply::Fenced | Reply::Unknown | Reply::Unsent | Reply::ConnectionGone, _) => {
                 let result = result.to_owned();
                 emit(Event::GrantUnanswered { service, first, last, target, fence, result });
             }
@@ -432,14 +436,15 @@
             return;
         }
         let calls = self.coordinator.due_calls(&self.state.registry.borrow(), now);
+        self.log_clearances();
         for call in calls {
-            let (own, successor) = self.state.registry.borrow().addresses(&call.incarnation);
+            let address = self.state.registry.borrow().grant_address(&call.incarnation);
+            let state = self.state.clone();
             let outcomes = self.outcome_sender.clone();
-            let limit = self.state.settings.max_grant_duration;
             let channel = self.channel(&call);
             self.tasks.spawn_local(async move {
-                let reply = match (&call.request, own, &channel) {
-                    (Request::Release, _, _) => send_release(&call, own, successor, limit).await,
+                let reply = match (&call.request, address, &channel) {
+                    (Request::Release, _, _) => release(&state, &call).await,
                     (_, None, _) => Reply::Unsent,
                     (Request::Grant { .. }, _, None) => Reply::ConnectionGone,
                     (Request::Grant { .. }, Some(address), Some((_, channel))) => {
@@ -454,6 +459,18 @@
         }
     }
 
+    /// Logs the earlier owners that no longer hold keys, with the proof.
+    fn log_clearances(&mut self) {
+        for (service, incarnation, proof) in self.coordinator.take_clearances() {
+            emit(Event::OwnerCleared {
+                service: service.to_string(),
+                target: incarnation.id.to_string(),
+                born: incarnation.born,
+                proof: proof.as_str().to_owned(),
+            });
+        }
+    }
+
     /// Returns the channel for a grant with its id: a new one for a new fencing token, and `None`
     /// for a release or if the channel of the token no longer exists.
     fn channel(&mut self, call: &Call) -> Option<(u64, Rc<Mutex<Channel>>)> {
@@ -468,3 +485,30 @@
         self.channels.get(&id).map(|channel| (id, channel.clone()))
     }
 }
+
+/// Sends a release and returns its reply. A reply that is a proof only with the id of the process
+/// that answers is checked.
+async fn release(state: &State, call: &Call) -> Reply {
+    let (own, successor) = state.registry.borrow().addresses(&call.incarnation);
+    let limit = state.settings.max_grant_duration;
+    let (reply, from) = send_release(call, own, successor, limit).await;
+    let is_confirmed = async |witness: Witness| {
+        let configuration = state.configuration();
+        let service = configuration.as_ref().and_then(|c| c.services.get(&witness.service));
+        confirm(&witness, service.and_then(|service| service.health_path.as_deref())).await
+    };
+    match (reply, from) {
+        (Reply::Done { handover }, Some(address)) if own != Some(address) => {
+            let witness = Witness::elsewhere(&call.incarnation, &call.service, address);
+            if is_confirmed(witness).await { Reply::Done { handover } } else { Reply::Unknown }
+        }
+        (Reply::Unknown, _) => {
+            let witness = Witness::at_own_address(&state.registry.borrow(), &call.incarnation);
+            match witness {
+                Some(witness) if is_confirmed(witness.clone()).await => Reply::Replaced,
+                _ => Reply::Unknown,
+            }
+        }
+        (reply, _) => reply,
+    }
+}
--- a/bins/edge/src/peers/report.rs
+++ b/bins/edge/src/peers/report.rs
@@ -11,7 +11,6 @@
 use caraway_fleet::admission;
 use caraway_fleet::era::Revision;
 use caraway_fleet::membership::Incarnation;
-use caraway_fleet::membership::Member;
 use caraway_fleet::membership::Target;
 use caraway_fleet::reports::Reports;
 
@@ -171,31 +170,29 @@
 }
 
 /// Returns the targets that have changed after a revision, or all targets if the history does not
-/// reach back to it.
+/// reach back to it. Entries that list no target here are included: the receiver may know the
+/// configuration that names their service.
 fn targets_since(state: &State, revision: Revision) -> Targets {
     let registry = state.registry.borrow();
     let mut targets = Targets::default();
     let now = Clock.now();
-    let add = |targets: &mut Targets, member: &Member| {
-        let target = &member.target;
-        targets.listed.push(member.entry(now));
-        targets.revisions.push(registry.entry_revision(&target.incarnation.id));
+    let add = |targets: &mut Targets, id: &Arc<str>| {
+        let Some(entry) = registry.entry(id, now) else { return targets.gone.push(id.clone()) };
+        targets.listed.push(entry);
+        targets.revisions.push(registry.entry_revision(id));
+        let Some(member) = registry.get(id) else { return };
         if let Some(since) = member.missing_since {
-            targets.missing.push((target.incarnation.id.clone(), millis(now.since(since))));
+            targets.missing.push((id.clone(), millis(now.since(since))));
         }
         if let Some(since) = member.draining_since {
-            targets.leaving.push((target.incarnation.id.clone(), millis(now.since(since))));
+            targets.leaving.push((id.clone(), millis(now.since(since))));
         }
     };
-    let Some(ids) = state.history.borrow().after(revision) else {
-        targets.all = true;
-        registry.members().for_each(|member| add(&mut targets, member));
-        return targets;
-    };
-    for id in ids {
-        match registry.get(&id) {
-            Some(member) => add(&mut targets, member),
-            None => targets.gone.push(id),
+    match state.history.borrow().after(revision) {
+        Some(ids) => ids.iter().for_each(|id| add(&mut targets, id)),
+        None => {
+            targets.all = true;
+            registry.ids().for_each(|id| add(&mut targets, id));
         }
     }
     targets
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -45,6 +45,7 @@
 use caraway_fleet::membership::Change;
 use caraway_fleet::membership::Incarnation;
 use caraway_fleet::membership::Member;
+use caraway_fleet::membership::Objection;
 use caraway_fleet::membership::Registry;
 use caraway_fleet::membership::Target;
 use caraway_fleet::memory::Budget;
@@ -182,6 +183,8 @@
     pub warmup: RefCell<warmup::Shares>,
     /// Keys of entries in the store that cannot be read.
     ignored_entries: RefCell<HashSet<String>>,
+    /// Why readable entries of targets are not used, by id.
+    objections: RefCell<HashMap<Arc<str>, Objection>>,
     /// This instance's shares of the targets of services without keys.
     pub shares: RefCell<Shares>,
     /// Urgent and other requests by service.
@@ -259,7 +262,7 @@
             pool: Pool::default(),
             metrics: Metrics::new(),
             active_configuration: RefCell::default(),
-            registry: RefCell::default(),
+            registry: RefCell::new(Registry::for_named_services()),
             revision: Cell::default(),
             synchronized: Cell::new(false),
             last_store_response: Cell::new(None),
@@ -279,6 +282,7 @@
             leader_changed: Notify::new(),
             pauses: RefCell::default(),
             ignored_entries: RefCell::default(),
+            objections: RefCell::default(),
             shares: RefCell::default(),
             classes: RefCell::default(),
             callers: RefCell::default(),
@@ -351,6 +355,7 @@
         });
         drop(current);
         emit(Event::ConfigurationApplied { version, source: source.to_owned() });
+        self.list_named_targets();
         self.changed.notify_waiters();
     }
 
--- a/bins/edge/src/state/entries.rs
+++ b/bins/edge/src/state/entries.rs
@@ -12,6 +12,7 @@
 use caraway_core::time::Stamp;
 use caraway_fleet::era::Revision;
 use caraway_fleet::membership::Change;
+use caraway_fleet::membership::Objection;
 use caraway_fleet::membership::Target;
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
@@ -19,7 +20,7 @@
 use crate::state::Instance;
 use crate::state::State;
 
-/// Maximum number of unreadable entries that are remembered, so that each is logged once.
+/// Maximum number of unreadable or unused entries that are remembered, so that each is logged once.
 const MAX_IGNORED_ENTRIES: usize = 4096;
 
 /// Number of changes kept in the history: enough for several seconds, even while all targets are replaced.
@@ -85,10 +86,39 @@
             return;
         }
         self.history.borrow_mut().add(revision, &id);
+        let objection = self.registry.borrow().objection(&target);
+        self.log_objection(&target, objection);
         let change = self.registry.borrow_mut().put(target, now);
         self.report_change(change);
     }
 
+    /// Logs that an entry lists no target, the first time.
+    fn log_objection(&self, target: &Target, objection: Option<Objection>) {
+        let id = &target.incarnation.id;
+        let mut objections = self.objections.borrow_mut();
+        if objections.get(id) == objection.as_ref() {
+            return;
+        }
+        let Some(objection) = objection else {
+            objections.remove(id);
+            return;
+        };
+        emit(Event::EntryUnused { target: id.to_string(), reason: objection.to_string() });
+        if objections.len() < MAX_IGNORED_ENTRIES {
+            objections.insert(id.clone(), objection);
+        }
+    }
+
+    /// Lists the targets of services that the configuration names for the first time.
+    pub fn list_named_targets(&self) {
+        let Some(configuration) = self.configuration() else { return };
+        let services = configuration.services.keys().cloned();
+        let changes = self.registry.borrow_mut().name_services(services, Clock.now());
+        for change in changes {
+            self.report_change(Some(change));
+        }
+    }
+
     /// Returns whether an entry that came back with a new era is that of an earlier incarnation than
     /// the known one.
     fn is_outlived(&self, target: &Target, revision: Revision) -> bool {
@@ -105,6 +135,7 @@
     pub fn remove_target(&self, id: &str, revision: Revision) {
         let now = Clock.now();
         if self.registry.borrow_mut().accept(&id.into(), revision, now) {
+            self.objections.borrow_mut().remove(id);
             let change = self.registry.borrow_mut().remove(id, now);
             self.record_removals(change.into_iter().collect(), revision);
         }
--- a/bins/edge/tests/process/cluster.rs
+++ b/bins/edge/tests/process/cluster.rs
@@ -37,8 +37,8 @@
     json!({
         "version": version,
         "services": [
-            { "name": "keyed", "max_connections": 100, "sharded": true, "warm_s": 1.0 },
-            { "name": "pool", "max_connections": 100 },
+            { "name": "keyed", "health_path": "/healthz", "max_connections": 100, "sharded": true, "warm_s": 1.0 },
+            { "name": "pool", "health_path": "/healthz", "max_connections": 100 },
         ],
         "limits": {
             "max_header_bytes": 16384, "max_body_bytes": 100_000,
--- a/bins/edge/tests/process/ownership.rs
+++ b/bins/edge/tests/process/ownership.rs
@@ -7,8 +7,10 @@
 use serde_json::json;
 
 use caraway_production::store::Mode;
+use caraway_production::target::Target;
 
 use crate::cluster::Cluster;
+use crate::cluster::configuration;
 use crate::cluster::wait;
 
 /// Waits until there is a coordinator, and returns the index of its instance.
@@ -280,3 +282,98 @@
     cluster.wait_owned(0);
     cluster.wait_owned(1);
 }
+
+/// Guards against an owner that counts as ended because of an entry of another writer at its address: its keys got a
+/// second owner without a release, while it served them.
+#[yare::parameterized(
+    unknown_service = { "agent", "keyed-old" },
+    another_service = { "agent", "pool" },
+    its_own_id = { "k0", "keyed-old" },
+    its_own_id_and_another_service = { "k0", "pool" },
+)]
+fn an_entry_of_another_writer_ends_no_owner(id: &str, service: &str) {
+    let cluster = Cluster::start(1, 4, 2);
+    cluster.wait_owned(0);
+    let target = cluster.targets.iter().find(|target| target.registration_key() == "servers/k0");
+    let target = target.unwrap().clone();
+    let mut entry = target.registration("ready");
+    entry["info"]["service"] = json!(service);
+    entry["born"] = json!(target.born + 1);
+    cluster.store.put(&format!("servers/{id}"), &entry);
+    thread::sleep(Duration::from_secs(1));
+    if id == "agent" {
+        // The target leaves without a notice and serves for a while.
+        cluster.store.remove(&target.registration_key());
+    }
+    thread::sleep(Duration::from_millis(2500));
+    let conflicts = cluster.journal.conflicts();
+    assert!(conflicts.is_empty(), "{conflicts:#?}");
+    target.crash();
+    wait_recovered(&cluster, 0, Duration::from_secs(8));
+    let conflicts = cluster.journal.conflicts();
+    assert!(conflicts.is_empty(), "{conflicts:#?}");
+}
+
+/// Guards against grants for a target that go to another one, because an entry of another writer states its address for
+/// the running incarnation.
+#[test]
+fn an_entry_with_the_address_of_another_target_moves_no_grants() {
+    let cluster = Cluster::start(0, 3, 2);
+    cluster.wait_owned(0);
+    let (known, other) = (&cluster.targets[0], &cluster.targets[1]);
+    let mut entry = known.registration("ready");
+    entry["address"] = other.registration("ready")["address"].clone();
+    cluster.store.put(&known.registration_key(), &entry);
+    thread::sleep(Duration::from_secs(1));
+    // The next coordinator sends new tokens for all keys.
+    cluster.store.end_leases();
+    thread::sleep(Duration::from_secs(4));
+    let conflicts = cluster.journal.conflicts();
+    assert!(conflicts.is_empty(), "{conflicts:#?}");
+    wait_recovered(&cluster, 0, Duration::from_secs(8));
+}
+
+/// Guards against keys that wait for the longest possible grant of 13 seconds although the target of another service
+/// that has taken the address of their owner says so.
+#[test]
+fn keys_move_once_another_service_answers_at_the_address_of_their_owner() {
+    let mut cluster = Cluster::start(1, 3, 3);
+    cluster.wait_owned(0);
+    let killed = coordinator(&cluster);
+    let other = (killed + 1) % 3;
+    let ended = cluster.targets[2].clone();
+    cluster.instances[killed].kill();
+    ended.crash();
+    cluster.store.remove(&ended.registration_key());
+    let (address, born) = (ended.address, ended.born + 1);
+    let successor = Target::start_at(address, "p9", born, "pool", false, &cluster.journal).unwrap();
+    cluster.store.put(&successor.registration_key(), &successor.registration("ready"));
+    cluster.targets.push(successor);
+    let took = wait_recovered(&cluster, other, Duration::from_secs(20));
+    assert!(took < Duration::from_secs(9), "{took:?}");
+    let log = cluster.instances.iter().map(|instance| instance.log()).collect::<String>();
+    assert!(log.contains("another service answers at its address"));
+    assert!(cluster.journal.conflicts().is_empty());
+}
+
+/// Guards against targets that are never used because their entries came before the configuration that names their
+/// service, also on an instance that learned of them from another one.
+#[test]
+fn targets_are_used_once_a_configuration_names_their_service() {
+    let mut cluster = Cluster::start(1, 0, 2);
+    cluster.add_target("n0", "new", false);
+    wait(Duration::from_secs(5), "the entries are known", || {
+        cluster.instances.iter().all(|instance| instance.log().contains("\"entry-unused\""))
+    });
+    let mut next = configuration(2);
+    let route = json!({
+        "name": "new", "prefix": "/new/", "route_type": "idempotent", "timeout_ms": 2000,
+        "target_latency_ms": 500, "priority": 1, "service": "new", "max_attempts": 2,
+    });
+    next["services"].as_array_mut().unwrap().push(json!({ "name": "new", "max_connections": 9 }));
+    next["virtual_hosts"][0]["paths"].as_array_mut().unwrap().push(route);
+    cluster.store.put("op/config", &next);
+    for index in 0..2 {
+        wait(Duration::from_secs(5), "served", || cluster.get(index, "/new/x", "n").status == 200);
+    }
+}
--- a/bins/soak/src/configuration.rs
+++ b/bins/soak/src/configuration.rs
@@ -30,11 +30,11 @@
         "version": version,
         "services": [
             {
-                "name": "keyed", "max_connections": 200, "sharded": true, "warm_s": 1.0,
+                "name": "keyed", "health_path": "/healthz", "max_connections": 200, "sharded": true, "warm_s": 1.0,
                 "warmup_s": warmup_time, "warmup_per_s": warmup_rate,
             },
             {
-                "name": "pooled", "max_connections": 200,
+                "name": "pooled", "health_path": "/healthz", "max_connections": 200,
                 "warmup_s": warmup_time, "warmup_per_s": warmup_rate,
             },
         ],
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -52,6 +52,8 @@
 pub struct Service {
     /// Whether each key of the service is owned by one target.
     pub keyed: bool,
+    /// Path at which its targets report their health and state their ids.
+    pub health_path: Option<Arc<str>>,
     /// Rank of the least urgent route to the service.
     pub least_urgent_rank: u32,
     /// Number of connections that a target accepts from all callers together.
--- a/crates/fleet/src/coordinator.rs
+++ b/crates/fleet/src/coordinator.rs
@@ -1,8 +1,8 @@
 //! Grants of keys by the coordinator: which target may serve which keys, and until when.
 //!
 //! The coordinator writes every change of ownership to the store before it acts on it. A new owner
-//! is granted keys only after each earlier owner, or a later incarnation of it, has released them,
-//! or after every grant ever sent to the earlier owner has expired. A grant never outlives the
+//! is granted keys only with a [proof](crate::proof) for each earlier owner that it no longer holds
+//! them. A grant never outlives the
 //! latest confirmation of the leadership by more than [`Options::grant_horizon`]. A successor that
 //! waits this long after its takeover therefore cannot conflict with a grant that it has no record
 //! of. Grants of the new term do not shorten this wait, even if they are confirmed: a target holds
@@ -11,8 +11,10 @@
 mod call;
 mod limits;
 mod recovery;
+mod release;
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -36,6 +38,7 @@
 use crate::ownership::Holding;
 use crate::ownership::Move;
 use crate::ownership::Table;
+use crate::proof::Proof;
 
 /// Time limits of grants.
 #[derive(Clone, Debug)]
@@ -157,6 +160,8 @@
     recovery: Option<Recovery>,
     /// Calls in flight.
     in_flight: InFlight,
+    /// Earlier owners that were removed and have not been logged yet.
+    clearances: BTreeSet<(Arc<str>, Incarnation, Proof)>,
 }
 
 /// A holding and whether its owner serves the keys.
@@ -197,6 +202,7 @@
             floors,
             recovery,
             in_flight,
+            clearances: BTreeSet::new(),
         }
     }
 
@@ -400,14 +406,8 @@
         let (first, last, fence) = holding.id();
         let mut waiting = false;
         for incarnation in &holding.earlier {
-            let ended = registry.is_known_ended(incarnation);
-            if ended {
-                self.holds.end(incarnation);
-            }
-            if ended || self.grants_expired(incarnation, now) {
-                if let Some(state) = self.services.get_mut(service) {
-                    state.table.remove_earlier(first, last, fence, incarnation);
-                }
+            if self.grants_expired(incarnation, now) {
+                self.clear_earlier(service, holding.id(), incarnation, Proof::Expired);
                 continue;
             }
             waiting = true;
@@ -526,7 +526,7 @@
             recipient.longest_in_flight = Duration::ZERO;
         }
         match reply {
-            Reply::Done { .. } | Reply::Unknown => {
+            Reply::Done { .. } | Reply::Unknown | Reply::Replaced => {
                 self.holds.raise(&call.incarnation, now + worst_case_duration(duration));
             }
             Reply::Fenced | Reply::Unsent | Reply::ConnectionGone => {}
@@ -534,7 +534,7 @@
         match reply {
             Reply::ConnectionGone => {}
             Reply::Done { .. } | Reply::Fenced => recipient.unanswered_since = None,
-            Reply::Unknown | Reply::Unsent => {
+            Reply::Unknown | Reply::Unsent | Reply::Replaced => {
                 recipient.unanswered_since.get_or_insert(now);
             }
         }
@@ -558,24 +558,4 @@
         }
         newly_granted
     }
-
-    fn record_release_reply(&mut self, call: &Call, reply: &Reply) {
-        let Some(state) = self.services.get_mut(&call.service) else { return };
-        let fence = call.fence + 1;
-        let id = (call.first, call.last, fence, call.incarnation.clone());
-        let Reply::Done { handover } = reply else {
-            if let Some(status) = state.releases.get_mut(&id) {
-                status.in_flight = false;
-            }
-            return;
-        };
-        state.releases.remove(&id);
-        state.table.remove_earlier(call.first, call.last, fence, &call.incarnation);
-        if handover.is_none() {
-            return;
-        }
-        if let Some(status) = state.grants.get_mut(&(call.first, call.last, fence)) {
-            status.handover.clone_from(handover);
-        }
-    }
 }
--- a/crates/fleet/src/coordinator/call.rs
+++ b/crates/fleet/src/coordinator/call.rs
@@ -53,6 +53,8 @@
     },
     /// The target has seen a higher fencing token and refused the call.
     Fenced,
+    /// A target of another service answered at the address and stated its own id.
+    Replaced,
     /// No response arrived, or it leaves the outcome open. The connection is closed.
     Unknown,
     /// Nothing was sent.
--- a/crates/fleet/src/coordinator/recovery.rs
+++ b/crates/fleet/src/coordinator/recovery.rs
@@ -23,6 +23,7 @@
 use crate::membership::REREGISTRATION_GRACE;
 use crate::membership::Registry;
 use crate::ownership::LAST_KEY;
+use crate::proof::Proof;
 
 /// Time after a new era was first seen in which the entries of all running targets arrive: the time
 /// in which they register, and 500 ms in which the watch returns the changes.
@@ -69,7 +70,7 @@
         let id = (call.service.clone(), call.incarnation.clone());
         let Some(release) = self.releases.get_mut(&id) else { return false };
         release.in_flight = false;
-        release.done |= matches!(reply, Reply::Done { .. });
+        release.done |= Proof::of_reply(call, reply).is_some();
         true
     }
 }
@@ -198,7 +199,7 @@
                     holdings.flat_map(|h| std::iter::once(&h.owner).chain(&h.earlier).cloned())
                 });
                 let mut incarnations = registry.recent_incarnations(service);
-                incarnations.extend(owners.filter(|owner| !registry.is_known_ended(owner)));
+                incarnations.extend(owners);
                 incarnations.sort();
                 incarnations.dedup();
                 // The token is above all earlier ones and below those of this term.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod ownership;
 pub mod pause;
 pub mod plan;
+pub mod proof;
 pub mod refusal;
 pub mod rendezvous;
 pub mod reports;
--- a/crates/fleet/src/membership.rs
+++ b/crates/fleet/src/membership.rs
@@ -1,6 +1,8 @@
 //! Targets that are listed in the platform's registry.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -94,8 +96,34 @@
 /// between their reports.
 const DEPARTURE_NEWS_AGE: Duration = Duration::from_secs(5);
 
+/// Reason for which an entry does not change the targets that are listed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Objection {
+    /// No configuration has named its service. The entry is kept until one does.
+    UnknownService(Arc<str>),
+    /// It states another address or service for an incarnation that is listed. Neither changes
+    /// while a target runs, so the entry comes from another writer.
+    Contradiction,
+}
+
+impl fmt::Display for Objection {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::UnknownService(service) => {
+                write!(f, "no configuration names the service {service:?}")
+            }
+            Self::Contradiction => {
+                f.write_str("the target is listed with another address or service since its start")
+            }
+        }
+    }
+}
+
 /// Targets that are listed, and those that were until recently.
 ///
+/// An entry to which there is an [`Objection`] lists no target and changes none: what other entries
+/// say of the same id or address stays in force.
+///
 /// That a target is leaving is known from its entry and from its own responses. The two sources are
 /// joined here: the earlier one counts, and an entry that says `ready` revokes only what an earlier
 /// entry said, since an incarnation that has announced its departure does not return.
@@ -105,6 +133,10 @@
     former: HashMap<Incarnation, Former>,
     /// Ids of listed targets by address.
     addresses: HashMap<SocketAddr, Arc<str>>,
+    /// Services that a configuration has named, if entries of others are not listed.
+    services: Option<HashSet<Arc<str>>>,
+    /// Entries of services that no configuration has named, by id, with the time of their arrival.
+    unlisted: HashMap<Arc<str>, (Target, Stamp)>,
     /// Incarnations that have announced their departure in a response, with the time.
     departures: HashMap<Incarnation, Stamp>,
     /// Revision of the latest known change of each entry, including removals, and when this
@@ -126,6 +158,64 @@
 }
 
 impl Registry {
+    /// Creates a registry that lists only targets of services that a configuration has named.
+    pub fn for_named_services() -> Self {
+        Self { services: Some(HashSet::new()), ..Self::default() }
+    }
+
+    /// Returns the reason for which an entry does not change the listed targets, if there is one.
+    pub fn objection(&self, target: &Target) -> Option<Objection> {
+        if self.services.as_ref().is_some_and(|services| !services.contains(&target.service)) {
+            return Some(Objection::UnknownService(target.service.clone()));
+        }
+        let listed = &self.members.get(&target.incarnation.id)?.target;
+        let same = listed.incarnation == target.incarnation;
+        let identity = |target: &Target| (target.address, target.service.clone());
+        let contradicts = same && identity(listed) != identity(target);
+        contradicts.then_some(Objection::Contradiction)
+    }
+
+    /// Records the services that a configuration names, and lists the targets of which entries have
+    /// arrived before. Returns the changes. A service stays named when a later configuration omits
+    /// it: its targets may still hold keys and run requests.
+    pub fn name_services(
+        &mut self,
+        services: impl IntoIterator<Item = Arc<str>>,
+        now: Stamp,
+    ) -> Vec<Change> {
+        let Some(named) = &mut self.services else { return vec![] };
+        named.extend(services);
+        let known = |id: &&Arc<str>| {
+            self.unlisted.get(*id).is_some_and(|(target, _)| named.contains(&target.service))
+        };
+        let mut ids: Vec<Arc<str>> = self.unlisted.keys().filter(known).cloned().collect();
+        ids.sort();
+        let mut changes = Vec::new();
+        for id in ids {
+            let Some((mut target, arrived)) = self.unlisted.remove(&id) else { continue };
+            target.warmup = (arrived + target.warmup).since(now);
+            changes.extend(self.put(target, now));
+            // It may have been draining for as long as the entry has been known, or longer.
+            self.record_unknown_drain_age(&id);
+        }
+        changes
+    }
+
+    /// Returns the entry with an id as of now, also if it lists no target yet.
+    pub fn entry(&self, id: &str, now: Stamp) -> Option<Target> {
+        let listed = self.members.get(id).map(|member| member.entry(now));
+        listed.or_else(|| {
+            let (target, arrived) = self.unlisted.get(id)?;
+            Some(Target { warmup: (*arrived + target.warmup).since(now), ..target.clone() })
+        })
+    }
+
+    /// Returns the ids of all entries, including those that list no target yet.
+    pub fn ids(&self) -> impl Iterator<Item = &Arc<str>> {
+        let unlisted = self.unlisted.keys().filter(|id| !self.members.contains_key(*id));
+        self.members.keys().chain(unlisted)
+    }
+
     /// Returns all listed targets.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
         self.members.values()
@@ -165,6 +255,16 @@
 
     /// Records an entry and returns the change that it means, if any.
     pub fn put(&mut self, target: Target, now: Stamp) -> Option<Change> {
+        let objection = self.objection(&target);
+        self.unlisted.remove(&target.incarnation.id);
+        match objection {
+            None => {}
+            Some(Objection::UnknownService(_)) => {
+                self.unlisted.insert(target.incarnation.id.clone(), (target, now));
+                return None;
+            }
+            Some(Objection::Contradiction) => return None,
+        }
         let target = Arc::new(target);
         let warm_at = now + target.warmup;
         if let Some(member) = self.members.get_mut(&target.incarnation.id)
@@ -213,48 +313,45 @@
         (latest.target.incarnation != *incarnation).then(|| latest.target.incarnation.clone())
     }
 
-    /// Returns the incarnations of a service that are listed or were until recently, except those
-    /// that are known to have ended.
+    /// Returns the incarnations of a service that are listed or were until recently.
     pub fn recent_incarnations(&self, service: &str) -> Vec<Incarnation> {
         let listed = self.members.values().map(|member| &member.target);
         let former = self.former.values().map(|former| &former.target);
         let of_service = listed.chain(former).filter(|target| *target.service == *service);
-        let incarnations = of_service.map(|target| target.incarnation.clone());
-        incarnations.filter(|incarnation| !self.is_known_ended(incarnation)).collect()
+        of_service.map(|target| target.incarnation.clone()).collect()
     }
 
-    /// Returns the address of an incarnation, and the one of another incarnation that is listed under its id elsewhere. The
-    /// second one shows that the first one has ended only if nothing accepts connections at its own address: an entry
-    /// of another writer may name any address.
-    pub fn addresses(&self, incarnation: &Incarnation) -> (Option<SocketAddr>, Option<SocketAddr>) {
+    /// Returns the latest entry of an incarnation, which may no longer be listed.
+    pub fn last_entry(&self, incarnation: &Incarnation) -> Option<&Arc<Target>> {
         let listed = self.members.get(&incarnation.id).map(|member| &member.target);
-        match listed {
-            Some(target) if target.incarnation == *incarnation => (Some(target.address), None),
-            _ => {
-                let own = self.last_address(incarnation);
-                let other = listed.map(|target| target.address);
-                (own, other.filter(|address| Some(*address) != own))
-            }
-        }
+        let former = || self.former.get(incarnation).map(|former| &former.target);
+        listed.filter(|target| target.incarnation == *incarnation).or_else(former)
     }
 
-    /// Returns the address of a target that is no longer listed, unless another target uses it now.
-    pub fn last_address(&self, incarnation: &Incarnation) -> Option<SocketAddr> {
+    /// Returns the target that is listed at an address.
+    pub fn listed_at(&self, address: SocketAddr) -> Option<&Member> {
+        self.members.get(self.addresses.get(&address)?)
+    }
+
+    /// Returns the address to which grants for an incarnation may be sent. If it is no longer listed
+    /// and another target is listed there, that one might accept them, and there is none.
+    pub fn grant_address(&self, incarnation: &Incarnation) -> Option<SocketAddr> {
+        let listed = self.members.get(&incarnation.id).map(|member| &member.target);
+        if let Some(target) = listed.filter(|target| target.incarnation == *incarnation) {
+            return Some(target.address);
+        }
         let address = self.former.get(incarnation)?.target.address;
-        (!self.addresses.contains_key(&address)).then_some(address)
+        self.listed_at(address).is_none().then_some(address)
     }
 
-    /// Returns whether a target is known to have ended because its address belongs to another
-    /// service now. A target of the same service is no such proof, since it may have accepted a
-    /// grant that was meant for the former one.
-    pub fn is_known_ended(&self, incarnation: &Incarnation) -> bool {
-        let Some(former) = self.former.get(incarnation) else { return false };
-        let other = self.addresses.get(&former.target.address);
-        let other = other.and_then(|id| self.members.get(id));
-        other.is_some_and(|other| {
-            other.target.service != former.target.service
-                && other.target.incarnation.born > incarnation.born
-        })
+    /// Returns the addresses at which an incarnation may answer for its keys: its own, and the one of
+    /// another incarnation that is listed under its id elsewhere. Targets that are listed at its own
+    /// address do not matter, since their entries may come from another writer.
+    pub fn addresses(&self, incarnation: &Incarnation) -> (Option<SocketAddr>, Option<SocketAddr>) {
+        let own = self.last_entry(incarnation).map(|target| target.address);
+        let listed = self.members.get(&incarnation.id).map(|member| &member.target);
+        let other = listed.filter(|target| target.incarnation != *incarnation);
+        (own, other.map(|target| target.address).filter(|address| Some(*address) != own))
     }
 
     fn unlist(&mut self, target: &Arc<Target>, now: Stamp) {
@@ -324,6 +421,7 @@
 
     /// Records that an entry was removed.
     pub fn remove(&mut self, id: &str, now: Stamp) -> Option<Change> {
+        self.unlisted.remove(id);
         let target = self.members.remove(id)?.target;
         self.unlist(&target, now);
         Some(Change::Gone(target))
@@ -337,6 +435,7 @@
         outage: bool,
         now: Stamp,
     ) -> Vec<Change> {
+        self.unlisted.retain(|id, _| listed(id));
         let mut gone = Vec::new();
         for (id, member) in &mut self.members {
             if listed(id) {
--- a/crates/fleet/tests/coordinator.rs
+++ b/crates/fleet/tests/coordinator.rs
@@ -24,6 +24,7 @@
 use caraway_fleet::membership::Target;
 use caraway_fleet::ownership::Move;
 use caraway_fleet::ownership::Table;
+use caraway_fleet::proof::Witness;
 
 const START: Stamp = Stamp::from_millis(1_000_000);
 
@@ -402,16 +403,23 @@
 
 /// Guards against waiting for grants of earlier coordinators to targets that have ended. A quarter
 /// of the targets was replaced while the coordinator was lost, and their keys were not served for
-/// 13 seconds. Another service at their address proves that they have ended; another target of the
-/// same service does not.
+/// 13 seconds. Guards as well against ending the wait without proof: the entry of a target at the
+/// address is none, since another writer may have left it, but the answer of that target is, if it
+/// belongs to another service.
 #[yare::parameterized(
-    another_service = { "t", 2, 0 },
-    the_same_service = { "s", 2, 13_000 },
-    an_older_entry = { "t", 0, 13_000 },
+    an_entry_of_another_service = { "t", 2, None, 13_000 },
+    an_entry_of_the_same_service = { "s", 2, None, 13_000 },
+    an_older_entry = { "t", 0, None, 13_000 },
+    another_service_answers = { "t", 2, Some("new"), 0 },
+    another_service_with_an_older_entry_answers = { "t", 0, Some("new"), 0 },
+    the_same_service_answers = { "s", 2, Some("new"), 13_000 },
+    the_target_itself_answers = { "t", 2, Some("a"), 13_000 },
+    an_unlisted_target_answers = { "t", 2, Some("x"), 13_000 },
 )]
-fn an_address_with_another_service_proves_that_a_target_has_ended(
+fn only_an_answer_at_the_address_of_a_target_proves_that_it_has_ended(
     service: &str,
     born: u64,
+    stated: Option<&str>,
     least: u64,
 ) {
     let mut registry = registry(&["b"]);
@@ -441,7 +449,12 @@
             if grant && call.incarnation == incarnation("b") {
                 granted.get_or_insert(ms);
             }
-            let reply = if grant { Reply::Done { handover: None } } else { Reply::Unsent };
+            let listed = Witness::at_own_address(&registry, &call.incarnation);
+            let reply = match (grant, listed) {
+                (true, _) => Reply::Done { handover: None },
+                (false, Some(listed)) if listed.is_confirmed_by(stated) => Reply::Replaced,
+                (false, _) => Reply::Unsent,
+            };
             coordinator.record_reply(&call, &reply, Some(1), at(ms));
         }
     }
--- a/crates/fleet/tests/history.rs
+++ b/crates/fleet/tests/history.rs
@@ -38,6 +38,7 @@
 use caraway_fleet::ownership::Move;
 use caraway_fleet::plan;
 use caraway_fleet::plan::Candidate;
+use caraway_fleet::proof::Witness;
 
 const MAX_GRANT_MS: u64 = 10_000;
 const LEASE_MS: u64 = 1400;
@@ -47,6 +48,9 @@
 /// Number of kinds of faults.
 const KINDS: u64 = 15;
 
+/// Number of kinds of entries of other writers, which follow the kinds of faults.
+const ODD_ENTRIES: u64 = 2;
+
 /// Interval between copies of the store, and the number of copies that are kept.
 const COPY_INTERVAL_MS: u64 = 500;
 const COPIES: usize = 16;
@@ -283,6 +287,7 @@
                 self.list_target(index);
             }
             5 => self.list_target(index),
+            15 | 16 => self.write_odd_entry(kind, index),
             6 => {
                 // A new process replaces the instance.
                 self.nodes[node].coordinator = None;
@@ -306,6 +311,15 @@
         }
     }
 
+    /// Registers what another writer has left: a target of another service at the address of a
+    /// running one, under an id of its own or under that of the running one.
+    fn write_odd_entry(&mut self, kind: u8, index: usize) {
+        let process = &self.processes[index];
+        let address = process.address;
+        let id = if kind == 15 { format!("agent-{index}").into() } else { process.id.clone() };
+        self.register(Incarnation { id, born: self.now }, address, "other".into());
+    }
+
     fn shut_down_coordinator(&mut self, index: usize) {
         let now = stamp(self.now);
         let node = &mut self.nodes[index];
@@ -619,6 +633,12 @@
             .registry
             .get(&call.incarnation.id)
             .is_none_or(|m| m.target.incarnation == call.incarnation);
+        let ended = !self.processes[found].up && !grant;
+        if ended && Witness::at_own_address(&self.registry, &call.incarnation).is_some() {
+            // The target of another service at the address states its id.
+            self.nodes[index].replies.push((now + 2 * STEP_MS, call, Reply::Replaced, None));
+            return;
+        }
         if !self.processes[found].up || grant && !current {
             self.nodes[index].replies.push((now + STEP_MS, call, Reply::Unsent, None));
             return;
@@ -770,6 +790,33 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(), ..ProptestConfig::default() })]
+
+    /// Guards against an entry of another writer that counts as proof that an owner has ended, or
+    /// moves its calls to another target: its keys got a second owner.
+    #[test]
+    fn entries_of_other_writers_give_no_key_two_owners(
+        seed in any::<u64>(),
+        steps in vec((any::<u8>(), any::<u8>(), any::<u8>()), 200..900),
+    ) {
+        let mut simulation = Simulation::new(seed);
+        for _ in 0..20 {
+            simulation.step(255);
+        }
+        for (kind, selector, moving) in steps {
+            if kind < 8 {
+                let kind = u8::try_from(simulation.random_below(KINDS)).unwrap();
+                simulation.inject(kind, selector);
+            } else if kind < 20 {
+                let kind = KINDS + simulation.random_below(ODD_ENTRIES);
+                simulation.inject(u8::try_from(kind).unwrap(), selector);
+            }
+            simulation.step(moving);
+        }
+    }
+}
+
 /// Guards against keys that are never recovered. All keys must have an owner soon after the last
 /// fault.
 #[test]
--- a/crates/fleet/tests/tables.rs
+++ b/crates/fleet/tests/tables.rs
@@ -400,7 +400,13 @@
     }
     // Restarted at the same address: the new incarnation answers for the one before.
     registry.put(at(4, 80), now);
-    assert_eq!(registry.addresses(&incarnation("a", 2)), (None, address(80)));
+    assert_eq!(registry.addresses(&incarnation("a", 2)), (address(80), None));
+    // Another target is listed at the address.
+    registry.remove("a", now);
+    registry.put(Target { address: ([10, 0, 0, 1], 80).into(), ..target("c", 9, false) }, now);
+    assert_eq!(registry.addresses(&incarnation("a", 2)), (address(80), None));
+    registry.remove("c", now);
+    registry.put(at(4, 80), now);
     // Never seen by this instance.
     assert_eq!(registry.addresses(&incarnation("a", 9)), (None, address(80)));
     assert_eq!(registry.addresses(&incarnation("b", 1)), (None, None));
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -257,6 +257,9 @@
     /// Nobody has announced the owners of keys at the end of the era before.
     325 Warn OwnersUnknown "owners-unknown" { era: u64, longest_ms: u64 }
         "the owners at the beginning of era {era} are unknown; keys are granted once all targets have released them, or in {longest_ms} ms"
+    /// An earlier owner no longer holds keys, so that they can be granted to the next one.
+    326 Info OwnerCleared "owner-cleared" { service: String, target: String, born: u64, proof: String }
+        "target {target} of {service} no longer holds keys that it owned: {proof}"
 
     /// A request crashed too many targets and is quarantined for a while.
     401 Error RequestQuarantined "request-quarantined" { request_id: String, route: String }
@@ -333,6 +336,9 @@
     /// The store was restored from a copy.
     613 Warn EraRisen "era-risen" { era: u64, previous: u64, source: String }
         "the store continues under era {era} after era {previous}, according to {source}; everything is read again"
+    /// An entry of a target is readable, but lists no target.
+    614 Warn EntryUnused "entry-unused" { target: String, reason: String }
+        "the entry of target {target} is not used: {reason}"
 
     /// The share of this instance in the targets of a service changed.
     730 Info ShareChanged "share-changed" { service: String, targets: u64, places: u64, instances: u64 }
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -107,7 +107,24 @@
         keyed: bool,
         journal: &Journal,
     ) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self::start_at(address, id, born, service, keyed, journal)
+    }
+
+    /// Starts an incarnation of a target at an address, which an earlier target may have used.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address is in use.
+    pub fn start_at(
+        address: SocketAddr,
+        id: &str,
+        born: u64,
+        service: &str,
+        keyed: bool,
+        journal: &Journal,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let shared = Arc::new(Shared {
             id: id.to_owned(),
@@ -269,6 +286,13 @@
             return Ok(());
         }
         match request.path.as_str() {
+            "/healthz" => {
+                let id = ("carawayscale-instance-id", shared.id.as_str());
+                output.write_all(&http::response(200, &[id], b""))?;
+            }
+            "/v1/grant" | "/v1/release" if !shared.keyed => {
+                output.write_all(&http::response(400, &[], b""))?;
+            }
             "/v1/grant" | "/v1/release" => {
                 if !control(shared, &request, id, &mut output)? {
                     return Ok(());
