Attribute crashes to requests however their attempts end

Cause: the crash was attributed only if the attempt failed before the response was handed to the caller. The head of a streamed response cleared the request and counted as the answer of a running target, and a break in the body ended the attempt without a suspicion and without a probe.

Change: suspicion::End names the ways in which an attempt ends and suspicion::Loss those in which a target is lost; one table decides. All attempts, dropped ones too, end through Attempt, which knows its request, caller and target. A completion clears its request only once the target has survived it. A request that had completed is suspected only while none in flight at that crash is known on any instance. Event 402 states the phase. Part of the target stand-in moved to a module of its own; it can crash midway in and right after a response.

Why this works: nothing but the end of an attempt decides, so no path of the response can forget it, and a completion can no longer hide the crash that follows it.

Tests: record_disconnect and record_crash are record_end and record_loss now; the tests that used them check the same.

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -2,7 +2,6 @@
 
 mod message;
 mod outcome;
-mod probe;
 mod selection;
 
 use std::cell::Cell;
@@ -36,7 +35,6 @@
 
 use crate::attempt::Attempt;
 use crate::forward::outcome::refuse;
-use crate::forward::probe::probe_target;
 use crate::http::Connection;
 use crate::http::Head;
 use crate::http::READ_BYTES;
@@ -44,6 +42,7 @@
 use crate::memory::Lease;
 use crate::metrics::Metrics;
 use crate::pool;
+use crate::probe;
 use crate::reason::Reason;
 use crate::response;
 use crate::response::TargetBody;
@@ -340,7 +339,8 @@
         if lease.grow(READ_BYTES, self.deadline).await.is_err() {
             return Completion::Unsent(Reason::MemoryShort);
         }
-        let attempt = Attempt::begin(self.state, target, self.urgent);
+        let names = (self.request.id.clone(), self.identity);
+        let attempt = Attempt::begin(self.state, target, names, self.urgent);
         let max_idle =
             if self.route.repeatable { MAX_IDLE_IDEMPOTENT } else { MAX_IDLE_NON_IDEMPOTENT };
         let mut connection = match self.state.pool.take(target.address, max_idle, &self.request.id)
@@ -352,9 +352,10 @@
                 {
                     Ok(connection) => connection,
                     Err(error) => {
-                        attempt.end(Outcome::Unreachable);
+                        attempt.end_without_run(Outcome::Unreachable);
                         self.state.suspect_cold(target);
-                        self.state.record_crash(&target.incarnation, &target.service);
+                        let loss = probe::loss(&error);
+                        self.state.record_loss(&target.incarnation, &target.service, loss);
                         emit(Event::TargetUnreached {
                             target: target.incarnation.id.to_string(),
                             service: target.service.to_string(),
@@ -368,7 +369,7 @@
         // While the connection was opened, the target may have asked for a pause or have left.
         let excluded = self.state.exclusion(target, self.route.repeatable);
         if let Some(reason) = excluded.or_else(|| self.take_warmup(target)) {
-            attempt.end(Outcome::Deferred);
+            attempt.end_without_run(Outcome::Deferred);
             self.state.keep_connection(target, connection);
             return Completion::Unsent(reason);
         }
@@ -379,6 +380,7 @@
         let (message, separate) = self.encode(target);
         let until = self.deadline + DEADLINE_GRACE;
         let sent = Instant::now();
+        attempt.record_sent();
         let head = timeout_at(until, async {
             if separate && !self.route.repeatable {
                 // An order that is given up cannot be sent again. Others have a better chance at another target.
@@ -394,24 +396,23 @@
         let head = tokio::select! {
             head = head => head,
             () = self.state.shutdown.wait_for_failing() => {
-                attempt.end(Outcome::Abandoned);
+                attempt.give_up(Outcome::Abandoned);
                 return Completion::Unknown(Reason::Stopping);
             }
         };
         let head = match head {
             Err(_) => {
-                attempt.end(Outcome::Abandoned);
+                attempt.give_up(Outcome::Abandoned);
                 return Completion::Unknown(Reason::TimedOut);
             }
             Ok(Err(error)) => {
-                attempt.end(Outcome::Failed);
+                attempt.break_off(&error.to_string());
                 // Overloaded targets may reset the connection at once.
                 if sent.elapsed() < load::OVERLOAD_RESET_WINDOW {
                     self.state.with_estimate(&target.incarnation.id, |estimate| {
                         estimate.record_overload(Clock.now())
                     });
                 }
-                self.record_broken_response(target, &error.to_string());
                 return Completion::Unknown(Reason::ConnectionLost);
             }
             Ok(Ok(head)) => head,
@@ -419,24 +420,6 @@
         self.classify(target, attempt, connection, lease, head, until).await
     }
 
-    /// Records a broken or mismatched response, and starts a crash probe of the target unless one
-    /// was started recently.
-    fn record_broken_response(&self, target: &Target, error: &str) {
-        let now = Clock.now();
-        if self.state.suspicions.borrow_mut().record_disconnect(
-            &target.incarnation,
-            self.identity,
-            now,
-        ) {
-            probe_target(self.state, target);
-        }
-        emit(Event::AnswerBroken {
-            request_id: self.request.id.to_string(),
-            target: target.incarnation.id.to_string(),
-            error: error.to_owned(),
-        });
-    }
-
     /// Classifies a response whose head was read.
     async fn classify(
         &self,
@@ -452,8 +435,7 @@
         let not_executed = refused || head.status == 421;
         if !self.belongs(&head, &connection, not_executed) {
             // The connection is out of sync, so later responses on it would not match either.
-            attempt.end(Outcome::Failed);
-            self.record_broken_response(target, "the response belongs to another request");
+            attempt.break_off("the response belongs to another request");
             return Completion::Unknown(Reason::Mismatched);
         }
         connection.record_response(&self.request.id);
@@ -480,8 +462,7 @@
             }
         });
         if head.headers.contains_key(header::CONTENT_ENCODING) {
-            attempt.end(Outcome::Failed);
-            self.record_broken_response(target, "the response body has a content encoding");
+            attempt.break_off("the response body has a content encoding");
             return Completion::Unknown(Reason::Mismatched);
         }
         let status = head.status;
@@ -502,7 +483,8 @@
                 _ if paused => Outcome::Deferred,
                 _ => Outcome::Failed,
             };
-            body.discard(outcome).await;
+            body.attempt().end_without_run(outcome);
+            body.discard().await;
             return Completion::NotExecuted(reason);
         }
         let buffered = head.length.is_none_or(|length| length <= MAX_BUFFERED_BYTES as u64);
@@ -510,8 +492,7 @@
             match timeout_at(until, body.buffer(MAX_BUFFERED_BYTES)).await {
                 Ok(Ok(())) => {}
                 Ok(Err(error)) => {
-                    body.end(Outcome::Failed);
-                    self.record_broken_response(target, &error.to_string());
+                    body.attempt().break_off(&error.to_string());
                     return Completion::Unknown(Reason::ConnectionLost);
                 }
                 Err(_) => {}
@@ -519,7 +500,7 @@
         }
         if matches!(status, 408 | 429 | 503) {
             // These promise callers that the request was not executed, which the target has not said.
-            body.end(Outcome::Failed);
+            body.attempt().give_up(Outcome::Failed);
             Completion::Unknown(Reason::Failed)
         } else if outcome == Outcome::Failed {
             Completion::Failed(head, body)
--- a/bins/edge/src/forward/outcome.rs
+++ b/bins/edge/src/forward/outcome.rs
@@ -29,9 +29,6 @@
     /// Records and forwards the response of a target.
     pub(super) fn respond(&self, target: &Target, head: Head, body: TargetBody) -> Response<Body> {
         let state = self.state;
-        let sent = Clock.now() - self.request.received.elapsed();
-        state.suspicions.borrow_mut().record_answer(&target.incarnation, sent);
-        state.quarantine.borrow_mut().record_completion(self.identity);
         let labels = [("service", self.service.to_string())];
         let count = state.metrics.answered.get_or_create(&labels).inc();
         let elapsed = self.request.received.elapsed();
--- a/bins/edge/src/http.rs
+++ b/bins/edge/src/http.rs
@@ -220,10 +220,22 @@
         if self.closing || self.framing != Framing::Ended || !self.buffer.is_empty() {
             return false;
         }
-        // Asks the operating system, since the runtime may not have learned of new bytes yet.
+        matches!(self.peek(), Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Returns whether the peer has closed the connection, and nothing is left to read.
+    pub fn is_closed_by_peer(&self) -> bool {
+        match self.peek() {
+            Ok(waiting) => waiting == 0,
+            Err(error) => error.kind() != ErrorKind::WouldBlock,
+        }
+    }
+
+    /// Asks the operating system for a byte that is waiting, since the runtime may not have learned
+    /// of new bytes yet.
+    fn peek(&self) -> io::Result<usize> {
         let mut byte = [std::mem::MaybeUninit::uninit()];
-        let waiting = SockRef::from(&self.stream).peek(&mut byte);
-        matches!(waiting, Err(error) if error.kind() == ErrorKind::WouldBlock)
+        SockRef::from(&self.stream).peek(&mut byte)
     }
 
     /// Marks the connection as idle and frees its buffer.
--- a/bins/edge/src/main.rs
+++ b/bins/edge/src/main.rs
@@ -16,6 +16,7 @@
 mod metrics;
 mod peers;
 mod pool;
+mod probe;
 mod process;
 mod reason;
 mod response;
--- a/bins/edge/src/peers.rs
+++ b/bins/edge/src/peers.rs
@@ -162,9 +162,9 @@
 /// follows the other one, or `None` if it did not respond.
 async fn exchange(state: &State, peer: &Arc<str>, mut report: Report) -> Option<bool> {
     let address = state.instances.borrow().get(peer).map(|instance| instance.address)?;
-    let crashes_sent;
-    (report.crashes, crashes_sent, report.crashes_received) =
-        state.crashes.borrow().for_report(peer);
+    let (rows, crashes_sent, received) = state.crashes.borrow().for_report(peer);
+    (report.crashes, report.crashes_after, report.crashes_received) =
+        (rows.in_flight, rows.completed, received);
     let sent = Clock.now();
     match call::<Update>(state, address, REPORT_PATH, &report).await {
         Ok(update) => {
--- a/bins/edge/src/peers/crashes.rs
+++ b/bins/edge/src/peers/crashes.rs
@@ -8,6 +8,7 @@
 use caraway_call::quarantine::Crash;
 use caraway_call::quarantine::Fingerprint;
 use caraway_call::quarantine::Identity;
+use caraway_call::quarantine::Phase;
 use caraway_core::name;
 use caraway_core::time::Clock;
 use caraway_core::time::millis;
@@ -23,8 +24,15 @@
 /// Maximum number of crashes that are kept, as many as there are suspects in the quarantine.
 const MAX_CRASHES: usize = 10_000;
 
-/// Identity of the request, target, and start time of its incarnation.
-type Row = (Identity, Arc<str>, u64);
+/// Identity of the request and the phase in which it was, target, and start time of its incarnation.
+type Row = (Identity, Phase, Arc<str>, u64);
+
+/// Crashes in a message, by the phase in which the request was.
+#[derive(Debug, Default)]
+pub(super) struct Rows {
+    pub(super) in_flight: Crashes,
+    pub(super) completed: Crashes,
+}
 
 /// What was exchanged with another instance.
 #[derive(Clone, Copy, Debug, Default)]
@@ -52,27 +60,32 @@
     }
 
     /// Adds a crash that this instance has observed.
-    pub fn add(&mut self, request: Identity, target: &Arc<str>, incarnation: u64) {
+    pub fn add(&mut self, request: Identity, phase: Phase, target: &Arc<str>, incarnation: u64) {
         let now = Clock.now();
-        self.log.add((request, target.clone(), incarnation), None, now, now);
+        self.log.add((request, phase, target.clone(), incarnation), None, now, now);
     }
 
     /// Returns the crashes after a position in the log for another instance, and the position after
     /// them.
-    fn rows(&self, position: u64, receiver: &str) -> (Crashes, u64) {
+    fn rows(&self, position: u64, receiver: &str) -> (Rows, u64) {
         let now = Clock.now();
         let (facts, next) = self.log.after(position, receiver, MAX_PER_MESSAGE);
-        let row = |((request, target, incarnation), at): (&Row, _)| {
+        let mut crashes = Rows::default();
+        for ((request, phase, target, incarnation), at) in facts {
             let Identity { fingerprint, caller } = *request;
             let age = millis(now.since(at));
-            (fingerprint.0, target.clone(), *incarnation, age, caller.address())
-        };
-        (facts.into_iter().map(row).collect(), next)
+            let row = (fingerprint.0, target.clone(), *incarnation, age, caller.address());
+            match phase {
+                Phase::InFlight => crashes.in_flight.push(row),
+                Phase::Completed => crashes.completed.push(row),
+            }
+        }
+        (crashes, next)
     }
 
     /// Returns what a report to another instance contains: the crashes that it does not have, the
     /// position after them, and the position up to which its crashes were received.
-    pub(super) fn for_report(&self, receiver: &str) -> (Crashes, u64, Position) {
+    pub(super) fn for_report(&self, receiver: &str) -> (Rows, u64, Position) {
         let cursor = self.cursors.get(receiver).copied().unwrap_or_default();
         let (rows, next) = self.rows(cursor.sent, receiver);
         (rows, next, cursor.received)
@@ -80,7 +93,7 @@
 
     /// Returns what the response to a report contains: the crashes after the position that the
     /// reporting instance has received, and the position after them.
-    pub(super) fn for_update(&self, receiver: &str, received: Position) -> (Crashes, Position) {
+    pub(super) fn for_update(&self, receiver: &str, received: Position) -> (Rows, Position) {
         let position = if received.epoch == self.epoch { received.next } else { 0 };
         let (rows, next) = self.rows(position, receiver);
         (rows, Position { epoch: self.epoch, next })
@@ -96,17 +109,19 @@
 }
 
 /// Adds the crashes that another instance has sent.
-pub(super) fn merge_crashes(state: &State, crashes: Crashes, source: &Arc<str>) {
+pub(super) fn merge_crashes(state: &State, crashes: Rows, source: &Arc<str>) {
     let now = Clock.now();
-    for (fingerprint, target, incarnation, age, caller) in crashes {
+    let in_flight = crashes.in_flight.into_iter().map(|row| (row, Phase::InFlight));
+    let completed = crashes.completed.into_iter().map(|row| (row, Phase::Completed));
+    for ((fingerprint, target, incarnation, age, caller), phase) in in_flight.chain(completed) {
         let age = Duration::from_millis(age);
         let request = Identity { fingerprint: Fingerprint(fingerprint), caller: caller.into() };
-        let row = (request, target.clone(), incarnation);
+        let row = (request, phase, target.clone(), incarnation);
         if !state.crashes.borrow_mut().log.add(row, Some(source), now - age, now) {
             continue;
         }
         let crash = Crash { target: name::Target::new(&target), incarnation };
         let report = quarantine::Report { request, crash, age };
-        state.quarantine.borrow_mut().merge(report, now);
+        state.quarantine.borrow_mut().merge_in_phase(report, phase, now);
     }
 }
--- a/bins/edge/src/peers/message.rs
+++ b/bins/edge/src/peers/message.rs
@@ -48,6 +48,9 @@
     pub(super) loads: Vec<(Arc<str>, u32, u32, f64, u32)>,
     /// Crashes that the receiver does not have.
     pub(super) crashes: Crashes,
+    /// Such crashes whose request had just completed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) crashes_after: Crashes,
     /// Position up to which crashes of the receiver were received.
     #[serde(default)]
     pub(super) crashes_received: Position,
@@ -94,6 +97,9 @@
     pub(super) shares: HashMap<Arc<str>, f64>,
     /// Crashes that the reporter does not have, and the position after them.
     pub(super) crashes: Crashes,
+    /// Such crashes whose request had just completed.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub(super) crashes_after: Crashes,
     #[serde(default)]
     pub(super) crashes_sent: Position,
     #[serde(default)]
--- a/bins/edge/src/peers/report.rs
+++ b/bins/edge/src/peers/report.rs
@@ -15,6 +15,7 @@
 use caraway_fleet::reports::Reports;
 
 use crate::peers::check_lag;
+use crate::peers::crashes::Rows;
 use crate::peers::crashes::merge_crashes;
 use crate::peers::message::Departures;
 use crate::peers::message::Report;
@@ -93,9 +94,11 @@
         age_ms: millis(state.view_age()),
         ..Update::default()
     };
-    merge_crashes(state, report.crashes, &report.name);
-    (update.crashes, update.crashes_sent) =
-        state.crashes.borrow().for_update(&report.name, report.crashes_received);
+    let rows = Rows { in_flight: report.crashes, completed: report.crashes_after };
+    merge_crashes(state, rows, &report.name);
+    let (rows, sent) = state.crashes.borrow().for_update(&report.name, report.crashes_received);
+    (update.crashes, update.crashes_after, update.crashes_sent) =
+        (rows.in_flight, rows.completed, sent);
     merge_departures(state, report.departures, &report.name);
     update.departures = departures(state);
     state.merge_evacuations(&report.evacuations, &report.name);
--- a/bins/edge/src/peers/update.rs
+++ b/bins/edge/src/peers/update.rs
@@ -8,6 +8,7 @@
 use caraway_telemetry::event::Event;
 use caraway_telemetry::event::emit;
 
+use crate::peers::crashes::Rows;
 use crate::peers::crashes::merge_crashes;
 use crate::peers::message::Update;
 use crate::peers::report::merge_departures;
@@ -27,7 +28,8 @@
         log_update("the configuration");
         state.configure(text.as_bytes(), revision.number, peer);
     }
-    merge_crashes(state, update.crashes, peer);
+    let rows = Rows { in_flight: update.crashes, completed: update.crashes_after };
+    merge_crashes(state, rows, peer);
     merge_departures(state, update.departures, peer);
     state.merge_evacuations(&update.evacuations, peer);
     if let Some(change) = update.owner_change {
--- a/bins/edge/src/pool.rs
+++ b/bins/edge/src/pool.rs
@@ -12,6 +12,7 @@
 use tokio::time::timeout_at;
 
 use caraway_core::time::Clock;
+use caraway_core::time::Stamp;
 
 use crate::http::Connection;
 use crate::http::Head;
@@ -139,6 +140,16 @@
         connections.push(connection);
     }
 
+    /// Removes the connections to an address that are idle since `since` or later and were closed by
+    /// the peer; returns whether there were any.
+    pub fn remove_closed(&self, address: SocketAddr, since: Stamp) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let Some(connections) = idle.get_mut(&address) else { return false };
+        let count = connections.len();
+        connections.retain(|idle| idle.idle_since < since || !idle.is_closed_by_peer());
+        connections.len() < count
+    }
+
     /// Closes the idle connections to an address.
     pub fn remove(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
--- a/bins/edge/src/process.rs
+++ b/bins/edge/src/process.rs
@@ -39,6 +39,7 @@
 use crate::ingress;
 use crate::leader;
 use crate::peers;
+use crate::probe::settle_completions;
 use crate::state::Instance;
 use crate::state::State;
 use crate::store::send;
@@ -104,6 +105,7 @@
     tasks.spawn_local(register(state.clone()));
     tasks.spawn_local(peers::run(state.clone(), reports.clone()));
     tasks.spawn_local(housekeeping(state.clone(), dropped));
+    tasks.spawn_local(settle_completions(state.clone()));
     let coordinate = tokio::task::spawn_local(leader::run(state.clone(), reports));
     let serving = tokio::task::spawn_local(ingress::callers(state.clone(), callers, closed));
     let mut text = std::fs::read_to_string(path).unwrap_or_default();
--- a/bins/edge/src/response.rs
+++ b/bins/edge/src/response.rs
@@ -105,9 +105,9 @@
         timer.as_mut().poll(cx)
     }
 
-    /// Records the outcome of the attempt at the target.
-    pub fn end(&self, outcome: Outcome) {
-        self.attempt.end(outcome);
+    /// Returns the attempt at the target.
+    pub fn attempt(&self) -> &Attempt {
+        &self.attempt
     }
 
     /// Buffers the body until it is complete, exceeds `limit` bytes or finds no more memory.
@@ -132,15 +132,15 @@
         Ok(())
     }
 
-    /// Reads the rest of a response that is not forwarded, so that its connection can be reused.
-    pub async fn discard(mut self, outcome: Outcome) {
-        self.end(outcome);
+    /// Reads the rest of a response that is not forwarded and whose attempt has ended, so that its
+    /// connection can be reused.
+    pub async fn discard(mut self) {
         // If the response does not end in time, dropping the body closes its connection.
         let _ = timeout(DISCARD_TIMEOUT, self.buffer(MAX_DISCARD_BYTES)).await;
     }
 
     fn finish(&mut self) {
-        self.attempt.end(self.outcome);
+        self.attempt.complete(self.outcome);
         if let Some(connection) = self.connection.take() {
             self.state.keep_connection(&self.target, connection);
         }
@@ -168,7 +168,7 @@
             this.lease.shrink_to(READ_BYTES);
         }
         if this.connection.is_some() && this.poll_deadline(cx).is_ready() {
-            this.attempt.end(Outcome::Abandoned);
+            this.attempt.give_up(Outcome::Abandoned);
             this.connection = None;
             return Poll::Ready(Some(Err(ErrorKind::TimedOut.into())));
         }
@@ -181,7 +181,7 @@
                 Poll::Ready(None)
             }
             Poll::Ready(Err(error)) => {
-                this.attempt.end(Outcome::Failed);
+                this.attempt.break_off(&error.to_string());
                 this.connection = None;
                 Poll::Ready(Some(Err(error)))
             }
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -22,7 +22,11 @@
 use caraway_adapter::settings::Settings;
 use caraway_call::quarantine;
 use caraway_call::quarantine::Crash;
+use caraway_call::quarantine::Identity;
 use caraway_call::quarantine::Quarantine;
+use caraway_call::quarantine::Report;
+use caraway_call::suspicion::End;
+use caraway_call::suspicion::Loss;
 use caraway_call::suspicion::Suspicions;
 use caraway_core::name;
 use caraway_core::time::Clock;
@@ -205,8 +209,10 @@
     allowances: RefCell<HashMap<Arc<str>, Allowance>>,
     /// Number of requests by service and key since the last report to the coordinator.
     pub demand: RefCell<BTreeMap<Arc<str>, BTreeMap<u16, u32>>>,
-    /// Requests whose connection broke while a target executed them.
+    /// Attempts after whose end the target may turn out to have crashed.
     pub suspicions: RefCell<Suspicions<Incarnation>>,
+    /// Notified when a request completes.
+    pub completed: Notify,
     /// Running probes for crashed targets.
     pub crash_probes: RefCell<JoinSet<()>>,
     /// Requests that have crashed targets.
@@ -294,6 +300,7 @@
             allowances: RefCell::default(),
             demand: RefCell::default(),
             suspicions: RefCell::default(),
+            completed: Notify::new(),
             crash_probes: RefCell::default(),
             quarantine: RefCell::new(Quarantine::new(QUARANTINE)),
             crashes: RefCell::new(CrashLog::new(QUARANTINE.retention)),
@@ -446,19 +453,45 @@
         self.is_barred(member, now).then_some(Reason::Evacuated)
     }
 
-    /// Records that an incarnation of a target is unreachable or has ended. Requests that it broke
-    /// off shortly before are suspected as the cause.
-    pub fn record_crash(&self, incarnation: &Incarnation, service: &str) {
+    /// Records the end of an attempt at a target; returns whether the target should be probed.
+    pub fn record_end(&self, target: &Target, request: Identity, end: End) -> bool {
+        let mut suspicions = self.suspicions.borrow_mut();
+        let probe = suspicions.record_end(&target.incarnation, request, end, Clock.now());
+        if end == End::Complete {
+            self.completed.notify_one();
+        }
+        probe
+    }
+
+    /// Records that a target answered a request that was sent at `sent`.
+    pub fn record_answer(&self, target: &Target, sent: Stamp) {
+        let settled = self.suspicions.borrow_mut().record_answer(&target.incarnation, sent);
+        self.clear(settled);
+    }
+
+    /// Clears requests that have completed, without a crash of their target, of earlier crashes.
+    pub fn clear(&self, requests: Vec<Identity>) {
+        let mut quarantine = self.quarantine.borrow_mut();
+        for request in requests {
+            quarantine.record_completion(request);
+        }
+    }
+
+    /// Records that an incarnation of a target was lost. Requests whose attempts ended shortly
+    /// before are suspected as the cause.
+    pub fn record_loss(&self, incarnation: &Incarnation, service: &str, loss: Loss) {
         let now = Clock.now();
-        for request in self.suspicions.borrow_mut().record_crash(incarnation, now) {
+        for (request, phase) in self.suspicions.borrow_mut().record_loss(incarnation, loss, now) {
             let crash =
                 Crash { target: name::Target::new(&incarnation.id), incarnation: incarnation.born };
-            self.quarantine.borrow_mut().record_crash(request, crash, now);
-            self.crashes.borrow_mut().add(request, &incarnation.id, incarnation.born);
+            let report = Report { request, crash, age: Duration::ZERO };
+            self.quarantine.borrow_mut().merge_in_phase(report, phase, now);
+            self.crashes.borrow_mut().add(request, phase, &incarnation.id, incarnation.born);
             emit(Event::TargetCrashed {
                 target: incarnation.id.to_string(),
                 service: service.to_owned(),
                 request: format!("{:016x}", request.fingerprint.0),
+                phase: phase.as_str().to_owned(),
             });
         }
     }
--- a/bins/edge/src/state/entries.rs
+++ b/bins/edge/src/state/entries.rs
@@ -8,6 +8,7 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
+use caraway_call::suspicion::Loss;
 use caraway_core::time::Clock;
 use caraway_core::time::Stamp;
 use caraway_fleet::era::Revision;
@@ -223,7 +224,7 @@
                 if let Some(previous) =
                     self.registry.borrow().previous_incarnation(&target.incarnation)
                 {
-                    self.record_crash(&previous, &target.service);
+                    self.record_loss(&previous, &target.service, Loss::Ended);
                 }
                 let (id, service) = id_and_service(&target);
                 let (address, born) = (target.address.to_string(), target.incarnation.born);
@@ -236,7 +237,7 @@
             }
             Some(Change::Gone(target)) => {
                 self.pool.remove(target.address);
-                self.record_crash(&target.incarnation, &target.service);
+                self.record_loss(&target.incarnation, &target.service, Loss::Unreachable);
                 self.estimates.borrow_mut().remove(&target.incarnation.id);
                 self.callers.borrow_mut().remove(&target.incarnation.id);
                 let (target, service) = id_and_service(&target);
--- a/bins/edge/tests/process/responses.rs
+++ b/bins/edge/tests/process/responses.rs
@@ -318,6 +318,46 @@
     }
 }
 
+/// Guards against a request that crashes target after target in the middle of a response, of which a part has reached
+/// the caller, right after a complete one, or after its caller has left or its deadline has passed.
+#[yare::parameterized(
+    in_a_buffered_response = { "/read/crash-midway", 2000, 2000 },
+    in_a_streamed_response = { "/read/crash-midway/large-90", 2000, 2000 },
+    after_a_response = { "/read/crash-after", 2000, 2000 },
+    after_the_deadline = { "/read/wait-300-crash", 100, 2000 },
+    after_the_departure_of_the_caller = { "/read/wait-300-crash", 2000, 100 },
+)]
+fn a_request_that_crashes_targets_at_any_time_is_quarantined(
+    path: &str,
+    deadline_ms: u64,
+    patience_ms: u64,
+) {
+    let cluster = Cluster::start(16, 0, 2);
+    let deadline_ms = deadline_ms.to_string();
+    let headers = [("carawayscale-deadline-ms", deadline_ms.as_str())];
+    for attempt in 0..10 {
+        let mut caller = cluster.caller(attempt % 2);
+        caller.send("GET", path, &format!("crash-{attempt}"), &headers, "").unwrap();
+        thread::sleep(Duration::from_millis(patience_ms.min(400)));
+        drop(caller);
+        thread::sleep(Duration::from_millis(200));
+        for number in 0..30 {
+            let (index, id) = (number % 2, format!("other-{attempt}-{number}"));
+            let response = cluster.get(index, "/read/x", &id);
+            assert!(!response.body.contains("crashed target after target"), "{response:?}");
+        }
+        thread::sleep(Duration::from_millis(300));
+    }
+    let runs = cluster.journal.runs();
+    let crashed = runs.iter().filter(|run| run.attempt.starts_with("crash-")).count();
+    assert!((3..=5).contains(&crashed), "it ran {crashed} times");
+    for index in 0..2 {
+        let response = cluster.get(index, path, "crash-last");
+        assert!(response.body.contains("crashed target after target"), "{response:?}");
+        assert_eq!(cluster.get(index, "/read/x", "after").status, 200);
+    }
+}
+
 /// Guards against a request that crashes target after target because another caller's request with
 /// the same method, path and body completes in between, and against refusing that other caller.
 #[test]
--- a/crates/call/src/quarantine.rs
+++ b/crates/call/src/quarantine.rs
@@ -112,6 +112,26 @@
     }
 }
 
+/// Phase in which a request was when its target crashed.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum Phase {
+    /// Its response was not complete.
+    InFlight,
+    /// Its response had just been completed. It is suspected of the crash only while no request is
+    /// known that was in flight.
+    Completed,
+}
+
+impl Phase {
+    /// Returns the phase as text for the log.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::InFlight => "while it ran",
+            Self::Completed => "right after it completed",
+        }
+    }
+}
+
 /// A crash of a target.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Crash {
@@ -160,6 +180,8 @@
 struct Incident {
     crash: Crash,
     at: Stamp,
+    /// Phase in which the requests were.
+    phase: Phase,
     /// Callers of the requests.
     implicated: Vec<Caller>,
     /// Callers whose requests have completed since.
@@ -316,10 +338,20 @@
 
     /// Merges a report of another instance. A caller that was cleared of the crash stays so.
     pub fn merge(&mut self, report: Report, now: Stamp) {
+        self.merge_in_phase(report, Phase::InFlight, now);
+    }
+
+    /// Merges a report about a request that was in some phase when the target crashed.
+    pub fn merge_in_phase(&mut self, report: Report, phase: Phase, now: Stamp) {
         let Report { request: Identity { fingerprint, caller }, crash, age } = report;
         if age >= self.options.retention {
             return;
         }
+        match phase {
+            Phase::InFlight => self.acquit_completed(&crash),
+            Phase::Completed if self.is_explained(&crash) => return,
+            Phase::Completed => {}
+        }
         if !self.suspects.contains_key(&fingerprint) {
             self.make_room(now);
         }
@@ -333,9 +365,29 @@
             return;
         }
         suspect.make_room();
-        let implicated = vec![caller];
-        let incident = Incident { crash, at, implicated, cleared: Vec::new(), by_content: true };
-        suspect.incidents.push(incident);
+        let (implicated, cleared) = (vec![caller], Vec::new());
+        // Requests of other callers are in flight at most targets, so that a completion of one of
+        // them says nothing about the content.
+        let by_content = phase == Phase::InFlight;
+        suspect.incidents.push(Incident { crash, at, phase, implicated, cleared, by_content });
+    }
+
+    /// Returns whether a request is known that was in flight when a target crashed.
+    fn is_explained(&self, crash: &Crash) -> bool {
+        let mut incidents = self.suspects.values().flat_map(|suspect| &suspect.incidents);
+        incidents.any(|known| known.phase == Phase::InFlight && known.crash.may_be_same(crash))
+    }
+
+    /// Removes the incidents of requests that had completed before a crash.
+    fn acquit_completed(&mut self, crash: &Crash) {
+        let acquitted = |incident: &Incident| {
+            incident.phase == Phase::Completed && incident.crash.may_be_same(crash)
+        };
+        self.suspects.retain(|_, suspect| {
+            let before = suspect.incidents.len();
+            suspect.incidents.retain(|incident| !acquitted(incident));
+            suspect.incidents.len() == before || !suspect.incidents.is_empty()
+        });
     }
 
     /// Removes the reports of a crash whose incarnation turned out to be alive.
--- a/crates/call/tests/callers.rs
+++ b/crates/call/tests/callers.rs
@@ -14,9 +14,12 @@
 use caraway_call::quarantine::Fingerprint;
 use caraway_call::quarantine::Identity;
 use caraway_call::quarantine::Options;
+use caraway_call::quarantine::Phase;
 use caraway_call::quarantine::Quarantine;
 use caraway_call::quarantine::Report;
 use caraway_call::quarantine::Verdict;
+use caraway_call::suspicion::End;
+use caraway_call::suspicion::Loss;
 use caraway_call::suspicion::Suspicions;
 use caraway_core::time::Stamp;
 
@@ -120,9 +123,9 @@
 #[test]
 fn reports_carry_the_caller() {
     let mut suspicions = Suspicions::default();
-    suspicions.record_disconnect(&"a", by(1), at(0));
+    suspicions.record_end(&"a", by(1), End::Broken, at(0));
     let mut first = quarantine();
-    for request in suspicions.record_crash(&"a", at(1)) {
+    for (request, _) in suspicions.record_loss(&"a", Loss::Ended, at(1)) {
         first.record_crash(request, crash(0), at(1));
     }
     first.record_crash(by(1), crash(1), at(1));
@@ -161,3 +164,31 @@
         }
     }
 }
+
+/// Guards against containing nobody who crashes targets right after the response, and against blaming
+/// such a request once the one that was in flight at the target is known, in whichever order the
+/// reports arrive.
+#[test]
+fn a_completed_request_is_suspected_only_while_none_in_flight_is_known() {
+    let report = |caller: u8, number: u64| Report {
+        request: by(caller),
+        crash: crash(number),
+        age: Duration::ZERO,
+    };
+    let mut quarantine = quarantine();
+    for number in 0..3 {
+        quarantine.merge_in_phase(report(1, number), Phase::Completed, at(number));
+    }
+    assert!(quarantine.refuses(by(1), at(3)));
+    assert!(!quarantine.refuses(by(2), at(3)), "the content says nothing");
+    quarantine.merge_in_phase(report(2, 2), Phase::InFlight, at(3));
+    assert!(!quarantine.refuses(by(1), at(3)));
+    quarantine.merge_in_phase(report(1, 2), Phase::Completed, at(3));
+    assert!(!quarantine.refuses(by(1), at(3)));
+    // A request with other content may have been in flight.
+    let other = Identity { fingerprint: Fingerprint(2), ..by(3) };
+    quarantine.merge_in_phase(report(1, 4), Phase::Completed, at(4));
+    assert!(quarantine.refuses(by(1), at(4)));
+    quarantine.record_crash(other, crash(4), at(4));
+    assert!(!quarantine.refuses(by(1), at(4)));
+}
--- a/crates/telemetry/src/event.rs
+++ b/crates/telemetry/src/event.rs
@@ -264,9 +264,10 @@
     /// A request crashed too many targets and is quarantined for a while.
     401 Error RequestQuarantined "request-quarantined" { request_id: String, route: String }
         "request {request_id} of {route} crashed several targets and is quarantined"
-    /// A target crashed while running a request.
-    402 Warn TargetCrashed "target-crashed" { target: String, service: String, request: String }
-        "target {target} of {service} crashed while running a request like {request}"
+    /// A target crashed while or right after it ran a request.
+    402 Warn TargetCrashed "target-crashed"
+        { target: String, service: String, request: String, phase: String }
+        "target {target} of {service} crashed {phase} a request like {request}"
     /// Retries are refused because the retry budget is exhausted.
     403 Warn RetryBudgetExhausted "retry-budget-exhausted" { service: name::Service }
         "the retry budget of {service} is exhausted"
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -1,5 +1,7 @@
 //! Stand-in for a target. With a keyed service, it accepts requests only for keys that it holds.
 
+mod keys;
+
 use std::collections::HashMap;
 use std::io;
 use std::io::BufReader;
@@ -326,10 +328,10 @@
         output.write_all(&copy)?;
     }
     if request.path == "/v1/release" {
-        output.write_all(&release(shared, request))?;
+        output.write_all(&keys::release(shared, request))?;
         return Ok(true);
     }
-    let response = grant(shared, request);
+    let response = keys::grant(shared, request);
     output.write_all(&response)?;
     if shared.doubling.load(Ordering::SeqCst) {
         output.write_all(&response)?;
@@ -337,74 +339,6 @@
     Ok(true)
 }
 
-fn number(body: &Value, name: &str) -> u64 {
-    body.get(name).and_then(Value::as_u64).unwrap_or(0)
-}
-
-fn range(body: &Value) -> (u16, u16, u64) {
-    let key = |name| u16::try_from(number(body, name)).unwrap_or(0);
-    (key("from"), key("target"), number(body, "fence"))
-}
-
-fn grant(shared: &Shared, request: &Request) -> Vec<u8> {
-    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-    let (first, last, fence) = range(&body);
-    let mut fences = lock(&shared.fences);
-    if fences.iter().any(|(from, to, known)| *from <= last && first <= *to && *known > fence) {
-        return http::response(409, &[], b"");
-    }
-    fences.push((first, last, fence));
-    let now = Instant::now();
-    let until = now + Duration::from_millis(number(&body, "hold_ms"));
-    let (target, born) = (shared.id.clone(), shared.born);
-    let hold = Hold { target, born, first, last, fence, from: now, until };
-    let same = |known: &Hold| {
-        (&known.target, known.born) == (&hold.target, hold.born)
-            && (known.first, known.last, known.fence) == (first, last, fence)
-            && known.until > now
-    };
-    // A shorter grant does not end a longer one, neither under the same token nor under another.
-    let extend = |holds: &mut Vec<Hold>| match holds.iter_mut().find(|known| same(known)) {
-        Some(known) => known.until = known.until.max(until),
-        None => holds.push(hold.clone()),
-    };
-    let mut holds = lock(&shared.holds);
-    holds.retain(|known| known.until > now);
-    extend(&mut holds);
-    drop(holds);
-    extend(&mut lock(&shared.journal.holds));
-    http::response(200, &[], b"")
-}
-
-fn release(shared: &Shared, request: &Request) -> Vec<u8> {
-    let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
-    let (first, last, fence) = range(&body);
-    lock(&shared.fences).push((first, last, fence));
-    let time = *lock(&shared.release_time);
-    thread::sleep(time);
-    let now = Instant::now();
-    let end_holds = |holds: &mut Vec<Hold>| {
-        let mut rest = Vec::new();
-        for hold in holds.iter_mut() {
-            let overlaps = hold.first <= last && first <= hold.last && hold.until > now;
-            if (&hold.target, hold.born) != (&shared.id, shared.born) || !overlaps {
-                continue;
-            }
-            if hold.first < first {
-                rest.push(Hold { last: first - 1, ..hold.clone() });
-            }
-            if hold.last > last {
-                rest.push(Hold { first: last + 1, ..hold.clone() });
-            }
-            hold.until = now;
-        }
-        holds.extend(rest);
-    };
-    end_holds(&mut lock(&shared.holds));
-    end_holds(&mut lock(&shared.journal.holds));
-    http::response(200, &[("carawayscale-handover", "state")], b"")
-}
-
 /// Returns the number that follows a keyword in a path.
 fn number_after(path: &str, keyword: &str) -> Option<u64> {
     let text = path.split(keyword).nth(1)?;
@@ -549,6 +483,16 @@
         return Ok(true);
     }
     if has("crash") || request.header("x-crash").is_some() {
+        let sent = match () {
+            () if has("crash-midway") => encoded.len() - 3,
+            () if has("crash-after") => encoded.len(),
+            () => 0,
+        };
+        output.write_all(encoded.get(..sent).unwrap_or_default())?;
+        if sent > 0 {
+            // The sender reads the bytes before its connection closes.
+            thread::sleep(Duration::from_millis(30));
+        }
         shared.crash();
         return Ok(false);
     }
