Run nothing behind a response that may break off

Cause: requests that were read ahead started at once, although a streamed response ahead of them can only be cut off by closing the connection. The close was a reset, which discarded complete responses before it as well. A streamed response whose deadline had passed while it waited for its turn began and broke off at once.

Change: a request starts only when no response ahead of it may still break off: that of a download, or of a route that has had a streamed response. A break closes the connection in order where the framing shows that the response is incomplete. A streamed response that is late for its turn is answered 504 instead.

Why this works: a started request is behind complete responses only, so that nothing but the client ends its connection; responses behind a streamed one could not be delivered earlier in any case.

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -156,13 +156,16 @@
     pub time_limit: Duration,
     /// Whether the request may run more than once.
     pub repeatable: bool,
+    /// Whether its response may be streamed, and break off after a part of it was sent.
+    pub streamed: bool,
 }
 
 /// Returns what is known of a request before its body is read, or `None` if it has no route.
-pub fn preview(configuration: &Configuration, parts: &Parts) -> Option<Preview> {
+pub fn preview(state: &State, configuration: &Configuration, parts: &Parts) -> Option<Preview> {
     let route = find_route(configuration, parts)?;
     let time_limit = requested_time(parts).map_or(route.timeout, |time| time.min(route.timeout));
-    Some(Preview { time_limit, repeatable: route.repeatable })
+    let streamed = route.large || state.streamed_routes.borrow().contains(&route.name);
+    Some(Preview { time_limit, repeatable: route.repeatable, streamed })
 }
 
 /// Refuses a request that did not reach a target.
@@ -498,6 +501,9 @@
                 Err(_) => {}
             }
         }
+        if !body.is_complete() {
+            self.state.streamed_routes.borrow_mut().insert(self.route.name.clone());
+        }
         if matches!(status, 408 | 429 | 503) {
             // These promise callers that the request was not executed, which the target has not said.
             body.attempt().give_up(Outcome::Failed);
--- a/bins/edge/src/ingress/connection.rs
+++ b/bins/edge/src/ingress/connection.rs
@@ -2,7 +2,8 @@
 //!
 //! One task reads and writes. Each request runs in a task of its own, which is aborted when the client
 //! disconnects. Requests that may not be repeated run alone: a client that sends one and closes the connection
-//! before the responses to earlier requests could not know whether it has run.
+//! before the responses to earlier requests could not know whether it has run. Nothing runs behind a request whose
+//! response may be streamed: if that breaks off, the connection closes without the responses behind it.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -32,6 +33,7 @@
 use crate::ingress::reader::Stop;
 use crate::ingress::service::Service;
 use crate::ingress::slots::Slot;
+use crate::ingress::writer::Break;
 use crate::ingress::writer::Form;
 use crate::ingress::writer::Writer;
 use crate::metrics::Metrics;
@@ -71,6 +73,17 @@
     form: Form,
 }
 
+/// How the responses of a connection ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Last {
+    /// The last response has been written.
+    Complete,
+    /// A response broke off. What was written of it does not look complete.
+    BrokenOff,
+    /// The client is gone, or what it has got of a response without a length must not look complete.
+    Reset,
+}
+
 /// State that the reading and the writing side of a connection share.
 #[derive(Debug)]
 pub struct Link {
@@ -180,21 +193,26 @@
         writer.write([b"HTTP/1.1 100 Continue\r\n\r\n", b"", b""]).await
     }
 
-    /// Writes the responses in order. Returns true once the last one has been written, false if the client is
-    /// gone or a response broke off.
-    async fn respond(&self) -> bool {
+    /// Writes the responses in order, until the last one has been written, the client is gone or a response broke off.
+    async fn respond(&self) -> Last {
         loop {
             let changed = self.changed.notified();
             let next = self.queue.borrow_mut().pop_front();
             let Some(mut entry) = next else {
                 if self.finished.get() {
-                    return true;
+                    return Last::Complete;
                 }
                 changed.await;
                 continue;
             };
             self.responding.set(true);
-            let Ok(response) = (&mut entry.running.0).await else { return false };
+            let Ok(mut response) = (&mut entry.running.0).await else { return Last::Reset };
+            if matches!(response.body(), Body::Right(body) if body.is_late()) {
+                // It waited for the responses before it. Breaking it off would close the connection without those
+                // behind it.
+                let status = StatusCode::GATEWAY_TIMEOUT;
+                response = response::plain(status, Reason::TimedOut.as_str());
+            }
             // The last response of a stopping process closes the connection. Requests that run already are
             // answered first.
             if self.state.shutdown.is_stopping() && self.queue.borrow().is_empty() {
@@ -202,15 +220,21 @@
             }
             self.closing.set(self.closing.get() || entry.form.close);
             let mut writer = Writer::new(&self.stream, &self.unread_since);
-            if writer.respond(response, entry.form).await.is_err() {
-                return false;
+            match writer.respond(response, entry.form).await {
+                Ok(()) => {}
+                Err(Break::Body) => {
+                    self.last_response.set(Some(Instant::now()));
+                    self.slot.set_busy(false);
+                    return Last::BrokenOff;
+                }
+                Err(Break::Client | Break::Unframed) => return Last::Reset,
             }
             self.responding.set(false);
             self.last_response.set(Some(Instant::now()));
             self.slot.set_busy(!self.is_idle());
             self.changed.notify_waiters();
             if entry.form.close {
-                return true;
+                return Last::Complete;
             }
         }
     }
@@ -325,7 +349,7 @@
         receiving_body: Cell::new(false),
         unread_since: Cell::new(None),
     };
-    let complete = {
+    let last = {
         let mut reader = Reader::new(&link);
         let mut reading = std::pin::pin!(reader.run());
         let mut responding = std::pin::pin!(link.respond());
@@ -336,16 +360,16 @@
                 biased;
                 stop = reading.as_mut(), if !link.finished.get() => {
                     if stop == Stop::Gone {
-                        break false;
+                        break Last::Reset;
                     }
                     link.finished.set(true);
                     link.changed.notify_waiters();
                 }
-                complete = responding.as_mut() => break complete,
-                () = gone.as_mut() => break false,
+                last = responding.as_mut() => break last,
+                () = gone.as_mut() => break Last::Reset,
                 () = link.slot.closed() => {
                     link.record_closed("all places are taken");
-                    break false;
+                    break Last::Reset;
                 }
                 _ = closing.wait_for(|closing| *closing), if !link.draining.get() => {
                     link.draining.set(true);
@@ -353,20 +377,21 @@
                 }
                 () = sleep_until(wake) => match link.check_timeouts() {
                     Some(next) => wake = next,
-                    None => break false,
+                    None => break Last::Reset,
                 }
             }
         }
     };
     // Dropping the queue aborts the requests that are still running.
     link.queue.borrow_mut().clear();
-    if complete {
-        tokio::select! {
+    match last {
+        // A reset would discard the complete responses that the client has not read yet.
+        Last::Complete | Last::BrokenOff => tokio::select! {
             () = link.linger() => {}
             () = link.slot.closed() => {}
-        }
-    } else if link.responding.get() {
-        link.reset();
+        },
+        Last::Reset if link.responding.get() => link.reset(),
+        Last::Reset => {}
     }
 }
 
--- a/bins/edge/src/ingress/reader.rs
+++ b/bins/edge/src/ingress/reader.rs
@@ -293,7 +293,7 @@
         if form.close {
             return Some(Stop::Finished);
         }
-        if !plan.repeatable {
+        if !plan.repeatable || plan.streamed {
             link.wait_idle().await;
         }
         None
--- a/bins/edge/src/ingress/service.rs
+++ b/bins/edge/src/ingress/service.rs
@@ -81,6 +81,9 @@
     pub time_limit: Duration,
     /// Whether the request may run at the same time as others of its connection.
     pub repeatable: bool,
+    /// Whether its response may break off after a part of it was sent, which closes the connection. Requests behind
+    /// it do not run before it is answered.
+    pub streamed: bool,
 }
 
 /// Reason why a body was not received.
@@ -165,18 +168,20 @@
             Self::Callers => {
                 parts.headers.get(field::ATTEMPT)?.to_str().ok()?;
                 let configuration = state.configuration()?;
-                let preview = forward::preview(&configuration, parts)?;
+                let preview = forward::preview(state, &configuration, parts)?;
                 let limit = configuration.limits.max_body_bytes;
                 Some(Plan {
                     max_body_bytes: usize::try_from(limit).unwrap_or(usize::MAX),
                     time_limit: preview.time_limit,
                     repeatable: preview.repeatable,
+                    streamed: preview.streamed,
                 })
             }
             Self::Instances(_) => MESSAGE_PATHS.contains(&parts.uri.path()).then_some(Plan {
                 max_body_bytes: MESSAGE_BYTES,
                 time_limit: MESSAGE_TIMEOUT,
                 repeatable: true,
+                streamed: false,
             }),
             Self::Readiness | Self::Metrics => None,
         }
--- a/bins/edge/src/ingress/writer.rs
+++ b/bins/edge/src/ingress/writer.rs
@@ -54,6 +54,23 @@
     written: usize,
 }
 
+/// Why a response was not written completely.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Break {
+    /// The client is gone.
+    Client,
+    /// The body ended early. The framing shows that what was written is not complete.
+    Body,
+    /// The body ended early or is too long, and only a reset shows that what was written is not complete.
+    Unframed,
+}
+
+impl From<io::Error> for Break {
+    fn from(_: io::Error) -> Self {
+        Self::Client
+    }
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Framing {
     None,
@@ -72,8 +89,8 @@
     ///
     /// # Errors
     ///
-    /// Fails if the client is gone or the body ends early. The connection must then be reset.
-    pub async fn respond(&mut self, response: Response<Body>, form: Form) -> io::Result<()> {
+    /// Fails if the client is gone or the body ends early. The connection must then be closed.
+    pub async fn respond(&mut self, response: Response<Body>, form: Form) -> Result<(), Break> {
         let (mut parts, mut body) = response.into_parts();
         let without_body =
             matches!(parts.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
@@ -149,10 +166,13 @@
                     body.frame().await
                 }
             };
-            let Some(data) = next.transpose().map_err(io::Error::other)?.map(data) else { break };
-            left = left
-                .checked_sub(data.len() as u64)
-                .ok_or_else(|| io::Error::other("the body is longer than its length"))?;
+            let ended_early = match framing {
+                Framing::Length(_) | Framing::Chunked => Break::Body,
+                Framing::None | Framing::Close => Break::Unframed,
+            };
+            let next = next.transpose().map_err(|_| ended_early)?;
+            let Some(data) = next.map(data) else { break };
+            left = left.checked_sub(data.len() as u64).ok_or(Break::Unframed)?;
             if framing == Framing::None {
                 continue;
             }
@@ -167,7 +187,7 @@
             }
         }
         if matches!(framing, Framing::Length(_)) && left > 0 {
-            return Err(ErrorKind::UnexpectedEof.into());
+            return Err(Break::Body);
         }
         let end: &[u8] = if chunked { b"0\r\n\r\n" } else { b"" };
         if joined.is_empty() {
--- a/bins/edge/src/response.rs
+++ b/bins/edge/src/response.rs
@@ -105,6 +105,16 @@
         timer.as_mut().poll(cx)
     }
 
+    /// Returns whether the whole body has been received.
+    pub fn is_complete(&self) -> bool {
+        self.connection.is_none()
+    }
+
+    /// Returns whether the rest of the body would be abandoned at once, since no caller waits for it any more.
+    pub fn is_late(&self) -> bool {
+        !self.is_complete() && self.deadline.is_some_and(|deadline| deadline <= Instant::now())
+    }
+
     /// Returns the attempt at the target.
     pub fn attempt(&self) -> &Attempt {
         &self.attempt
--- a/bins/edge/src/state.rs
+++ b/bins/edge/src/state.rs
@@ -201,6 +201,8 @@
     pub viewed_at: Cell<Option<Stamp>>,
     /// When the coordinator last sent the load of other instances.
     pub loads_at: Cell<Stamp>,
+    /// Names of routes with responses that were streamed.
+    pub streamed_routes: RefCell<HashSet<Arc<str>>>,
     /// Traffic splitters by route name.
     pub splitters: RefCell<HashMap<Arc<str>, Splitter>>,
     /// Time at which the process started.
@@ -295,6 +297,7 @@
             estimates: RefCell::default(),
             viewed_at: Cell::new(None),
             loads_at: Cell::new(Stamp::default()),
+            streamed_routes: RefCell::default(),
             splitters: RefCell::default(),
             started: Clock.now(),
             allowances: RefCell::default(),
@@ -363,9 +366,18 @@
         drop(current);
         emit(Event::ConfigurationApplied { version, source: source.to_owned() });
         self.list_named_targets();
+        self.forget_removed_routes();
         self.changed.notify_waiters();
     }
 
+    /// Forgets the routes that the configuration no longer has.
+    fn forget_removed_routes(&self) {
+        let Some(configuration) = self.configuration() else { return };
+        let routes = configuration.hosts.values().flatten();
+        let names: HashSet<&Arc<str>> = routes.map(|route| &route.name).collect();
+        self.streamed_routes.borrow_mut().retain(|name| names.contains(name));
+    }
+
     /// Applies a view of the owners if it is newer.
     pub fn apply_view(&self, view: View) {
         let mut current = self.view.borrow_mut();
--- a/bins/edge/tests/process/cluster.rs
+++ b/bins/edge/tests/process/cluster.rs
@@ -50,6 +50,7 @@
             route("key", "/key/", "idempotent", "keyed"),
             slow,
             route("upload", "/upload/", "upload", "pool"),
+            route("download", "/download/", "download", "pool"),
             route("key-order", "/key-order/", "non_idempotent", "keyed"),
             route("version", &format!("/version-{version}/"), "idempotent", "pool"),
         ]}],
--- a/bins/edge/tests/process/pipelining.rs
+++ b/bins/edge/tests/process/pipelining.rs
@@ -7,6 +7,10 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+
 use caraway_production::caller::Caller;
 
 use crate::cluster::Cluster;
@@ -127,6 +131,72 @@
     assert_eq!(status.code(), Some(0));
 }
 
+/// Guards against requests that run behind a response that breaks off: their connection closes without an answer to
+/// them. Responses of downloads may break off, and those of routes with streamed responses.
+#[yare::parameterized(
+    of_a_download = { "/download/large-90/break-midway" },
+    of_another_route = { "/read/large-90/break-midway" },
+)]
+fn requests_behind_a_response_that_breaks_off_are_not_run(path: &str) {
+    let cluster = Cluster::start(2, 0, 1);
+    assert_eq!(cluster.get(0, "/read/large-90", "streamed").status, 200);
+    let behind: String = (0..4).map(|n| get("/read/x", &format!("behind-{n}"), "")).collect();
+    let mut caller = send(&cluster, &(get(path, "a", "") + &behind));
+    assert!(caller.receive().is_err());
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(cluster.runs("a"), 1);
+    assert!((0..4).all(|n| cluster.runs(&format!("behind-{n}")) == 0));
+}
+
+/// Guards against requests that do not run behind a download that is answered.
+#[test]
+fn requests_behind_a_download_run_once_it_is_answered() {
+    let cluster = Cluster::start(2, 0, 1);
+    let behind: String = (0..4).map(|n| get("/read/x", &format!("behind-{n}"), "")).collect();
+    let mut caller = send(&cluster, &(get("/download/large-90", "a", "") + &behind));
+    for _ in 0..5 {
+        assert_eq!(caller.receive().unwrap().status, 200);
+    }
+}
+
+/// Guards against a reset that discards a complete response which the client has not read yet, because the one behind
+/// it broke off.
+#[test]
+fn a_response_before_one_that_breaks_off_is_delivered() {
+    let cluster = Cluster::start(2, 0, 1);
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    // Most of the response waits at the instance.
+    socket.set_recv_buffer_size(4 << 10).unwrap();
+    socket.connect(&cluster.instances[0].caller_address.into()).unwrap();
+    let mut stream = TcpStream::from(socket);
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let text = get("/read/large-60", "a", "") + &get("/download/large-90/break-midway", "b", "");
+    stream.write_all(text.as_bytes()).unwrap();
+    thread::sleep(Duration::from_secs(1));
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    let answer = String::from_utf8_lossy(&answer);
+    let (head, rest) = answer.split_once("\r\n\r\n").unwrap();
+    assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+    let (first, second) = rest.split_once("HTTP/1.1 ").unwrap();
+    assert_eq!(first.len(), 60_000 + "p0:a".len());
+    let (_, broken) = second.split_once("\r\n\r\n").unwrap();
+    assert!(broken.len() < 90_000 + "p0:b".len(), "it looks complete");
+}
+
+/// Guards against closing the connection because a streamed response could not begin before its deadline: it waited for
+/// the one ahead of it, and those behind it got no answer.
+#[test]
+fn a_streamed_response_that_waits_beyond_its_deadline_is_answered_504() {
+    let cluster = Cluster::start(3, 0, 1);
+    let text = get("/read/wait-1200", "a", "")
+        + &get("/download/large-900", "b", "carawayscale-deadline-ms: 300\r\n")
+        + &get("/read/x", "c", "");
+    let mut caller = send(&cluster, &text);
+    let statuses: Vec<u16> = (0..3).map(|_| caller.receive().unwrap().status).collect();
+    assert_eq!(statuses, [200, 504, 200]);
+}
+
 /// Guards against targets that keep working on requests sent ahead by a caller that has disconnected, also when
 /// it sent more than is read ahead.
 #[yare::parameterized(
--- a/crates/fleet/src/configuration.rs
+++ b/crates/fleet/src/configuration.rs
@@ -26,6 +26,8 @@
     pub prefix: Arc<str>,
     /// Whether a request may be executed more than once.
     pub repeatable: bool,
+    /// Whether the responses are large.
+    pub large: bool,
     /// Longest time that a caller waits for a response.
     pub timeout: Duration,
     /// Latency up to which a response has its full value.
--- a/crates/fleet/tests/tables.rs
+++ b/crates/fleet/tests/tables.rs
@@ -321,6 +321,7 @@
         name: name.into(),
         prefix: prefix.into(),
         repeatable: true,
+        large: false,
         timeout: Duration::from_secs(1),
         latency_objective: Duration::from_millis(100),
         rank: 1,
