Take a success without a signature for a broken response

A faulty target got a byte of the name of that field wrong.

Cause: classify accepted every response that repeated the id of its request; nothing checked that a success has the signature.

Change: such a response ends its attempt as one that is broken off. A request that may be repeated goes to another target, any other one is answered 502. The target stand-in can misspell or empty the field. The value cannot be checked, since its key belongs to the targets.

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -469,6 +469,10 @@
             return Completion::Unknown(Reason::Mismatched);
         }
         let status = head.status;
+        if is_unsigned_success(&head) {
+            attempt.break_off("the success has no signature of the target");
+            return Completion::Unknown(Reason::Mismatched);
+        }
         let outcome = if status >= 500 { Outcome::Failed } else { Outcome::Answered };
         let mut body = TargetBody::new(
             self.state.clone(),
@@ -563,6 +567,12 @@
     }
 }
 
+/// Returns whether a response claims success without the signature with which a target proves that it is its own.
+fn is_unsigned_success(head: &Head) -> bool {
+    let signature = head.headers.get(field::SIGNATURE);
+    (200..300).contains(&head.status) && signature.is_none_or(|value| value.is_empty())
+}
+
 /// Returns a header field of a response, if it is valid text.
 fn header_text<'a>(head: &'a Head, name: &str) -> Option<&'a str> {
     head.headers.get(name)?.to_str().ok()
--- a/bins/edge/tests/process/responses.rs
+++ b/bins/edge/tests/process/responses.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use caraway_production::caller::Caller;
+use caraway_production::caller::Response;
 
 use crate::cluster::Cluster;
 use crate::cluster::wait;
@@ -318,6 +319,37 @@
     }
 }
 
+/// Guards against forwarding a success without the signature of the target, which a faulty target has spoiled: a read
+/// is repeated at another target, and an order may have run.
+#[yare::parameterized(
+    misspelled = { "misspelled-at-p1" },
+    empty = { "unsigned-at-p1" },
+)]
+fn a_success_without_a_signature_is_not_forwarded(keyword: &str) {
+    let cluster = Cluster::start(2, 0, 1);
+    wait_for_retries();
+    // Orders at the same time reach both targets.
+    let order = &|id: &str| {
+        let path = format!("/order/wait-100/{keyword}");
+        cluster.caller(0).call("POST", &path, id, &[DEADLINE]).unwrap()
+    };
+    let orders: Vec<Response> = thread::scope(|scope| {
+        let send = |index: usize| scope.spawn(move || order(&format!("o{index}")));
+        let callers: Vec<_> = (0..6).map(send).collect();
+        callers.into_iter().map(|caller| caller.join().unwrap()).collect()
+    });
+    let unknown = orders.iter().filter(|order| order.status == 502).count();
+    for (index, order) in orders.iter().enumerate() {
+        assert!(order.status == 502 || order.body.starts_with("p0:"), "{order:?}");
+        assert_eq!(cluster.runs(&format!("o{index}")), 1);
+    }
+    for index in 0..20 {
+        let read = cluster.get(0, &format!("/read/{keyword}"), &format!("r{index}"));
+        assert!(read.status == 502 || read.body.starts_with("p0:"), "{read:?}");
+    }
+    assert!(unknown > 0, "the faulty target got no order");
+}
+
 /// Guards against a request that crashes target after target in the middle of a response, of which a part has reached
 /// the caller, right after a complete one, or after its caller has left or its deadline has passed.
 #[yare::parameterized(
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -456,17 +456,25 @@
     if let Some(kilobytes) = number_after(&request.path, "large-") {
         body.push_str(&".".repeat(usize::try_from(kilobytes).unwrap_or(0) * 1000));
     }
+    let at_this = |keyword: &str| {
+        request.path.split(keyword).nth(1).is_some_and(|id| id.starts_with(&shared.id))
+    };
+    // A faulty target gets one byte of its response wrong, or leaves the signature out.
+    let signature = match () {
+        () if at_this("misspelled-at-") => ("carawayscale-response-xignature", "proof"),
+        () if at_this("unsigned-at-") => ("carawayscale-response-signature", ""),
+        () => ("carawayscale-response-signature", "proof"),
+    };
     let mut headers = vec![
         ("carawayscale-attempt-id", attempt.as_str()),
-        ("carawayscale-response-signature", "proof"),
+        signature,
         ("carawayscale-server-load", "1,0,4"),
         ("carawayscale-warmup-ms", warmup_left.as_str()),
     ];
     if shared.leaving.load(Ordering::SeqCst) {
         headers.push(("server-leaving", "1"));
     }
-    let failing =
-        request.path.split("fail-at-").nth(1).is_some_and(|id| id.starts_with(&shared.id));
+    let failing = at_this("fail-at-");
     let status = if failing { 500 } else { 200 };
     if has("fail-at-") && !failing {
         // Delays successful responses, because failures are often faster.
