Believe a refusal without an id on a new connection only

A faulty target sent a refusal without an id after a complete response.

Cause: belongs took a refusal without an id for the answer to the next request on any connection that had carried no other refusal. A response that was carried before may be followed by more bytes as well.

Change: only a connection that has carried no response at all shows by the position to which request such a refusal belongs. Elsewhere the outcome is unknown. The target stand-in can send such a refusal. The message of a test instance that is not ready contains its log now.

Result: on the code before, all 3 cases of a_refusal_without_an_id_is_ believed_on_a_new_connection_only failed; they pass now.

--- a/bins/edge/src/forward.rs
+++ b/bins/edge/src/forward.rs
@@ -522,14 +522,14 @@
 
 impl Call<'_> {
     /// Returns whether a response belongs to this request. It repeats the id of its request. A
-    /// refusal may lack the id if nothing else than this request can have caused it: the target has
-    /// refused no other request on the connection.
+    /// refusal may lack the id if nothing else than this request can have caused it: the connection
+    /// has carried no other response, after which a faulty target may send more.
     fn belongs(&self, head: &Head, connection: &Connection, not_executed: bool) -> bool {
         match header_text(head, field::ATTEMPT) {
             Some(id) => *id == *self.request.id && !connection.has_refused(id),
             None => {
                 let unnamed = !head.headers.contains_key(field::ATTEMPT);
-                unnamed && not_executed && !connection.has_refusals()
+                unnamed && not_executed && connection.is_unused()
             }
         }
     }
--- a/bins/edge/src/http.rs
+++ b/bins/edge/src/http.rs
@@ -170,9 +170,9 @@
         self.refusals.iter().any(|refused| **refused == *id)
     }
 
-    /// Returns whether the peer has refused any request on the connection.
-    pub fn has_refusals(&self) -> bool {
-        !self.refusals.is_empty()
+    /// Returns whether the connection has carried no response yet.
+    pub fn is_unused(&self) -> bool {
+        self.answered.is_none() && self.refusals.is_empty()
     }
 
     /// Records that the peer responded to the request with this id.
--- a/bins/edge/tests/process/cluster.rs
+++ b/bins/edge/tests/process/cluster.rs
@@ -115,7 +115,11 @@
     }
 
     pub fn wait_ready(&self, index: usize) {
-        wait(Duration::from_secs(10), "ready", || self.ready(index));
+        let end = Instant::now() + Duration::from_secs(10);
+        while !self.ready(index) {
+            assert!(Instant::now() < end, "not ready after 10s: {}", self.instances[index].log());
+            thread::sleep(Duration::from_millis(20));
+        }
     }
 
     pub fn caller(&self, index: usize) -> Caller {
--- a/bins/edge/tests/process/trouble.rs
+++ b/bins/edge/tests/process/trouble.rs
@@ -266,6 +266,32 @@
     }
 }
 
+/// Guards against believing a refusal without an id that a faulty target sends after a complete response: the next
+/// request on the connection was refused while the target ran it, or it ran at a second target.
+#[yare::parameterized(
+    orders_of_one_target = { 1, "POST", "/order/x" },
+    orders_of_two_targets = { 2, "POST", "/order/x" },
+    read = { 1, "GET", "/read/x" },
+)]
+fn a_refusal_without_an_id_is_believed_on_a_new_connection_only(
+    pool: usize,
+    method: &str,
+    path: &str,
+) {
+    let cluster = Cluster::start(pool, 0, 1);
+    for index in 0..20 {
+        for (kind, path) in [("stray", path.replace('x', "stray-refusal").as_str()), ("next", path)]
+        {
+            let attempt = format!("{kind}-{index}");
+            let response = cluster.caller(0).call(method, path, &attempt, &[DEADLINE]).unwrap();
+            let runs = cluster.runs(&attempt);
+            assert!(runs <= 1 || method == "GET", "{attempt} ran {runs} times");
+            assert!(runs == 0 || response.status != 503, "{attempt} ran: {response:?}");
+            assert!([200, 502].contains(&response.status), "{response:?}");
+        }
+    }
+}
+
 /// Guards against believing a copy of an earlier refusal of a request for a key.
 #[test]
 fn a_copy_of_an_earlier_refusal_for_a_key_is_not_believed() {
--- a/standins/production/src/target.rs
+++ b/standins/production/src/target.rs
@@ -541,6 +541,10 @@
         // Sends surplus bytes after the response: a second response to the same request.
         output.write_all(&encoded)?;
     }
+    if has("stray-refusal") {
+        // Comes in place of the response to the next request on the connection.
+        lock(&shared.copies).insert(connection, http::response(503, &not_run, b""));
+    }
     if has("repeat-later") {
         lock(&shared.copies).insert(connection, encoded.clone());
     }
